Lay out the public types, the interfaces and the build

Cause: an empty repository. Work goes on side by side, so the types that cross modules, the protocols on each side and the settings are fixed first. Ruled out: growing the types out of the first program, since three parts of the deciding library are written at once against them. Conclusion: the parts can be written apart.

--- /dev/null
+++ b/include/flamingograde/config.h
@@ -0,0 +1,78 @@
+/// All limits of the library, with their defaults.
+///
+/// A limit that a deployment may want to change has a setting of the same name;
+/// the value here is its default.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace flamingograde::config {
+
+using namespace std::chrono_literals;
+
+// clang-format off
+
+// Time.
+inline constexpr auto tickPeriod            = 50ms;   ///< Period of the `Tick` event.
+inline constexpr auto pauseThreshold        = 1000ms; ///< A gap between two events above this is a pause of the process.
+inline constexpr auto clockBound            = 1000ms; ///< Largest difference between the wall clocks of any two parties.
+
+// Membership.
+inline constexpr auto probePeriod           = 200ms;  ///< One peer is probed each period.
+inline constexpr auto probeTimeout          = 300ms;  ///< Without an ack after this, others are asked to probe.
+inline constexpr auto suspicionTimeout      = 1200ms; ///< A suspect is declared dead after this; longer than `pauseThreshold`.
+inline constexpr auto hostListPeriod        = 2000ms; ///< Period of reading the host list by a reader.
+inline constexpr std::size_t indirectProbes = 3;      ///< Peers asked to probe a silent one.
+inline constexpr std::size_t updatesPerMessage = 6;   ///< Membership updates carried by one message.
+inline constexpr std::size_t flatMembershipHosts = 64;///< Above this fleet size only the own zone is probed, and bridges.
+inline constexpr std::size_t bridgesPerZone = 2;      ///< Hosts of each other zone that are probed in a large fleet.
+
+// Configuration.
+inline constexpr std::size_t readersPerZone = 2;      ///< Hosts of a zone that watch the platform.
+inline constexpr auto watchWait             = 20s;    ///< How long the platform is asked to hold a watch.
+inline constexpr auto platformRetryMin      = 250ms;  ///< First pause after a failed read of the platform.
+inline constexpr auto platformRetryMax      = 2000ms; ///< Longest pause after failed reads of the platform.
+inline constexpr std::size_t tableBytesMax  = 1000000;///< Largest table text; the platform holds values up to a megabyte.
+inline constexpr auto addressQuarantine     = 5000ms; ///< Pause before an address is used for another service.
+
+// Exchanges.
+inline constexpr auto defaultDeadline       = 5000ms; ///< Deadline of a row that names none.
+inline constexpr std::size_t relayAttempts  = 3;      ///< Placements of one exchange, each provably not run before the next.
+inline constexpr auto retryAfterMin         = 1000ms; ///< Shortest pause told to a caller.
+inline constexpr auto retryAfterMax         = 30s;    ///< Longest pause told to a caller.
+inline constexpr double retryBudgetShare    = 0.1;    ///< Retries allowed as a share of successes.
+inline constexpr double retryBudgetBurst    = 10.0;   ///< Retries allowed without any success.
+
+// Keys of non-idempotent requests.
+inline constexpr auto keyLifetime           = 600s;   ///< How long a key is remembered.
+inline constexpr std::size_t keysMax        = 200000; ///< Keys remembered by a host.
+inline constexpr std::size_t keyBytesMax    = 128;    ///< Longest key.
+inline constexpr std::size_t storedAnswerMax = 65536; ///< Largest answer kept for a repeat of its request.
+inline constexpr std::size_t storedAnswersBytesMax = 16U << 20U; ///< All kept answers of a host.
+
+// Upstreams.
+inline constexpr auto upstreamProbePeriod   = 1000ms; ///< Period of the home's health probe of an upstream.
+inline constexpr auto rampTime              = 10s;    ///< A cold upstream reaches its full share after this.
+inline constexpr std::size_t ejectFailures  = 5;      ///< Failures in a row that eject an upstream.
+inline constexpr auto ejectTime             = 5000ms; ///< First time out of rotation.
+inline constexpr double ejectShareMax       = 0.5;    ///< Largest share of a cell's upstreams ejected at once.
+
+// Connections.
+inline constexpr auto silenceTimeout        = 3000ms; ///< A peer connection with no bytes for this long is replaced.
+inline constexpr auto feedSilenceTimeout    = 15000ms;///< A feed with no bytes from its upstream for this long is reopened.
+inline constexpr auto callerKeepAlive       = 5000ms; ///< Period of comments on a feed with no events.
+inline constexpr auto connectTimeout        = 1000ms; ///< Longest wait for a connection.
+inline constexpr std::size_t feedsMax       = 400000; ///< Feeds held by a host.
+inline constexpr std::size_t exchangesMax   = 100000; ///< Requests under way in a host.
+inline constexpr std::size_t bodyBytesMax   = 64U << 20U; ///< Largest request body of any row.
+inline constexpr std::size_t peerMessageMax = 2U << 20U;  ///< Largest message between hosts.
+
+// Stopping.
+inline constexpr auto stopTimeout           = 60s;    ///< Longest wait of an orderly stop.
+inline constexpr auto leaveNotice           = 1000ms; ///< Time between announcing a stop and closing the listeners.
+
+// clang-format on
+
+} // namespace flamingograde::config
--- /dev/null
+++ b/include/flamingograde/init.h
@@ -0,0 +1,28 @@
+/// What a host is told at its start.
+#pragma once
+
+#include <flamingograde/clock.h>
+#include <flamingograde/config.h>
+#include <flamingograde/member.h>
+#include <flamingograde/policy.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace flamingograde {
+
+/// The settings of the deciding library. The defaults are those of `config.h`.
+struct Init
+{
+    Member self;                      ///< This host: name, zone and addresses.
+    std::vector<Member> seeds;        ///< Peers to ask first; may be incomplete or out of date.
+    std::uint64_t seed = 1;           ///< Of every random choice.
+    Policy policy = Policy::CellHome; ///< How requests are placed on upstreams.
+    Duration stopTimeout = config::stopTimeout;      ///< Longest wait of an orderly stop.
+    Duration clockBound = config::clockBound;        ///< Largest difference between wall clocks.
+    std::size_t exchangesMax = config::exchangesMax; ///< Requests under way at once.
+    std::size_t feedsMax = config::feedsMax;         ///< Feeds held at once.
+};
+
+} // namespace flamingograde
--- /dev/null
+++ b/include/flamingograde/message.h
@@ -0,0 +1,125 @@
+/// The messages between hosts. Each travels as one CBOR map in one websocket message.
+#pragma once
+
+#include <flamingograde/ids.h>
+#include <flamingograde/member.h>
+#include <flamingograde/revision.h>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace flamingograde {
+
+/// How busy a cell's home is; a hint for placing idempotent requests.
+struct CellLoad
+{
+    CellId cell;
+    std::uint32_t slots = 0;   ///< Slots now offered.
+    std::uint32_t running = 0; ///< Requests under way.
+    std::uint32_t queued = 0;  ///< Requests waiting.
+};
+
+/// What every membership message carries beside its purpose.
+struct Gossip
+{
+    std::vector<Member> updates;   ///< The newest membership changes.
+    std::vector<CellLoad> loads;   ///< Loads of cells homed at the sender.
+    Revision revision;             ///< The sender's table.
+    std::uint64_t tableDigest = 0; ///< Hash of the table's text.
+    std::uint32_t platformAgeMs =
+            0; ///< Time since the sender, or whom it heard, last heard the platform.
+};
+
+/// The first message on a connection, both ways.
+struct Hello
+{
+    Member self;
+    Gossip gossip;
+};
+
+/// Asks for an `Ack`.
+struct Ping
+{
+    std::uint64_t sequence = 0;
+    Gossip gossip;
+};
+
+/// Answers a `Ping`.
+struct Ack
+{
+    std::uint64_t sequence = 0;
+    Gossip gossip;
+};
+
+/// Asks the receiver to ping `target` for the sender.
+struct PingRequest
+{
+    std::uint64_t sequence = 0;
+    HostId target;
+};
+
+/// Tells what came of a `PingRequest`.
+struct PingReport
+{
+    std::uint64_t sequence = 0;
+    HostId target;
+    bool alive = false;
+};
+
+/// Asks for the receiver's table where it is newer than `have`.
+struct TableRequest
+{
+    Revision have;
+};
+
+/// A table's text.
+struct TableBody
+{
+    Revision revision;
+    std::string text;
+};
+
+/// Asks a host of the zone to give up being home of whatever rendezvous now gives to the sender.
+struct ClaimRequest
+{
+    std::uint64_t round = 0;   ///< Names this claim of the sender.
+    std::vector<CellId> cells; ///< The cells claimed; empty: none, and a pure question of age.
+};
+
+/// Promises that the sender runs nothing more for the claimed cells until it claims them itself.
+struct ClaimGrant
+{
+    std::uint64_t round = 0;
+    std::vector<CellId> refused; ///< Cells that the sender holds to be its own; ask again later.
+};
+
+/// Asks a former home what it knows of a key.
+struct KeyLookup
+{
+    std::uint64_t sequence = 0;
+    CellId cell;
+    std::string key;
+};
+
+/// What a host knows of a key.
+enum class KeyState : std::uint8_t {
+    Unseen,  ///< Never dispatched by this host during its tenure, and never will be.
+    Running, ///< Dispatched, no answer yet.
+    Done,    ///< Dispatched and answered.
+    Unknown, ///< Dispatched with unknown result, or not this host's to tell.
+};
+
+/// Answers a `KeyLookup`.
+struct KeyReport
+{
+    std::uint64_t sequence = 0;
+    KeyState state = KeyState::Unknown;
+    std::int64_t tenureSinceUs = 0; ///< Wall time from which the sender was home, in microseconds.
+};
+
+using Message = std::variant<Hello, Ping, Ack, PingRequest, PingReport, TableRequest, TableBody,
+                             ClaimRequest, ClaimGrant, KeyLookup, KeyReport>;
+
+} // namespace flamingograde
--- /dev/null
+++ b/include/flamingograde/upstream.h
@@ -0,0 +1,37 @@
+/// One upstream of the table.
+#pragma once
+
+#include <flamingograde/address.h>
+#include <flamingograde/ids.h>
+
+#include <cstdint>
+#include <string>
+
+namespace flamingograde {
+
+/// What the table says of an upstream.
+enum class UpstreamState : std::uint8_t {
+    Active,   ///< Takes new work.
+    Draining, ///< Finishes what it has and takes nothing new.
+};
+
+/// An upstream as an operator wrote it.
+struct Upstream
+{
+    UpstreamId id;                    ///< Made from `name`.
+    std::string name;                 ///< Unique among upstreams.
+    ServiceId service;                ///< Made from `serviceName`.
+    std::string serviceName;          ///< The one service it belongs to.
+    ZoneId zone;                      ///< Made from `zoneName`.
+    std::string zoneName;             ///< Its availability zone.
+    Address address;                  ///< Unique among upstreams.
+    std::uint32_t slots = 2;          ///< Requests and uploads it runs at once.
+    std::uint32_t connections = 2000; ///< Feeds it holds at once.
+    UpstreamState state = UpstreamState::Active;
+    std::uint32_t line = 0; ///< Where the table's text has it.
+
+    /// Returns the cell it belongs to.
+    [[nodiscard]] auto cell() const -> CellId { return cellOf(this->service, this->zone); }
+};
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/core/configstate.h
@@ -0,0 +1,34 @@
+/// The table in force.
+#pragma once
+
+#include <flamingograde/clock.h>
+#include <flamingograde/ids.h>
+#include <flamingograde/revision.h>
+#include <flamingograde/table.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace flamingograde {
+
+/// The table in force and what is known of the platform.
+/// @remarks Written by the configuration controller only. Not thread safe.
+class ConfigState
+{
+public:
+    std::shared_ptr<const Table> table = std::make_shared<const Table>(); ///< Never null.
+    Revision revision;        ///< Of `table`; invalid before the first.
+    std::uint64_t digest = 0; ///< Hash of `text`.
+    std::string text;         ///< The text of `table`.
+
+    /// Returns whether the address of `upstream` waits because it lately belonged to another
+    /// service.
+    [[nodiscard]] auto isQuarantined(UpstreamId upstream, MonoTime now) const -> bool;
+
+    /// Returns the wall time from which keys of `service` that `key` hashes to this zone are led to
+    /// the same cell as now: the last change of the table that moved `key`, or the epoch.
+    [[nodiscard]] auto keyPlacedSince(ServiceId service, const std::string &key) const -> WallTime;
+};
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/core/exchangestore.h
@@ -0,0 +1,45 @@
+/// The requests under way in this host.
+#pragma once
+
+#include "core/exchange.h"
+
+#include <flamingograde/clock.h>
+#include <flamingograde/ids.h>
+
+#include <cstddef>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace flamingograde {
+
+/// Owns the exchanges and knows which are past their deadline.
+/// @remarks Not thread safe.
+class ExchangeStore
+{
+public:
+    /// Adds `exchange`. Precondition: its id is new.
+    /// @returns the stored exchange; the reference holds until it is erased.
+    auto add(Exchange exchange) -> Exchange &;
+
+    /// Returns the exchange, or null.
+    [[nodiscard]] auto find(ExchangeId id) -> Exchange *;
+
+    /// Removes the exchange, if it is there.
+    auto erase(ExchangeId id) -> void;
+
+    /// Returns the exchanges whose deadline is at or before `now`, earliest first.
+    [[nodiscard]] auto expired(MonoTime now) const -> std::vector<ExchangeId>;
+
+    [[nodiscard]] auto size() const -> std::size_t { return this->byId.size(); }
+    [[nodiscard]] auto all() const -> const std::unordered_map<ExchangeId, Exchange> &
+    {
+        return this->byId;
+    }
+
+private:
+    std::unordered_map<ExchangeId, Exchange> byId;
+    std::multimap<MonoTime, ExchangeId> byDeadline;
+};
+
+} // namespace flamingograde
