--- /dev/null
+++ b/src/core/overloaded.h
@@ -0,0 +1,16 @@
+/// A visitor made of lambdas.
+#pragma once
+
+namespace flamingograde {
+
+/// Joins lambdas into one visitor for `std::visit`.
+template<typename... Visitors>
+struct Overloaded : Visitors...
+{
+    using Visitors::operator()...;
+};
+
+template<typename... Visitors>
+Overloaded(Visitors...) -> Overloaded<Visitors...>;
+
+} // namespace flamingograde
