--- /dev/null
+++ b/src/core/exchangestore.cpp
@@ -0,0 +1,47 @@
+/// The requests under way, by id and by deadline.
+#include "core/exchangestore.h"
+
+#include <utility>
+
+namespace flamingograde {
+
+auto ExchangeStore::add(Exchange exchange) -> Exchange &
+{
+    const auto id = exchange.id;
+    this->byDeadline.emplace(exchange.deadline, id);
+    return this->byId.insert_or_assign(id, std::move(exchange)).first->second;
+}
+
+auto ExchangeStore::find(ExchangeId id) -> Exchange *
+{
+    const auto found = this->byId.find(id);
+    return found == this->byId.end() ? nullptr : &found->second;
+}
+
+auto ExchangeStore::erase(ExchangeId id) -> void
+{
+    const auto found = this->byId.find(id);
+    if (found == this->byId.end()) {
+        return;
+    }
+    const auto range = this->byDeadline.equal_range(found->second.deadline);
+    for (auto entry = range.first; entry != range.second; ++entry) {
+        if (entry->second == id) {
+            this->byDeadline.erase(entry);
+            break;
+        }
+    }
+    this->byId.erase(found);
+}
+
+auto ExchangeStore::expired(MonoTime now) const -> std::vector<ExchangeId>
+{
+    std::vector<ExchangeId> ids;
+    for (auto entry = this->byDeadline.begin();
+         entry != this->byDeadline.end() && entry->first <= now; ++entry) {
+        ids.push_back(entry->second);
+    }
+    return ids;
+}
+
+} // namespace flamingograde
--- a/src/core/feedstore.h
+++ b/src/core/feedstore.h
@@ -3,11 +3,14 @@
 
 #include "core/feed.h"
 
+#include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <unordered_map>
+#include <vector>
 
 namespace flamingograde {
 
@@ -24,6 +27,12 @@
     auto erase(ExchangeId id) -> void;
     /// Returns how many feeds this host holds at `upstream`.
     [[nodiscard]] auto countAt(UpstreamId upstream) const -> std::uint32_t;
+    /// Notes that `feed` goes to another upstream.
+    auto moveTo(Feed &feed, UpstreamId upstream) -> void;
+    /// Makes `feed` wait until `retryAt`.
+    auto wait(ExchangeId id, Feed &feed, MonoTime retryAt) -> void;
+    /// Returns the waiting feeds whose time has come, each once.
+    [[nodiscard]] auto takeDue(MonoTime now) -> std::vector<ExchangeId>;
     [[nodiscard]] auto size() const -> std::size_t { return this->byId.size(); }
     [[nodiscard]] auto all() const -> const std::unordered_map<ExchangeId, Feed> &
     {
@@ -31,8 +40,11 @@
     }
 
 private:
+    auto uncount(UpstreamId upstream) -> void;
+
     std::unordered_map<ExchangeId, Feed> byId;
     std::unordered_map<UpstreamId, std::uint32_t> byUpstream;
+    std::multimap<MonoTime, ExchangeId> byRetry; ///< May name feeds that wait no longer.
 };
 
 } // namespace flamingograde
--- /dev/null
+++ b/src/core/refuse.cpp
@@ -0,0 +1,53 @@
+/// Refuses and forgets exchanges.
+#include "core/refuse.h"
+
+#include "core/blackboard.h"
+
+namespace flamingograde {
+
+namespace {
+
+auto answer(Blackboard &board, ExchangeId exchange, const Refusal &refusal) -> void
+{
+    ++board.stats.refused.at(static_cast<std::size_t>(refusal.reason));
+    board.log(LogEvent::RequestRefused,
+              std::string(toString(refusal.reason)) + ' ' + std::string(toString(refusal.verdict)));
+    board.act(Refuse { exchange, refusal });
+}
+
+} // namespace
+
+auto verdictOf(const Exchange &exchange) -> Verdict
+{
+    const auto waitsOnKey = exchange.stage == Stage::Attached || exchange.stage == Stage::Looking;
+    return exchange.maybeSent || waitsOnKey ? Verdict::Unknown : Verdict::NotRun;
+}
+
+auto refuse(Blackboard &board, Exchange &exchange, RefusalReason reason, Duration retryAfter)
+        -> void
+{
+    refuse(board, exchange, Refusal { reason, verdictOf(exchange), retryAfter });
+}
+
+auto refuse(Blackboard &board, Exchange &exchange, const Refusal &refusal) -> void
+{
+    const auto id = exchange.id;
+    answer(board, id, refusal);
+    forget(board, id);
+}
+
+auto refuseUnrun(Blackboard &board, ExchangeId exchange, RefusalReason reason, Duration retryAfter)
+        -> void
+{
+    answer(board, exchange, Refusal { reason, Verdict::NotRun, retryAfter });
+    forget(board, exchange);
+}
+
+auto forget(Blackboard &board, ExchangeId exchange) -> void
+{
+    board.cells.remove(exchange);
+    board.feeds.erase(exchange);
+    board.exchanges.erase(exchange);
+}
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/core/rendezvous.cpp
@@ -0,0 +1,77 @@
+/// Weighted rendezvous hashing by logarithmic scores: score = -weight / ln(u), where u is the
+/// hash of key and node as a number between 0 and 1.
+#include "core/rendezvous.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace flamingograde {
+
+namespace {
+
+/// Bits of a double's mantissa, with the hidden one.
+constexpr int mantissaBits = 53;
+
+/// Returns a number above 0 and below 1 made of the hash's upper bits.
+auto unitInterval(std::uint64_t hash) -> double
+{
+    const auto top = static_cast<double>(hash >> (64 - mantissaBits + 1));
+    return std::ldexp(top + 0.5, -(mantissaBits - 1));
+}
+
+/// Returns whether a score and id are before another's in the order of preference.
+auto isBefore(double scoreA, std::uint64_t idA, double scoreB, std::uint64_t idB) -> bool
+{
+    return scoreA != scoreB ? scoreA > scoreB : idA < idB;
+}
+
+} // namespace
+
+auto rendezvousScore(std::uint64_t key, RendezvousNode node) -> double
+{
+    if (node.weight <= 0) {
+        return 0;
+    }
+    const std::array<std::uint64_t, 2> parts { key, node.id };
+    const auto hash = XXH3_64bits(parts.data(), sizeof(parts));
+    return -node.weight / std::log(unitInterval(hash));
+}
+
+auto rendezvousPick(std::uint64_t key, const std::vector<RendezvousNode> &nodes) -> std::size_t
+{
+    auto best = rendezvousNone;
+    double bestScore = 0;
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+        if (nodes[i].weight <= 0) {
+            continue;
+        }
+        const auto score = rendezvousScore(key, nodes[i]);
+        if (best == rendezvousNone || isBefore(score, nodes[i].id, bestScore, nodes[best].id)) {
+            best = i;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+auto rendezvousOrder(std::uint64_t key, const std::vector<RendezvousNode> &nodes)
+        -> std::vector<std::size_t>
+{
+    std::vector<std::size_t> order;
+    std::vector<double> scores(nodes.size());
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+        if (nodes[i].weight > 0) {
+            order.push_back(i);
+            scores[i] = rendezvousScore(key, nodes[i]);
+        }
+    }
+    std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+        return isBefore(scores[a], nodes[a].id, scores[b], nodes[b].id);
+    });
+    return order;
+}
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/core/retrybudget.cpp
@@ -0,0 +1,27 @@
+/// A bucket that successes fill and retries empty.
+#include "core/retrybudget.h"
+
+#include <algorithm>
+
+namespace flamingograde {
+
+auto RetryBudget::earn() -> void
+{
+    this->tokens = std::min(this->tokens + config::retryBudgetShare, config::retryBudgetBurst);
+}
+
+auto RetryBudget::spend() -> bool
+{
+    if (this->tokens < 1) {
+        return false;
+    }
+    this->tokens -= 1;
+    return true;
+}
+
+auto RetryBudget::left() const -> double
+{
+    return this->tokens;
+}
+
+} // namespace flamingograde
--- a/src/core/retrybudget.h
+++ b/src/core/retrybudget.h
@@ -1,6 +1,8 @@
 /// How many retries are still allowed.
 #pragma once
 
+#include <flamingograde/config.h>
+
 namespace flamingograde {
 
 /// A share of the successes may be spent on retries, so that retries cannot multiply an overload.
@@ -14,6 +16,9 @@
     [[nodiscard]] auto spend() -> bool;
     /// Returns the retries left.
     [[nodiscard]] auto left() const -> double;
+
+private:
+    double tokens = config::retryBudgetBurst;
 };
 
 } // namespace flamingograde
--- /dev/null
+++ b/src/core/token.cpp
@@ -0,0 +1,107 @@
+/// Flow tokens. Layout in bytes: version 1, key id 1, service 8, upstream 8, flow 8 (all big
+/// endian), then the SipHash-2-4 code of 128 bits over all before it; the text is base64url.
+#include "core/token.h"
+
+#include <sodium.h>
+
+#include <algorithm>
+#include <array>
+
+namespace flamingograde {
+
+namespace {
+
+constexpr std::uint8_t tokenVersion = 1;
+constexpr std::size_t idBytes = 8;
+constexpr std::size_t serviceAt = 2;
+constexpr std::size_t upstreamAt = serviceAt + idBytes;
+constexpr std::size_t flowAt = upstreamAt + idBytes;
+constexpr std::size_t codeAt = flowAt + idBytes;
+constexpr std::size_t tokenBytes = codeAt + crypto_shorthash_siphashx24_BYTES;
+constexpr int textVariant = sodium_base64_VARIANT_URLSAFE_NO_PADDING;
+
+static_assert(tokenBytes * 4 / 3 == tokenTextBytes);
+static_assert(TokenKey::secretBytes == crypto_shorthash_siphashx24_KEYBYTES);
+
+using TokenBytes = std::array<unsigned char, tokenBytes>;
+using TokenCode = std::array<unsigned char, crypto_shorthash_siphashx24_BYTES>;
+
+auto store(TokenBytes &bytes, std::size_t at, std::uint64_t value) -> void
+{
+    for (std::size_t i = 0; i < idBytes; ++i) {
+        bytes[at + i] = static_cast<unsigned char>(value >> (8 * (idBytes - 1 - i)));
+    }
+}
+
+auto load(const TokenBytes &bytes, std::size_t at) -> std::uint64_t
+{
+    std::uint64_t value = 0;
+    for (std::size_t i = 0; i < idBytes; ++i) {
+        value = (value << 8U) | bytes[at + i];
+    }
+    return value;
+}
+
+auto codeOf(const TokenBytes &bytes, const TokenKey &key) -> TokenCode
+{
+    TokenCode code {};
+    crypto_shorthash_siphashx24(code.data(), bytes.data(), codeAt, key.secret.data());
+    return code;
+}
+
+auto decode(std::string_view text, TokenBytes &bytes) -> bool
+{
+    if (text.size() != tokenTextBytes) {
+        return false;
+    }
+    std::size_t length = 0;
+    const auto result = sodium_base642bin(bytes.data(), bytes.size(), text.data(), text.size(),
+                                          nullptr, &length, nullptr, textVariant);
+    return result == 0 && length == tokenBytes;
+}
+
+} // namespace
+
+auto signToken(const FlowToken &token, const TokenKey &key) -> std::string
+{
+    TokenBytes bytes {};
+    bytes[0] = tokenVersion;
+    bytes[1] = key.id;
+    store(bytes, serviceAt, token.service.value());
+    store(bytes, upstreamAt, token.upstream.value());
+    store(bytes, flowAt, token.flow.value());
+    const auto code = codeOf(bytes, key);
+    std::copy(code.begin(), code.end(), bytes.begin() + codeAt);
+    std::array<char, tokenTextBytes + 1> text {};
+    sodium_bin2base64(text.data(), text.size(), bytes.data(), bytes.size(), textVariant);
+    return { text.data(), tokenTextBytes };
+}
+
+auto verifyToken(std::string_view text, const std::vector<TokenKey> &keys)
+        -> tl::expected<FlowToken, TokenFault>
+{
+    TokenBytes bytes {};
+    if (!decode(text, bytes) || bytes[0] != tokenVersion) {
+        return tl::unexpected(TokenFault::Malformed);
+    }
+    const auto key = std::find_if(keys.begin(), keys.end(),
+                                  [&](const TokenKey &k) { return k.id == bytes[1]; });
+    if (key == keys.end()) {
+        return tl::unexpected(TokenFault::UnknownKey);
+    }
+    const auto code = codeOf(bytes, *key);
+    if (sodium_memcmp(code.data(), &bytes[codeAt], code.size()) != 0) {
+        return tl::unexpected(TokenFault::Forged);
+    }
+    return FlowToken { ServiceId(load(bytes, serviceAt)), UpstreamId(load(bytes, upstreamAt)),
+                       FlowId(load(bytes, flowAt)) };
+}
+
+auto signingKey(const std::vector<TokenKey> &keys) -> const TokenKey *
+{
+    const auto key =
+            std::find_if(keys.begin(), keys.end(), [](const TokenKey &k) { return k.signing; });
+    return key == keys.end() ? nullptr : &*key;
+}
+
+} // namespace flamingograde
