Carry the row's name in the actions that send it

Cause: Flamingograde-Row is a name, and actions carried only its id. Ruled out: a table look-up in the transport, which holds no table. Change: Dispatch, Relay and OpenFeed have rowName.

--- a/include/flamingograde/action.h
+++ b/include/flamingograde/action.h
@@ -24,6 +24,7 @@
     UpstreamId upstream;
     Address address;
     std::string service; ///< Sent as `Host`, so that an upstream of another service refuses it.
+    std::string rowName; ///< Sent as `Flamingograde-Row`.
     std::string key;     ///< Sent as `Idempotency-Key`; empty for none.
     bool freshConnection =
             false; ///< No pooled connection: a stale one would leave it unknown whether it ran.
@@ -40,6 +41,7 @@
     HostId host;
     Address address; ///< The home's relay address.
     RowId row;
+    std::string rowName; ///< Sent as `Flamingograde-Row`.
     Address rowAddress;
     UpstreamId upstream; ///< Valid where the flow is bound to one upstream.
     std::string key;
@@ -54,6 +56,7 @@
     UpstreamId upstream;
     Address address;
     std::string service;
+    std::string rowName; ///< Sent as `Flamingograde-Row`.
     bool reopen = false; ///< The answer's head was already passed to the caller.
 };
 
