Read and check the table

Cause: hosts and tools need the table from its text, with every fault at once. Ruled out: stopping at the first syntax error; the faulty line is left out and the rest is read on. Change: addresses, findings, kinds, the table's look-ups and the parser; limits in config.h.

--- a/include/flamingograde/config.h
+++ b/include/flamingograde/config.h
@@ -35,6 +35,16 @@
 inline constexpr auto platformRetryMin      = 250ms;  ///< First pause after a failed read of the platform.
 inline constexpr auto platformRetryMax      = 2000ms; ///< Longest pause after failed reads of the platform.
 inline constexpr std::size_t tableBytesMax  = 1000000;///< Largest table text; the platform holds values up to a megabyte.
+inline constexpr std::size_t syntaxFindingsMax = 100; ///< Syntax errors told of one table text.
+inline constexpr std::size_t syntaxBytesMax = 4000000;///< Most bytes read again to find further syntax errors.
+inline constexpr std::size_t nameBytesMax   = 64;     ///< Longest name in the table.
+inline constexpr std::uint32_t weightMax    = 1000;   ///< Largest weight of a row.
+inline constexpr std::uint32_t urgencyMax   = 9;      ///< Largest urgency of a row.
+inline constexpr std::uint32_t concurrentMax = 1000000; ///< Largest limit of exchanges under way in a cell.
+inline constexpr std::uint32_t queueMax     = 100000; ///< Largest limit of exchanges waiting in a cell.
+inline constexpr std::uint32_t slotsMax     = 10000;  ///< Most slots of an upstream.
+inline constexpr std::uint32_t connectionsMax = 1000000; ///< Most connections of an upstream.
+inline constexpr auto deadlineMax           = 3600s;  ///< Longest deadline of a row.
 inline constexpr auto addressQuarantine     = 5000ms; ///< Pause before an address is used for another service.
 
 // Exchanges.
--- /dev/null
+++ b/src/table/address.cpp
@@ -0,0 +1,69 @@
+/// Reads and writes addresses.
+#include <flamingograde/address.h>
+
+#include <arpa/inet.h>
+
+#include <array>
+#include <charconv>
+#include <optional>
+
+namespace flamingograde {
+
+namespace {
+
+auto parsePort(std::string_view text) -> std::optional<std::uint16_t>
+{
+    std::uint16_t port = 0;
+    const auto *end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, port);
+    if (text.empty() || error != std::errc() || stop != end) {
+        return std::nullopt;
+    }
+    return port;
+}
+
+auto parseIp(std::string_view text) -> std::optional<std::uint32_t>
+{
+    in_addr number {};
+    if (inet_pton(AF_INET, std::string(text).c_str(), &number) != 1) {
+        return std::nullopt;
+    }
+    return ntohl(number.s_addr);
+}
+
+} // namespace
+
+auto Address::parse(std::string_view text) -> tl::expected<Address, std::string>
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return tl::unexpected(std::string("has no port"));
+    }
+    const auto ip = parseIp(text.substr(0, colon));
+    if (!ip) {
+        return tl::unexpected(std::string("has no IPv4 number before its port"));
+    }
+    const auto port = parsePort(text.substr(colon + 1));
+    if (!port) {
+        return tl::unexpected(std::string("has no port from 0 to 65535"));
+    }
+    if (*ip == 0) {
+        return tl::unexpected(std::string("has the IPv4 number 0.0.0.0, which names no host"));
+    }
+    return Address { *ip, *port };
+}
+
+auto Address::ipText() const -> std::string
+{
+    std::array<char, INET_ADDRSTRLEN> text {};
+    const in_addr number { htonl(this->ip) };
+    inet_ntop(AF_INET, &number, text.data(), text.size());
+    return text.data();
+}
+
+auto Address::toString() const -> std::string
+{
+    return this->ipText() + ":" + std::to_string(this->port);
+}
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/table/fieldreader.cpp
@@ -0,0 +1,188 @@
+/// Reads the fields of one entry of the table.
+#include "table/fieldreader.h"
+
+#include "table/nearest.h"
+
+#include <flamingograde/config.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingograde {
+
+namespace {
+
+constexpr std::string_view nameLetters =
+        "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789.-_";
+constexpr std::uint32_t firstMulticast = 0xE0000000;
+
+auto quoted(std::string_view text) -> std::string
+{
+    return "\"" + std::string(text) + "\"";
+}
+
+auto isName(std::string_view text) -> bool
+{
+    return !text.empty() && text.size() <= config::nameBytesMax
+           && text.find_first_not_of(nameLetters) == std::string_view::npos;
+}
+
+} // namespace
+
+auto placeOf(const toml::source_region &region) -> Place
+{
+    return { region.begin.line, region.begin.column };
+}
+
+auto FieldReader::name(std::string_view key) -> std::string
+{
+    const auto text = this->text(key);
+    if (!this->has(key) || isName(text)) {
+        return std::string(text);
+    }
+    if (this->fields.get(key)->is_string()) {
+        this->fault(key, "is not a name",
+                    "give 1 to " + std::to_string(config::nameBytesMax)
+                            + " letters, digits, \".\", \"-\" or \"_\"");
+    }
+    return {};
+}
+
+auto FieldReader::address(std::string_view key) -> Address
+{
+    const auto text = this->text(key);
+    if (!this->has(key) || !this->fields.get(key)->is_string()) {
+        return {};
+    }
+    const auto address = Address::parse(text);
+    if (!address) {
+        this->fault(key, address.error(), "give IP:PORT, such as \"10.0.0.1:80\"");
+        return {};
+    }
+    if (address->port == 0) {
+        this->fault(key, "has port 0", "give a port from 1 to 65535");
+        return {};
+    }
+    if (address->ip >= firstMulticast) {
+        this->fault(key, "is not the address of one host", "give a unicast IPv4 number");
+        return {};
+    }
+    return *address;
+}
+
+auto FieldReader::text(std::string_view key) -> std::string_view
+{
+    this->require(key);
+    const auto *node = this->fields.get(key);
+    if (node == nullptr) {
+        return {};
+    }
+    const auto *text = node->as_string();
+    if (text == nullptr) {
+        this->fault(key, "is not a text", "write it in quotation marks");
+        return {};
+    }
+    return text->get();
+}
+
+auto FieldReader::word(std::string_view key, const std::vector<std::string_view> &words,
+                       std::size_t fallback) -> std::size_t
+{
+    const auto *node = this->fields.get(key);
+    if (node == nullptr) {
+        return fallback;
+    }
+    const auto *text = node->as_string();
+    const std::string_view word = text != nullptr ? std::string_view(text->get()) : "";
+    const auto found = std::find(words.begin(), words.end(), word);
+    if (found != words.end()) {
+        return static_cast<std::size_t>(found - words.begin());
+    }
+    const auto meant = nearestWord(word, words);
+    this->fault(key, "is none of its words",
+                meant.empty() ? "give " + joinWords(words)
+                              : "did you mean " + quoted(meant) + "? It takes " + joinWords(words));
+    return fallback;
+}
+
+auto FieldReader::number(std::string_view key, const NumberRange &range) -> std::uint64_t
+{
+    const auto *node = this->fields.get(key);
+    if (node == nullptr) {
+        return range.fallback;
+    }
+    const auto *integer = node->as_integer();
+    const auto value = integer != nullptr ? integer->get() : -1;
+    if (value >= 0 && static_cast<std::uint64_t>(value) >= range.min
+        && static_cast<std::uint64_t>(value) <= range.max) {
+        return static_cast<std::uint64_t>(value);
+    }
+    this->fault(key,
+                integer != nullptr ? "is " + std::to_string(value) + ", out of its range"
+                                   : "is not a whole number",
+                "give a whole number from " + std::to_string(range.min) + " to "
+                        + std::to_string(range.max));
+    return range.fallback;
+}
+
+auto FieldReader::flag(std::string_view key, bool fallback) -> bool
+{
+    const auto *node = this->fields.get(key);
+    if (node == nullptr) {
+        return fallback;
+    }
+    const auto *value = node->as_boolean();
+    if (value == nullptr) {
+        this->fault(key, "is neither true nor false", "give true or false, without marks");
+        return fallback;
+    }
+    return value->get();
+}
+
+auto FieldReader::require(std::string_view key) -> void
+{
+    if (this->isBroken || this->has(key)) {
+        return;
+    }
+    this->findings.add(this->place(),
+                       "the " + std::string(this->kind) + " has no " + std::string(key),
+                       "add a line \"" + std::string(key) + " = ...\"");
+}
+
+auto FieldReader::refuseUnknown(const std::vector<std::string_view> &known) -> void
+{
+    for (const auto &[key, node] : this->fields) {
+        const auto word = key.str();
+        if (std::find(known.begin(), known.end(), word) != known.end()) {
+            continue;
+        }
+        const auto meant = nearestWord(word, known);
+        this->findings.add(placeOf(key.source()),
+                           "a " + std::string(this->kind) + " has no field " + quoted(word),
+                           meant.empty() ? "its fields are " + joinWords(known)
+                                         : "did you mean " + quoted(meant) + "?");
+    }
+}
+
+auto FieldReader::has(std::string_view key) const -> bool
+{
+    return this->fields.contains(key);
+}
+
+auto FieldReader::place(std::string_view key) const -> Place
+{
+    const auto *node = this->fields.get(key);
+    return node != nullptr ? placeOf(node->source()) : this->place();
+}
+
+auto FieldReader::place() const -> Place
+{
+    return placeOf(this->fields.source());
+}
+
+auto FieldReader::fault(std::string_view key, const std::string &what, std::string mend) -> void
+{
+    this->findings.add(this->place(key), std::string(key) + " " + what, std::move(mend));
+}
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/table/findinglist.cpp
@@ -0,0 +1,25 @@
+/// Collects the findings of one text.
+#include "table/findinglist.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace flamingograde {
+
+auto FindingList::add(Place place, std::string what, std::string mend) -> void
+{
+    this->list.push_back(
+            { this->file, place.line, place.column, std::move(what), std::move(mend) });
+}
+
+auto FindingList::takeSorted() -> Findings
+{
+    const auto isBefore = [](const Finding &a, const Finding &b) {
+        return std::tie(a.line, a.column) < std::tie(b.line, b.column);
+    };
+    std::stable_sort(this->list.begin(), this->list.end(), isBefore);
+    return std::exchange(this->list, {});
+}
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/table/tablereader.cpp
@@ -0,0 +1,281 @@
+/// Turns a read TOML text into the parts of a table.
+#include "table/tablereader.h"
+
+#include "table/fieldreader.h"
+#include "table/nearest.h"
+
+#include <flamingograde/config.h>
+
+#include <sodium.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingograde {
+
+namespace {
+
+using Words = std::vector<std::string_view>;
+
+constexpr std::string_view tokenKeySection = "token_key";
+constexpr std::string_view rowSection = "row";
+constexpr std::string_view upstreamSection = "upstream";
+constexpr std::uint64_t tokenKeyIdMax = 255;
+
+const Words sections { tokenKeySection, rowSection, upstreamSection };
+const Words tokenKeyFields { "id", "secret", "signing" };
+const Words rowFields { "name",    "service",    "address", "kind",        "idempotent", "weight",
+                        "urgency", "concurrent", "queue",   "deadline_ms", "body_max" };
+const Words upstreamFields {
+    "name", "service", "zone", "address", "slots", "connections", "state"
+};
+const Words kindWords { "feed", "request", "upload" };
+const Words stateWords { "active", "draining" };
+
+auto inLine(Place place) -> std::string
+{
+    return "line " + std::to_string(place.line);
+}
+
+auto milliseconds(Duration duration) -> std::uint64_t
+{
+    return static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+} // namespace
+
+auto TableReader::take() -> Table
+{
+    this->refuseUnknownSections();
+    this->readSection(tokenKeySection, &TableReader::readTokenKey);
+    this->readSection(rowSection, &TableReader::readRow);
+    this->readSection(upstreamSection, &TableReader::readUpstream);
+    if (this->text.isWhole) {
+        this->checkSigningKeys();
+        this->checkRows();
+    }
+    return { std::move(this->rows), std::move(this->upstreams), std::move(this->keys) };
+}
+
+auto TableReader::refuseUnknownSections() -> void
+{
+    for (const auto &[key, node] : this->text.root) {
+        const auto word = key.str();
+        const auto isKnown = std::find(sections.begin(), sections.end(), word) != sections.end();
+        if (isKnown || word == TomlText::lostSection) {
+            continue;
+        }
+        const auto meant = nearestWord(word, sections);
+        this->findings.add(placeOf(key.source()),
+                           "a table has no section \"" + std::string(word) + "\"",
+                           meant.empty() ? "its sections are " + joinWords(sections)
+                                         : "did you mean [[" + std::string(meant) + "]]?");
+    }
+}
+
+auto TableReader::readSection(std::string_view section, ReadEntry readEntry) -> void
+{
+    const auto *node = this->text.root.get(section);
+    if (node == nullptr) {
+        return;
+    }
+    const auto *entries = node->as_array();
+    if (entries == nullptr) {
+        this->findings.add(placeOf(node->source()),
+                           std::string(section) + " is not a list of entries",
+                           "begin each entry with [[" + std::string(section) + "]]");
+        return;
+    }
+    for (const auto &entry : *entries) {
+        const auto *fields = entry.as_table();
+        const auto place = placeOf(entry.source());
+        if (fields == nullptr) {
+            this->findings.add(place, std::string(section) + " holds something without fields",
+                               "begin each entry with [[" + std::string(section) + "]]");
+            continue;
+        }
+        const auto isBroken = this->text.brokenSections.count(place.line) != 0;
+        FieldReader reader(*fields, section, isBroken, this->findings);
+        (this->*readEntry)(reader);
+    }
+}
+
+auto TableReader::readTokenKey(FieldReader &fields) -> void
+{
+    TokenKey key;
+    fields.require("id");
+    key.id = static_cast<std::uint8_t>(fields.number("id", { 0, tokenKeyIdMax, 0 }));
+    this->readSecret(fields, key);
+    key.signing = fields.flag("signing", false);
+    fields.refuseUnknown(tokenKeyFields);
+    if (key.signing) {
+        this->signingKeys.push_back(fields.place("signing"));
+    }
+    const auto place = fields.place("id");
+    const auto *first = fields.has("id") ? this->keyIds.note(key.id, place) : nullptr;
+    if (first != nullptr) {
+        fields.fault("id", "is the same as in " + inLine(*first), "give each key its own id");
+    }
+    this->keys.push_back(key);
+}
+
+auto TableReader::readSecret(FieldReader &fields, TokenKey &key) -> void
+{
+    const auto text = fields.text("secret");
+    if (text.empty()) {
+        return;
+    }
+    std::size_t length = 0;
+    const auto result = sodium_hex2bin(key.secret.data(), key.secret.size(), text.data(),
+                                       text.size(), nullptr, &length, nullptr);
+    if (result == 0 && length == TokenKey::secretBytes
+        && text.size() == 2 * TokenKey::secretBytes) {
+        return;
+    }
+    fields.fault("secret", "has not the length and digits of a key",
+                 "give " + std::to_string(2 * TokenKey::secretBytes) + " hexadecimal digits");
+}
+
+auto TableReader::readRow(FieldReader &fields) -> void
+{
+    Row row;
+    row.line = fields.place().line;
+    row.name = fields.name("name");
+    row.id = RowId::ofName(row.name);
+    row.serviceName = fields.name("service");
+    row.service = ServiceId::ofName(row.serviceName);
+    row.address = fields.address("address");
+    fields.require("kind");
+    row.kind = static_cast<RequestKind>(
+            fields.word("kind", kindWords, static_cast<std::size_t>(RequestKind::Request)));
+    this->readLimits(fields, row);
+    fields.refuseUnknown(rowFields);
+    this->checkName(fields, row.name);
+    this->checkAddress(fields, row.address);
+    this->checkService(fields, row.service, row.serviceName);
+    this->checkId(fields, "name", this->rowIds.note(row.id, row.name));
+    this->rowServices.push_back(fields.place("service"));
+    this->rows.push_back(std::move(row));
+}
+
+auto TableReader::readLimits(FieldReader &fields, Row &row) -> void
+{
+    const auto number = [&fields](std::string_view key, NumberRange range) {
+        return static_cast<std::uint32_t>(fields.number(key, range));
+    };
+    row.idempotent = fields.flag("idempotent", true);
+    row.weight = number("weight", { 1, config::weightMax, row.weight });
+    row.urgency = number("urgency", { 0, config::urgencyMax, row.urgency });
+    row.concurrent = number("concurrent", { 0, config::concurrentMax, row.concurrent });
+    row.queue = number("queue", { 0, config::queueMax, row.queue });
+    const NumberRange deadlines { 1, milliseconds(config::deadlineMax),
+                                  milliseconds(row.deadline) };
+    row.deadline = std::chrono::milliseconds(fields.number("deadline_ms", deadlines));
+    row.bodyMax = fields.number("body_max", { 0, config::bodyBytesMax, row.bodyMax });
+    if (row.kind == RequestKind::Feed && !row.idempotent) {
+        fields.fault("idempotent", "is false, but a feed is always idempotent",
+                     "leave it out, or give kind \"request\"");
+    }
+}
+
+auto TableReader::readUpstream(FieldReader &fields) -> void
+{
+    Upstream upstream;
+    upstream.line = fields.place().line;
+    upstream.name = fields.name("name");
+    upstream.id = UpstreamId::ofName(upstream.name);
+    upstream.serviceName = fields.name("service");
+    upstream.service = ServiceId::ofName(upstream.serviceName);
+    upstream.zoneName = fields.name("zone");
+    upstream.zone = ZoneId::ofName(upstream.zoneName);
+    upstream.address = fields.address("address");
+    upstream.slots = static_cast<std::uint32_t>(
+            fields.number("slots", { 1, config::slotsMax, upstream.slots }));
+    upstream.connections = static_cast<std::uint32_t>(
+            fields.number("connections", { 1, config::connectionsMax, upstream.connections }));
+    upstream.state = static_cast<UpstreamState>(
+            fields.word("state", stateWords, static_cast<std::size_t>(UpstreamState::Active)));
+    fields.refuseUnknown(upstreamFields);
+    this->checkName(fields, upstream.name);
+    this->checkAddress(fields, upstream.address);
+    this->checkService(fields, upstream.service, upstream.serviceName);
+    this->checkId(fields, "name", this->upstreamIds.note(upstream.id, upstream.name));
+    this->checkId(fields, "zone", this->zoneIds.note(upstream.zone, upstream.zoneName));
+    this->checkId(
+            fields, "zone",
+            this->cellIds.note(upstream.cell(), upstream.serviceName + " in " + upstream.zoneName));
+    this->upstreams.push_back(std::move(upstream));
+}
+
+auto TableReader::checkName(FieldReader &fields, const std::string &name) -> void
+{
+    if (name.empty()) {
+        return;
+    }
+    const auto *first = this->names.note(name, fields.place("name"));
+    if (first != nullptr) {
+        fields.fault("name", "is the same as in " + inLine(*first),
+                     "give each row and upstream its own name");
+    }
+}
+
+auto TableReader::checkAddress(FieldReader &fields, Address address) -> void
+{
+    if (!address.isValid()) {
+        return;
+    }
+    const auto *first = this->addresses.note(address, fields.place("address"));
+    if (first != nullptr) {
+        fields.fault("address", "is the same as in " + inLine(*first),
+                     "give each row and upstream its own address");
+    }
+}
+
+auto TableReader::checkService(FieldReader &fields, ServiceId id, const std::string &name) -> void
+{
+    this->checkId(fields, "service", this->serviceIds.note(id, name));
+}
+
+auto TableReader::checkId(FieldReader &fields, std::string_view key, std::string_view other) -> void
+{
+    if (!other.empty()) {
+        fields.fault(key, "has the same id as \"" + std::string(other) + "\"",
+                     "change a letter of the name");
+    }
+}
+
+auto TableReader::checkSigningKeys() -> void
+{
+    if (this->signingKeys.empty()) {
+        this->findings.add({ 1, 1 }, "no token key signs",
+                           "add \"signing = true\" to one [[token_key]]");
+        return;
+    }
+    for (std::size_t i = 1; i < this->signingKeys.size(); ++i) {
+        this->findings.add(this->signingKeys[i],
+                           "signing is true here and in " + inLine(this->signingKeys[0]),
+                           "let exactly one token key sign");
+    }
+}
+
+auto TableReader::checkRows() -> void
+{
+    if (this->rows.empty()) {
+        this->findings.add({ 1, 1 }, "the table has no row", "add a [[row]]");
+    }
+    std::unordered_set<ServiceId> carried;
+    for (const auto &upstream : this->upstreams) {
+        carried.insert(upstream.service);
+    }
+    for (std::size_t i = 0; i < this->rows.size(); ++i) {
+        const auto &row = this->rows[i];
+        if (!row.serviceName.empty() && carried.count(row.service) == 0) {
+            this->findings.add(this->rowServices[i],
+                               "service \"" + row.serviceName + "\" has no upstream",
+                               "add an [[upstream]] of it, or mend the name");
+        }
+    }
+}
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/table/tablereader.h
@@ -0,0 +1,73 @@
+/// Turns a read TOML text into the parts of a table.
+#pragma once
+
+#include "table/findinglist.h"
+#include "table/firstuses.h"
+#include "table/idnames.h"
+#include "table/tomltext.h"
+
+#include <flamingograde/address.h>
+#include <flamingograde/row.h>
+#include <flamingograde/table.h>
+#include <flamingograde/tokenkey.h>
+#include <flamingograde/upstream.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <unordered_set>
+#include <vector>
+
+namespace flamingograde {
+
+class FieldReader;
+
+/// Reads the entries of one table and checks them, alone and against each other.
+/// @remarks Not thread safe.
+class TableReader
+{
+public:
+    /// @param read the text. Precondition: it outlives this reader, as does `list`.
+    /// @param list takes the findings.
+    TableReader(const TomlText &read, FindingList &list) : text(read), findings(list) {}
+
+    /// Reads and checks everything. Precondition: not called before.
+    /// @returns the table; of use only if nothing was found.
+    [[nodiscard]] auto take() -> Table;
+
+private:
+    using ReadEntry = void (TableReader::*)(FieldReader &);
+
+    auto refuseUnknownSections() -> void;
+    auto readSection(std::string_view section, ReadEntry readEntry) -> void;
+    auto readTokenKey(FieldReader &fields) -> void;
+    auto readSecret(FieldReader &fields, TokenKey &key) -> void;
+    auto readRow(FieldReader &fields) -> void;
+    auto readLimits(FieldReader &fields, Row &row) -> void;
+    auto readUpstream(FieldReader &fields) -> void;
+    auto checkName(FieldReader &fields, const std::string &name) -> void;
+    auto checkAddress(FieldReader &fields, Address address) -> void;
+    auto checkService(FieldReader &fields, ServiceId id, const std::string &name) -> void;
+    auto checkId(FieldReader &fields, std::string_view key, std::string_view other) -> void;
+    auto checkSigningKeys() -> void;
+    auto checkRows() -> void;
+
+    const TomlText &text;
+    FindingList &findings;
+    std::vector<Row> rows;
+    std::vector<Place> rowServices; ///< Where each row names its service.
+    std::vector<Upstream> upstreams;
+    std::vector<TokenKey> keys;
+    std::vector<Place> signingKeys;
+    FirstUses<std::string> names;
+    FirstUses<Address> addresses;
+    FirstUses<std::uint8_t> keyIds;
+    IdNames<RowId> rowIds;
+    IdNames<UpstreamId> upstreamIds;
+    IdNames<ServiceId> serviceIds;
+    IdNames<ZoneId> zoneIds;
+    IdNames<CellId> cellIds;
+};
+
+} // namespace flamingograde
