Add keys, admission and upstream health at a cell's home

Cause: the home of a cell has to run each key once, share slots by weight and know its upstreams. Ruled out: a first-come order over all rows; it lets a busy row take the others' slots. Change: cell store, key registry, upstream store and their controllers, start-time fair queueing.

--- a/include/flamingograde/config.h
+++ b/include/flamingograde/config.h
@@ -51,6 +51,7 @@
 inline constexpr std::size_t keyBytesMax    = 128;    ///< Longest key.
 inline constexpr std::size_t storedAnswerMax = 65536; ///< Largest answer kept for a repeat of its request.
 inline constexpr std::size_t storedAnswersBytesMax = 16U << 20U; ///< All kept answers of a host.
+inline constexpr auto keyLookupTimeout      = 500ms;  ///< Longest wait for a former home's word on a key.
 
 // Upstreams.
 inline constexpr auto upstreamProbePeriod   = 1000ms; ///< Period of the home's health probe of an upstream.
@@ -59,6 +60,13 @@
 inline constexpr auto ejectTime             = 5000ms; ///< First time out of rotation.
 inline constexpr double ejectShareMax       = 0.5;    ///< Largest share of a cell's upstreams ejected at once.
 
+inline constexpr auto ejectTimeMax          = 60s;    ///< Longest time out of rotation.
+inline constexpr auto serviceTimeFresh      = 5000ms; ///< A measured service time refuses nothing after this without a new measure.
+inline constexpr auto serviceTimeGuess      = 50ms;   ///< Service time of a row that was never measured, for the fair order.
+inline constexpr double serviceTimeGain     = 0.1;    ///< Weight of a new measure in the mean.
+inline constexpr auto loadFresh             = 2000ms; ///< A load told by another host is used for this long.
+inline constexpr std::size_t cellQueueMax   = 20000;  ///< Requests waiting in a cell, over all rows.
+
 // Connections.
 inline constexpr auto silenceTimeout        = 3000ms; ///< A peer connection with no bytes for this long is replaced.
 inline constexpr auto feedSilenceTimeout    = 15000ms;///< A feed with no bytes from its upstream for this long is reopened.
--- /dev/null
+++ b/src/core/admissioncontroller.cpp
@@ -0,0 +1,200 @@
+/// Admits requests to the slots of the cells that this host is home of.
+#include "core/admissioncontroller.h"
+
+#include "core/blackboard.h"
+#include "core/dispatch.h"
+#include "core/fairorder.h"
+#include "core/giveback.h"
+#include "core/refuse.h"
+#include "core/upstreamchoice.h"
+#include "core/waitestimate.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingograde {
+
+namespace {
+
+auto boundedPause(Duration pause) -> Duration
+{
+    return std::clamp<Duration>(pause, config::retryAfterMin, config::retryAfterMax);
+}
+
+/// Learns from a request that held a slot for `used`.
+auto account(Blackboard &board, const RunningRequest &request, Duration used, bool measured) -> void
+{
+    auto &row = board.cells.cell(request.cell).rows[request.row];
+    correctCharge(row, request.charged, used);
+    if (measured) {
+        row.serviceTime.sample(used, board.now.mono);
+    }
+}
+
+/// Refuses the newest waiting request of `row` for want of room.
+auto shedNewest(Blackboard &board, Cell &cell, RowQueue &row) -> void
+{
+    const auto offers = slotOffers(board, cell);
+    const auto pause = expectedRoom(cell, row, offers, board.now.mono);
+    ++row.turnedAway;
+    refuse(board, *board.exchanges.find(row.waiting.back()), RefusalReason::QueueFull,
+           boundedPause(pause));
+}
+
+/// Returns the least urgent row with a queue; of several the one with the longest.
+auto leastUrgentRow(Cell &cell) -> RowQueue *
+{
+    RowQueue *least = nullptr;
+    for (auto &[id, row] : cell.rows) {
+        if (row.waiting.empty()) {
+            continue;
+        }
+        const auto less =
+                least == nullptr || row.urgency < least->urgency
+                || (row.urgency == least->urgency && row.waiting.size() > least->waiting.size());
+        least = less ? &row : least;
+    }
+    return least;
+}
+
+/// Refuses the newest request of `row` if it cannot be served in time.
+auto refuseIfLate(Blackboard &board, Cell &cell, RowQueue &row, Exchange &exchange) -> void
+{
+    const auto service = row.serviceTime.mean(board.now.mono);
+    if (!service.has_value()) {
+        return;
+    }
+    const auto offers = slotOffers(board, cell);
+    const auto ahead = row.waiting.size() - 1;
+    const auto needed = expectedWait(cell, row, ahead, offers, board.now.mono) + *service;
+    if (needed <= exchange.deadline - board.now.mono) {
+        return;
+    }
+    refuse(board, exchange, RefusalReason::DeadlineUnmet, boundedPause(needed - row.deadline));
+}
+
+/// Enforces the bounds of the queues after one request more.
+auto enforceBounds(Blackboard &board, Cell &cell, RowQueue &row) -> void
+{
+    if (row.waiting.size() > row.capacity) {
+        shedNewest(board, cell, row);
+    }
+    if (cell.waiting > config::cellQueueMax) {
+        shedNewest(board, cell, *leastUrgentRow(cell));
+    }
+}
+
+auto giveBackWaiting(Blackboard &board, const Cell &cell) -> void
+{
+    for (const auto id : board.cells.waitingIn(cell.id)) {
+        giveBack(board, *board.exchanges.find(id));
+    }
+}
+
+auto releaseRepeats(Blackboard &board) -> void
+{
+    for (const auto id : board.keys.takeReleased()) {
+        board.toAdmit.push_back(id);
+    }
+}
+
+} // namespace
+
+auto AdmissionController::handle(Blackboard &board, const Event &event) -> void
+{
+    const auto *progress = std::get_if<ExchangeProgress>(&event);
+    if (progress != nullptr) {
+        this->onProgress(board, *progress);
+    }
+}
+
+auto AdmissionController::settle(Blackboard &board) -> void
+{
+    this->settleAbandoned(board);
+    for (const auto id : std::exchange(board.toQueue, {})) {
+        auto *exchange = board.exchanges.find(id);
+        if (exchange != nullptr) {
+            this->admit(board, *exchange);
+        }
+    }
+    for (auto &[id, cell] : board.cells.all()) {
+        this->settleCell(board, cell);
+    }
+    releaseRepeats(board);
+    board.stats.queued = board.cells.queued();
+    board.stats.running = board.cells.running();
+}
+
+auto AdmissionController::onProgress(Blackboard &board, const ExchangeProgress &event) -> void
+{
+    const auto ended = event.progress != Progress::Answering;
+    if (!ended) {
+        return;
+    }
+    const auto request = board.cells.finish(event.exchange, event.attempt);
+    if (!request.has_value()) {
+        return;
+    }
+    const auto used = board.now.mono - request->since;
+    const auto measured = event.progress == Progress::Answered && !request->shed;
+    account(board, *request, used, measured);
+}
+
+auto AdmissionController::settleAbandoned(Blackboard &board) -> void
+{
+    for (const auto &request : board.cells.takeAbandoned()) {
+        const auto used = board.now.mono - request.since;
+        const auto timedOut = request.deadline <= board.now.mono;
+        account(board, request, used, timedOut);
+    }
+}
+
+auto AdmissionController::admit(Blackboard &board, Exchange &exchange) -> void
+{
+    const auto homed = board.tenure.since(exchange.cell).has_value();
+    if (!homed && !board.tenure.isClaiming(exchange.cell)) {
+        giveBack(board, exchange);
+        return;
+    }
+    const auto *row = board.table().row(exchange.row);
+    if (row == nullptr) {
+        refuse(board, exchange, RefusalReason::UnknownService, Duration { 0 });
+        return;
+    }
+    if (!hasActiveUpstream(board, exchange.cell)) {
+        refuse(board, exchange, RefusalReason::NoUpstream, config::retryAfterMin);
+        return;
+    }
+    this->queueUp(board, exchange, *row);
+}
+
+auto AdmissionController::queueUp(Blackboard &board, Exchange &exchange, const Row &row) -> void
+{
+    const auto id = exchange.id;
+    exchange.stage = Stage::Queued;
+    auto &queue = board.cells.enqueue(exchange.cell, row, id);
+    auto &cell = board.cells.cell(exchange.cell);
+    const auto homed = board.tenure.since(cell.id).has_value();
+    if (homed) {
+        dispatchWaiting(board, cell);
+    }
+    if (homed && board.cells.isWaiting(id)) {
+        refuseIfLate(board, cell, queue, exchange);
+    }
+    enforceBounds(board, cell, queue);
+}
+
+auto AdmissionController::settleCell(Blackboard &board, Cell &cell) -> void
+{
+    cell.homed = board.tenure.since(cell.id).has_value();
+    if (cell.homed) {
+        cell.slots = offeredSlots(slotOffers(board, cell));
+        dispatchWaiting(board, cell);
+        return;
+    }
+    if (cell.waiting > 0 && !board.tenure.isClaiming(cell.id)) {
+        giveBackWaiting(board, cell);
+    }
+}
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/core/cell.h
@@ -0,0 +1,36 @@
+/// One service's upstreams in one zone, as their home sees them.
+#pragma once
+
+#include "core/rowqueue.h"
+#include "core/runningrequest.h"
+
+#include <flamingograde/ids.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+
+namespace flamingograde {
+
+/// What one upstream carries on this host's word.
+struct UpstreamLoad
+{
+    std::uint32_t running = 0; ///< Slots taken.
+    double served = 0;         ///< Dispatches by slot; the lowest goes first among equals.
+};
+
+/// The queues and slots of a cell.
+struct Cell
+{
+    CellId id;
+    bool homed = false;      ///< This host was its home when last looked at.
+    std::uint32_t slots = 0; ///< Slots offered when last looked at.
+    double virtualTime = 0;  ///< Of the weighted fair order.
+    std::size_t waiting = 0; ///< Over all rows.
+    std::map<RowId, RowQueue> rows;
+    std::unordered_map<ExchangeId, RunningRequest> running;
+    std::unordered_map<UpstreamId, UpstreamLoad> upstreams;
+};
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/core/cellstore.cpp
@@ -0,0 +1,199 @@
+/// The queues and slots of the cells that this host is home of, and hints of others' loads.
+#include "core/cellstore.h"
+
+#include <flamingograde/config.h>
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace flamingograde {
+
+namespace {
+
+auto loadOfCell(const Cell &cell) -> CellLoad
+{
+    return { cell.id, cell.slots, static_cast<std::uint32_t>(cell.running.size()),
+             static_cast<std::uint32_t>(cell.waiting) };
+}
+
+} // namespace
+
+auto CellStore::remove(ExchangeId exchange) -> void
+{
+    const auto found = this->places.find(exchange);
+    if (found == this->places.end()) {
+        return;
+    }
+    const auto place = found->second;
+    if (place.running) {
+        this->abandoned.push_back(this->release(place, exchange));
+    } else {
+        this->dequeue(place, exchange);
+    }
+    this->places.erase(exchange);
+}
+
+auto CellStore::runningIn(CellId cell) const -> std::uint32_t
+{
+    const auto found = this->cells.find(cell);
+    return found == this->cells.end() ? 0
+                                      : static_cast<std::uint32_t>(found->second.running.size());
+}
+
+auto CellStore::queuedIn(CellId cell) const -> std::uint32_t
+{
+    const auto found = this->cells.find(cell);
+    return found == this->cells.end() ? 0 : static_cast<std::uint32_t>(found->second.waiting);
+}
+
+auto CellStore::ownLoads() const -> std::vector<CellLoad>
+{
+    std::vector<CellLoad> loads;
+    for (const auto &[id, cell] : this->cells) {
+        if (cell.homed && (!cell.running.empty() || cell.waiting > 0)) {
+            loads.push_back(loadOfCell(cell));
+        }
+    }
+    return loads;
+}
+
+auto CellStore::noteRemoteLoad(CellLoad load, MonoTime now) -> void
+{
+    this->remote[load.cell] = { load, now };
+}
+
+auto CellStore::loadOf(CellId cell, MonoTime now) const -> std::optional<CellLoad>
+{
+    const auto own = this->cells.find(cell);
+    if (own != this->cells.end() && own->second.homed) {
+        return loadOfCell(own->second);
+    }
+    const auto other = this->remote.find(cell);
+    if (other == this->remote.end() || now - other->second.at > config::loadFresh) {
+        return std::nullopt;
+    }
+    return other->second.load;
+}
+
+auto CellStore::waitingIn(CellId cell) const -> std::vector<ExchangeId>
+{
+    std::vector<ExchangeId> list;
+    const auto found = this->cells.find(cell);
+    if (found == this->cells.end()) {
+        return list;
+    }
+    for (const auto &[id, row] : found->second.rows) {
+        list.insert(list.end(), row.waiting.begin(), row.waiting.end());
+    }
+    return list;
+}
+
+auto CellStore::cell(CellId id) -> Cell &
+{
+    auto &cell = this->cells[id];
+    cell.id = id;
+    return cell;
+}
+
+auto CellStore::queued() const -> std::size_t
+{
+    return std::accumulate(this->cells.begin(), this->cells.end(), std::size_t { 0 },
+                           [](auto sum, const auto &entry) { return sum + entry.second.waiting; });
+}
+
+auto CellStore::running() const -> std::size_t
+{
+    return this->places.size() - this->queued();
+}
+
+auto CellStore::runningAt(CellId cell, UpstreamId upstream) const -> std::uint32_t
+{
+    const auto found = this->cells.find(cell);
+    if (found == this->cells.end()) {
+        return 0;
+    }
+    const auto load = found->second.upstreams.find(upstream);
+    return load == found->second.upstreams.end() ? 0 : load->second.running;
+}
+
+auto CellStore::enqueue(CellId cellId, const Row &row, ExchangeId exchange) -> RowQueue &
+{
+    auto &cell = this->cell(cellId);
+    auto &queue = cell.rows[row.id];
+    queue.row = row.id;
+    queue.weight = std::max<std::uint32_t>(row.weight, 1);
+    queue.urgency = row.urgency;
+    queue.concurrent = row.concurrent;
+    queue.capacity = row.queue;
+    queue.deadline = row.deadline;
+    if (queue.waiting.empty()) {
+        queue.startTag = std::max(queue.startTag, cell.virtualTime);
+    }
+    queue.waiting.push_back(exchange);
+    ++cell.waiting;
+    this->places[exchange] = { cellId, row.id, false };
+    return queue;
+}
+
+auto CellStore::start(const RunningRequest &request) -> void
+{
+    auto &place = this->places.at(request.exchange);
+    this->dequeue(place, request.exchange);
+    place.running = true;
+    auto &cell = this->cell(request.cell);
+    ++cell.rows[request.row].running;
+    ++cell.upstreams[request.upstream].running;
+    cell.running[request.exchange] = request;
+}
+
+auto CellStore::finish(ExchangeId exchange, std::uint32_t attempt) -> std::optional<RunningRequest>
+{
+    const auto *request = this->findRunning(exchange);
+    if (request == nullptr || request->attempt != attempt) {
+        return std::nullopt;
+    }
+    const auto place = this->places.at(exchange);
+    this->places.erase(exchange);
+    return this->release(place, exchange);
+}
+
+auto CellStore::findRunning(ExchangeId exchange) -> RunningRequest *
+{
+    const auto found = this->places.find(exchange);
+    if (found == this->places.end() || !found->second.running) {
+        return nullptr;
+    }
+    return &this->cell(found->second.cell).running.at(exchange);
+}
+
+auto CellStore::isWaiting(ExchangeId exchange) const -> bool
+{
+    const auto found = this->places.find(exchange);
+    return found != this->places.end() && !found->second.running;
+}
+
+auto CellStore::takeAbandoned() -> std::vector<RunningRequest>
+{
+    return std::exchange(this->abandoned, {});
+}
+
+auto CellStore::dequeue(const Place &place, ExchangeId exchange) -> void
+{
+    auto &cell = this->cell(place.cell);
+    auto &waiting = cell.rows[place.row].waiting;
+    waiting.erase(std::find(waiting.begin(), waiting.end(), exchange));
+    --cell.waiting;
+}
+
+auto CellStore::release(const Place &place, ExchangeId exchange) -> RunningRequest
+{
+    auto &cell = this->cell(place.cell);
+    const auto request = cell.running.at(exchange);
+    cell.running.erase(exchange);
+    --cell.rows[place.row].running;
+    --cell.upstreams[request.upstream].running;
+    return request;
+}
+
+} // namespace flamingograde
--- a/src/core/cellstore.h
+++ b/src/core/cellstore.h
@@ -1,19 +1,26 @@
 /// The queues and slots of the cells that this host is home of, and hints of others' loads.
 #pragma once
 
+#include "core/cell.h"
+#include "core/runningrequest.h"
+
 #include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
 #include <flamingograde/message.h>
+#include <flamingograde/row.h>
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 namespace flamingograde {
 
 /// Queues, running counts and loads by cell.
-/// @remarks Written by the admission controller, but for `noteRemoteLoad`. Not thread safe.
+/// @remarks Written by the admission controller, but for `noteRemoteLoad`, `remove` and
+/// `noteOutcome`. Not thread safe.
 class CellStore
 {
 public:
@@ -31,6 +38,56 @@
     [[nodiscard]] auto loadOf(CellId cell, MonoTime now) const -> std::optional<CellLoad>;
     /// Returns all requests waiting in `cell`, so that they can be placed again.
     [[nodiscard]] auto waitingIn(CellId cell) const -> std::vector<ExchangeId>;
+
+    /// Returns the cell, made where it was not known. The reference holds for good.
+    auto cell(CellId id) -> Cell &;
+    /// Returns all known cells.
+    [[nodiscard]] auto all() const -> const std::map<CellId, Cell> & { return this->cells; }
+    [[nodiscard]] auto all() -> std::map<CellId, Cell> & { return this->cells; }
+    /// Returns how many requests wait in all cells.
+    [[nodiscard]] auto queued() const -> std::size_t;
+    /// Returns how many requests run in all cells.
+    [[nodiscard]] auto running() const -> std::size_t;
+    /// Returns how many requests run at `upstream` on this host's word.
+    [[nodiscard]] auto runningAt(CellId cell, UpstreamId upstream) const -> std::uint32_t;
+
+    /// Puts `exchange` at the end of its row's queue. Precondition: it is in no queue.
+    auto enqueue(CellId cell, const Row &row, ExchangeId exchange) -> RowQueue &;
+    /// Takes a waiting `exchange` out of its queue and lets it hold a slot.
+    /// Precondition: it waits in `request.cell` and `request.row`.
+    auto start(const RunningRequest &request) -> void;
+    /// Ends a running request and frees its slot.
+    /// @returns what it was; nothing where it does not run or its attempt is another.
+    auto finish(ExchangeId exchange, std::uint32_t attempt) -> std::optional<RunningRequest>;
+    /// Returns the running request, or null.
+    [[nodiscard]] auto findRunning(ExchangeId exchange) -> RunningRequest *;
+    /// Returns whether `exchange` waits in a queue here.
+    [[nodiscard]] auto isWaiting(ExchangeId exchange) const -> bool;
+    /// Returns the running requests that `remove` took away since the last call.
+    [[nodiscard]] auto takeAbandoned() -> std::vector<RunningRequest>;
+
+private:
+    /// Where an exchange is.
+    struct Place
+    {
+        CellId cell;
+        RowId row;
+        bool running = false;
+    };
+    /// A load that another host told.
+    struct RemoteLoad
+    {
+        CellLoad load;
+        MonoTime at;
+    };
+
+    auto dequeue(const Place &place, ExchangeId exchange) -> void;
+    auto release(const Place &place, ExchangeId exchange) -> RunningRequest;
+
+    std::map<CellId, Cell> cells;
+    std::unordered_map<ExchangeId, Place> places;
+    std::unordered_map<CellId, RemoteLoad> remote;
+    std::vector<RunningRequest> abandoned;
 };
 
 } // namespace flamingograde
--- /dev/null
+++ b/src/core/giveback.cpp
@@ -0,0 +1,23 @@
+/// What becomes of a request at a host that is not, or no longer, its cell's home.
+#include "core/giveback.h"
+
+#include "core/blackboard.h"
+#include "core/refuse.h"
+
+namespace flamingograde {
+
+auto giveBack(Blackboard &board, Exchange &exchange) -> void
+{
+    exchange.maybeSent = false;
+    if (exchange.origin == Origin::Relay) {
+        exchange.stage = Stage::Admitting;
+        refuse(board, exchange, RefusalReason::WrongHome, config::retryAfterMin);
+        return;
+    }
+    board.cells.remove(exchange.id);
+    board.keys.remove(exchange.id);
+    exchange.stage = Stage::Placing;
+    board.toPlace.push_back(exchange.id);
+}
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/core/keycontroller.cpp
@@ -0,0 +1,289 @@
+/// Runs each idempotency key at most once.
+#include "core/keycontroller.h"
+
+#include "core/blackboard.h"
+#include "core/giveback.h"
+#include "core/keyfreshness.h"
+#include "core/overloaded.h"
+#include "core/refuse.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingograde {
+
+namespace {
+
+auto toMicroseconds(WallTime time) -> std::int64_t
+{
+    return time.time_since_epoch().count();
+}
+
+auto refuseKey(Blackboard &board, Exchange &exchange, RefusalReason reason, Verdict verdict) -> void
+{
+    const auto pause =
+            reason == RefusalReason::KeyRunning ? Duration(config::retryAfterMin) : Duration { 0 };
+    board.log(LogEvent::KeyAnsweredUnknown, exchange.key);
+    refuse(board, exchange, Refusal { reason, verdict, pause });
+}
+
+/// Answers a repeat of a key that was run.
+auto answerRun(Blackboard &board, Exchange &exchange,
+               const std::shared_ptr<const std::string> &answer) -> void
+{
+    if (answer == nullptr) {
+        refuseKey(board, exchange, RefusalReason::KeyUnknown, Verdict::Run);
+        return;
+    }
+    ++board.stats.replayed;
+    board.log(LogEvent::KeyAnsweredAgain, exchange.key);
+    board.act(ReplayAnswer { exchange.id, answer });
+    forget(board, exchange.id);
+}
+
+/// Ends the running key of `exchange` and answers the repeats that waited for it.
+auto finishKey(Blackboard &board, ExchangeId exchange, KeyState state,
+               const std::shared_ptr<const std::string> &answer) -> void
+{
+    for (const auto id : board.keys.finish(exchange, state, answer)) {
+        auto *repeat = board.exchanges.find(id);
+        if (repeat == nullptr) {
+            continue;
+        }
+        if (state == KeyState::Done) {
+            answerRun(board, *repeat, answer);
+        } else {
+            refuseKey(board, *repeat, RefusalReason::KeyUnknown, Verdict::Unknown);
+        }
+    }
+}
+
+/// Returns whether an answer's head says that the upstream ran nothing.
+auto saysUnrun(const AnswerHead &head) -> bool
+{
+    constexpr auto misdirected = 421;
+    return head.shed || head.status == misdirected;
+}
+
+/// Returns what this host can tell another of a key.
+auto stateToTell(Blackboard &board, const KeyLookup &lookup) -> KeyState
+{
+    const auto state = board.keys.stateOf(lookup.cell, lookup.key);
+    if (state != KeyState::Unseen) {
+        return state;
+    }
+    const auto mayRunIt =
+            board.tenure.since(lookup.cell).has_value() || board.tenure.isClaiming(lookup.cell);
+    const auto wasHome = board.keys.tenureOf(lookup.cell).has_value();
+    return mayRunIt || !wasHome ? KeyState::Unknown : KeyState::Unseen;
+}
+
+/// Takes a former home's failure to answer.
+auto onNoWord(Blackboard &board, const PendingLookup &lookup) -> void
+{
+    auto *exchange = board.exchanges.find(lookup.exchange);
+    if (exchange != nullptr && exchange->stage == Stage::Looking) {
+        refuseKey(board, *exchange, RefusalReason::KeyUnknown, Verdict::Unknown);
+    }
+}
+
+/// Refuses what a former home knows to have been dispatched, and remembers it.
+auto refuseSeen(Blackboard &board, Exchange &exchange, KeyState state) -> void
+{
+    if (state == KeyState::Running) {
+        refuseKey(board, exchange, RefusalReason::KeyRunning, Verdict::Unknown);
+        return;
+    }
+    const auto id = exchange.id;
+    const auto verdict = state == KeyState::Done ? Verdict::Run : Verdict::Unknown;
+    const auto repeats = board.keys.dispatched(id, 0, board.now);
+    finishKey(board, id, state, nullptr);
+    refuseKey(board, exchange, RefusalReason::KeyUnknown, verdict);
+}
+
+} // namespace
+
+auto KeyController::handle(Blackboard &board, const Event &event) -> void
+{
+    std::visit(Overloaded {
+                       [&](const ExchangeProgress &progress) { this->onProgress(board, progress); },
+                       [&](const PeerMessage &message) {
+                           if (const auto *lookup = std::get_if<KeyLookup>(&message.message)) {
+                               this->onLookup(board, message.from, *lookup);
+                           }
+                           if (const auto *report = std::get_if<KeyReport>(&message.message)) {
+                               this->onReport(board, message.from, *report);
+                           }
+                       },
+                       [&](const PeerDown &down) {
+                           for (const auto &lookup : board.keys.takeLookupsTo(down.host)) {
+                               onNoWord(board, lookup);
+                           }
+                       },
+                       [&](const Tick &) { this->onTick(board); },
+                       [](const auto &) {},
+               },
+               event);
+}
+
+auto KeyController::settle(Blackboard &board) -> void
+{
+    for (const auto id : board.keys.takeOrphans()) {
+        if (board.keys.recordOf(id) != nullptr) {
+            finishKey(board, id, KeyState::Unknown, nullptr);
+        }
+    }
+    auto list = std::exchange(board.toAdmit, {});
+    for (const auto id : board.keys.takeReleased()) {
+        list.push_back(id);
+    }
+    for (const auto id : list) {
+        auto *exchange = board.exchanges.find(id);
+        if (exchange != nullptr) {
+            this->admit(board, *exchange);
+        }
+    }
+    board.stats.keys = board.keys.size();
+}
+
+auto KeyController::onProgress(Blackboard &board, const ExchangeProgress &event) -> void
+{
+    const auto *record = board.keys.recordOf(event.exchange);
+    if (record == nullptr || record->state != KeyState::Running
+        || record->attempt != event.attempt) {
+        return;
+    }
+    switch (event.progress) {
+    case Progress::NotSent:
+        board.keys.clear(event.exchange);
+        return;
+    case Progress::Answering:
+        if (event.head.has_value() && saysUnrun(*event.head)) {
+            board.keys.clear(event.exchange);
+        }
+        return;
+    case Progress::Answered:
+        finishKey(board, event.exchange, KeyState::Done, event.whole);
+        return;
+    case Progress::Lost:
+    case Progress::Cut:
+        finishKey(board, event.exchange, KeyState::Unknown, nullptr);
+        return;
+    }
+}
+
+auto KeyController::onLookup(Blackboard &board, HostId from, const KeyLookup &lookup) -> void
+{
+    KeyReport report;
+    report.sequence = lookup.sequence;
+    report.state = stateToTell(board, lookup);
+    const auto tenure = board.keys.tenureOf(lookup.cell).value_or(board.now.wall);
+    report.tenureSinceUs = toMicroseconds(std::max(tenure, board.keys.forgottenUntil(lookup.cell)));
+    board.act(SendPeer { from, report });
+}
+
+auto KeyController::onReport(Blackboard &board, HostId from, const KeyReport &report) -> void
+{
+    const auto lookup = board.keys.takeLookup(report.sequence);
+    if (!lookup.has_value() || lookup->host != from) {
+        return;
+    }
+    auto *exchange = board.exchanges.find(lookup->exchange);
+    if (exchange == nullptr || exchange->stage != Stage::Looking) {
+        return;
+    }
+    if (report.state != KeyState::Unseen) {
+        refuseSeen(board, *exchange, report.state);
+        return;
+    }
+    const auto toldSince = WallTime(Duration(report.tenureSinceUs));
+    if (!isProvedBy(board, *exchange, toldSince)) {
+        refuseKey(board, *exchange, RefusalReason::KeyUnknown, Verdict::Unknown);
+        return;
+    }
+    exchange->stage = Stage::Admitting;
+    board.toQueue.push_back(exchange->id);
+}
+
+auto KeyController::onTick(Blackboard &board) -> void
+{
+    board.keys.expire(board.now.mono);
+    for (const auto &lookup :
+         board.keys.takeLookupsBefore(board.now.mono - config::keyLookupTimeout)) {
+        onNoWord(board, lookup);
+    }
+    for (const auto &upstream : board.table().upstreams()) {
+        const auto since = board.tenure.since(upstream.cell());
+        if (since.has_value()) {
+            board.keys.noteTenure(upstream.cell(), *since);
+        }
+    }
+}
+
+auto KeyController::admit(Blackboard &board, Exchange &exchange) -> void
+{
+    exchange.stage = Stage::Admitting;
+    exchange.maybeSent = false;
+    const auto hasSharedKey = !exchange.idempotent && !exchange.ownKey && !exchange.key.empty();
+    if (!hasSharedKey) {
+        board.toQueue.push_back(exchange.id);
+        return;
+    }
+    if (exchange.keyBirth.has_value()
+        && *exchange.keyBirth > board.now.wall + board.init.clockBound) {
+        refuse(board, exchange, RefusalReason::BadKey, Duration { 0 });
+        return;
+    }
+    const KeyName name { exchange.cell, exchange.key };
+    const auto *record = board.keys.find(name);
+    if (record != nullptr) {
+        this->admitRepeat(board, exchange, name, *record);
+        return;
+    }
+    this->admitUnseen(board, exchange, name);
+}
+
+auto KeyController::admitRepeat(Blackboard &board, Exchange &exchange, const KeyName &name,
+                                const KeyRecord &record) -> void
+{
+    switch (record.state) {
+    case KeyState::Unseen:
+    case KeyState::Running:
+        exchange.stage = Stage::Attached;
+        exchange.maybeSent = record.state == KeyState::Running;
+        board.keys.attach(name, exchange.id);
+        return;
+    case KeyState::Done:
+        answerRun(board, exchange, record.answer);
+        return;
+    case KeyState::Unknown:
+        refuseKey(board, exchange, RefusalReason::KeyUnknown, Verdict::Unknown);
+        return;
+    }
+}
+
+auto KeyController::admitUnseen(Blackboard &board, Exchange &exchange, const KeyName &name) -> void
+{
+    const auto since = board.tenure.since(exchange.cell);
+    if (!since.has_value()) {
+        giveBack(board, exchange);
+        return;
+    }
+    board.keys.noteTenure(exchange.cell, *since);
+    if (isProvablyFresh(board, exchange)) {
+        board.keys.reserve(name, exchange.id);
+        board.toQueue.push_back(exchange.id);
+        return;
+    }
+    const auto former = board.tenure.formerHome(exchange.cell);
+    if (!former.isValid() || former == board.init.self.id) {
+        refuseKey(board, exchange, RefusalReason::KeyUnknown, Verdict::Unknown);
+        return;
+    }
+    board.keys.reserve(name, exchange.id);
+    exchange.stage = Stage::Looking;
+    const auto sequence = board.keys.addLookup({ exchange.id, former, board.now.mono });
+    board.act(SendPeer { former, KeyLookup { sequence, exchange.cell, exchange.key } });
+}
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/core/keyregistry.cpp
@@ -0,0 +1,278 @@
+/// The keys that this host has run as a home.
+#include "core/keyregistry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingograde {
+
+namespace {
+
+auto raise(std::unordered_map<CellId, WallTime> &times, CellId cell, WallTime time) -> void
+{
+    auto &entry = times[cell];
+    entry = std::max(entry, time);
+}
+
+auto timeOf(const std::unordered_map<CellId, WallTime> &times, CellId cell) -> WallTime
+{
+    const auto found = times.find(cell);
+    return found == times.end() ? WallTime {} : found->second;
+}
+
+/// Moves the lookups that `matches` out of `lookups`.
+template<typename Predicate>
+auto takeLookups(std::map<std::uint64_t, PendingLookup> &lookups, Predicate matches)
+        -> std::vector<PendingLookup>
+{
+    std::vector<PendingLookup> taken;
+    for (auto entry = lookups.begin(); entry != lookups.end();) {
+        if (!matches(entry->second)) {
+            ++entry;
+            continue;
+        }
+        taken.push_back(entry->second);
+        entry = lookups.erase(entry);
+    }
+    return taken;
+}
+
+} // namespace
+
+auto KeyRegistry::stateOf(CellId cell, const std::string &key) const -> KeyState
+{
+    const auto found = this->records.find({ cell, key });
+    return found == this->records.end() ? KeyState::Unseen : found->second.state;
+}
+
+auto KeyRegistry::find(const KeyName &name) -> KeyRecord *
+{
+    const auto found = this->records.find(name);
+    return found == this->records.end() ? nullptr : &found->second;
+}
+
+auto KeyRegistry::recordOf(ExchangeId exchange) -> KeyRecord *
+{
+    const auto name = this->names.find(exchange);
+    if (name == this->names.end()) {
+        return nullptr;
+    }
+    auto *record = this->find(name->second);
+    return record != nullptr && record->first == exchange ? record : nullptr;
+}
+
+auto KeyRegistry::reserve(const KeyName &name, ExchangeId exchange) -> void
+{
+    KeyRecord record;
+    record.first = exchange;
+    this->records[name] = std::move(record);
+    this->names[exchange] = name;
+}
+
+auto KeyRegistry::attach(const KeyName &name, ExchangeId exchange) -> void
+{
+    this->records.at(name).attached.push_back(exchange);
+    this->names[exchange] = name;
+}
+
+auto KeyRegistry::dispatched(ExchangeId exchange, std::uint32_t attempt, Now now)
+        -> std::vector<ExchangeId>
+{
+    auto *record = this->recordOf(exchange);
+    if (record == nullptr) {
+        return {};
+    }
+    this->makeRoom();
+    record->state = KeyState::Running;
+    record->attempt = attempt;
+    record->dispatched = now.wall;
+    record->expires = now.mono + config::keyLifetime;
+    this->aged.push_back({ this->names.at(exchange), record->dispatched, record->expires });
+    return record->attached;
+}
+
+auto KeyRegistry::finish(ExchangeId exchange, KeyState state,
+                         std::shared_ptr<const std::string> answer) -> std::vector<ExchangeId>
+{
+    const auto name = this->names.at(exchange);
+    auto &record = this->records.at(name);
+    record.state = state;
+    auto waiting = std::exchange(record.attached, {});
+    for (const auto repeat : waiting) {
+        this->names.erase(repeat);
+    }
+    this->names.erase(exchange);
+    record.first = ExchangeId();
+    this->keep(name, std::move(answer));
+    return waiting;
+}
+
+auto KeyRegistry::clear(ExchangeId exchange) -> void
+{
+    const auto name = this->names.at(exchange);
+    const auto &record = this->records.at(name);
+    for (const auto repeat : record.attached) {
+        this->names.erase(repeat);
+        this->released.push_back(repeat);
+    }
+    this->names.erase(exchange);
+    this->records.erase(name);
+}
+
+auto KeyRegistry::remove(ExchangeId exchange) -> void
+{
+    const auto name = this->names.find(exchange);
+    if (name == this->names.end()) {
+        return;
+    }
+    auto &record = this->records.at(name->second);
+    if (record.first != exchange) {
+        auto &attached = record.attached;
+        attached.erase(std::remove(attached.begin(), attached.end(), exchange), attached.end());
+        this->names.erase(name);
+        return;
+    }
+    if (record.state == KeyState::Running) {
+        this->orphans.push_back(exchange);
+        return;
+    }
+    this->clear(exchange);
+}
+
+auto KeyRegistry::takeOrphans() -> std::vector<ExchangeId>
+{
+    return std::exchange(this->orphans, {});
+}
+
+auto KeyRegistry::takeReleased() -> std::vector<ExchangeId>
+{
+    return std::exchange(this->released, {});
+}
+
+auto KeyRegistry::expire(MonoTime now) -> void
+{
+    while (!this->aged.empty() && this->aged.front().expires <= now) {
+        auto oldest = std::move(this->aged.front());
+        this->aged.pop_front();
+        if (!this->isCurrent(oldest)) {
+            continue;
+        }
+        if (this->records.at(oldest.name).state == KeyState::Running) {
+            this->records.at(oldest.name).expires = now + config::keyLifetime;
+            oldest.expires = now + config::keyLifetime;
+            this->aged.push_back(std::move(oldest));
+            continue;
+        }
+        raise(this->forgotten, oldest.name.cell, oldest.dispatched);
+        this->erase(oldest.name);
+    }
+}
+
+auto KeyRegistry::forgottenUntil(CellId cell) const -> WallTime
+{
+    return timeOf(this->forgotten, cell);
+}
+
+auto KeyRegistry::evictedUntil(CellId cell) const -> WallTime
+{
+    return timeOf(this->evicted, cell);
+}
+
+auto KeyRegistry::noteTenure(CellId cell, WallTime since) -> void
+{
+    this->tenures[cell] = since;
+}
+
+auto KeyRegistry::tenureOf(CellId cell) const -> std::optional<WallTime>
+{
+    const auto found = this->tenures.find(cell);
+    return found == this->tenures.end() ? std::nullopt : std::optional(found->second);
+}
+
+auto KeyRegistry::addLookup(const PendingLookup &lookup) -> std::uint64_t
+{
+    ++this->lastSequence;
+    this->lookups[this->lastSequence] = lookup;
+    return this->lastSequence;
+}
+
+auto KeyRegistry::takeLookup(std::uint64_t sequence) -> std::optional<PendingLookup>
+{
+    const auto found = this->lookups.find(sequence);
+    if (found == this->lookups.end()) {
+        return std::nullopt;
+    }
+    const auto lookup = found->second;
+    this->lookups.erase(found);
+    return lookup;
+}
+
+auto KeyRegistry::takeLookupsBefore(MonoTime time) -> std::vector<PendingLookup>
+{
+    return takeLookups(this->lookups, [time](const auto &lookup) { return lookup.asked < time; });
+}
+
+auto KeyRegistry::takeLookupsTo(HostId host) -> std::vector<PendingLookup>
+{
+    return takeLookups(this->lookups, [host](const auto &lookup) { return lookup.host == host; });
+}
+
+auto KeyRegistry::makeRoom() -> void
+{
+    auto left = this->aged.size();
+    while (this->records.size() > this->keysMax && left > 0) {
+        --left;
+        auto oldest = std::move(this->aged.front());
+        this->aged.pop_front();
+        if (!this->isCurrent(oldest)) {
+            continue;
+        }
+        if (this->records.at(oldest.name).state == KeyState::Running) {
+            this->aged.push_back(std::move(oldest));
+            continue;
+        }
+        raise(this->forgotten, oldest.name.cell, oldest.dispatched);
+        raise(this->evicted, oldest.name.cell, oldest.dispatched);
+        this->erase(oldest.name);
+    }
+}
+
+auto KeyRegistry::erase(const KeyName &name) -> void
+{
+    this->dropAnswer(name);
+    this->records.erase(name);
+}
+
+auto KeyRegistry::keep(const KeyName &name, std::shared_ptr<const std::string> answer) -> void
+{
+    if (answer == nullptr || answer->size() > config::storedAnswerMax) {
+        return;
+    }
+    this->keptBytes += answer->size();
+    this->records.at(name).answer = std::move(answer);
+    this->kept.push_back(name);
+    while (this->keptBytes > this->answerBytesMax) {
+        const auto oldest = std::move(this->kept.front());
+        this->kept.pop_front();
+        this->dropAnswer(oldest);
+    }
+}
+
+auto KeyRegistry::dropAnswer(const KeyName &name) -> void
+{
+    auto *record = this->find(name);
+    if (record == nullptr || record->answer == nullptr) {
+        return;
+    }
+    this->keptBytes -= record->answer->size();
+    record->answer = nullptr;
+}
+
+auto KeyRegistry::isCurrent(const Aged &entry) const -> bool
+{
+    const auto found = this->records.find(entry.name);
+    return found != this->records.end() && found->second.state != KeyState::Unseen
+           && found->second.dispatched == entry.dispatched;
+}
+
+} // namespace flamingograde
--- a/src/core/refuse.cpp
+++ b/src/core/refuse.cpp
@@ -46,6 +46,7 @@
 auto forget(Blackboard &board, ExchangeId exchange) -> void
 {
     board.cells.remove(exchange);
+    board.keys.remove(exchange);
     board.feeds.erase(exchange);
     board.exchanges.erase(exchange);
 }
--- /dev/null
+++ b/src/core/upstreamcontroller.cpp
@@ -0,0 +1,292 @@
+/// Learns from traffic and probes how upstreams are.
+#include "core/upstreamcontroller.h"
+
+#include "core/blackboard.h"
+#include "core/overloaded.h"
+
+#include <algorithm>
+#include <string>
+#include <unordered_set>
+#include <variant>
+
+namespace flamingograde {
+
+namespace {
+
+constexpr auto serverError = 500;
+constexpr auto failuresToRecover = 2.0; ///< Divides the slot limit of an upstream that sheds.
+
+/// Returns how many upstreams of a cell are ejected, and how many there are.
+auto ejectedShareIfOneMore(const Blackboard &board, CellId cell) -> double
+{
+    const auto &indices = board.table().upstreamsOf(cell);
+    auto ejected = 1.0;
+    for (const auto index : indices) {
+        const auto id = board.table().upstreams()[index].id;
+        ejected += board.upstreams.isUsable(id, board.now.mono) ? 0.0 : 1.0;
+    }
+    return ejected / std::max<double>(static_cast<double>(indices.size()), 1.0);
+}
+
+auto ejectionTime(std::uint32_t ejections) -> Duration
+{
+    Duration time = config::ejectTime;
+    for (std::uint32_t i = 0; i < ejections && time < config::ejectTimeMax; ++i) {
+        time *= 2;
+    }
+    return std::min<Duration>(time, config::ejectTimeMax);
+}
+
+auto eject(Blackboard &board, const Upstream &upstream, UpstreamHealth &health) -> void
+{
+    health.ejected = true;
+    health.ejectedUntil = board.now.mono + ejectionTime(health.ejections);
+    health.failures = 0;
+    ++health.ejections;
+    ++board.stats.ejections;
+    board.log(LogEvent::UpstreamEjected, upstream.name);
+}
+
+auto noteFailure(Blackboard &board, UpstreamId id) -> void
+{
+    const auto *upstream = board.table().upstream(id);
+    if (upstream == nullptr) {
+        return;
+    }
+    auto &health = board.upstreams.health(id);
+    ++health.failures;
+    if (health.failures < config::ejectFailures || health.ejected) {
+        return;
+    }
+    if (ejectedShareIfOneMore(board, upstream->cell()) <= config::ejectShareMax) {
+        eject(board, *upstream, health);
+    }
+}
+
+auto noteSuccess(Blackboard &board, UpstreamId id) -> void
+{
+    const auto *upstream = board.table().upstream(id);
+    if (upstream == nullptr) {
+        return;
+    }
+    auto &health = board.upstreams.health(id);
+    health.failures = 0;
+    health.lastSuccess = board.now.mono;
+    if (!health.rampSince.has_value()) {
+        health.ejections = 0;
+    }
+    if (health.slotLimit.has_value()) {
+        *health.slotLimit += 1.0 / *health.slotLimit;
+        if (*health.slotLimit >= upstream->slots) {
+            health.slotLimit.reset();
+        }
+    }
+}
+
+auto noteShed(Blackboard &board, UpstreamId id, Duration retryAfter) -> void
+{
+    const auto *upstream = board.table().upstream(id);
+    if (upstream == nullptr) {
+        return;
+    }
+    auto &health = board.upstreams.health(id);
+    const auto limit = health.slotLimit.value_or(upstream->slots);
+    health.slotLimit = std::max(limit / failuresToRecover, 1.0);
+    health.pausedUntil = board.now.mono + std::min<Duration>(retryAfter, config::retryAfterMax);
+    board.log(LogEvent::UpstreamShed, upstream->name);
+}
+
+/// Takes the head of a request's answer.
+auto noteHead(Blackboard &board, RunningRequest &request, const AnswerHead &head) -> void
+{
+    if (head.shed) {
+        request.shed = true;
+        noteShed(board, request.upstream, head.retryAfter);
+        return;
+    }
+    if (head.status >= serverError) {
+        request.failed = true;
+        noteFailure(board, request.upstream);
+    }
+}
+
+auto noteRequestProgress(Blackboard &board, RunningRequest &request, const ExchangeProgress &event)
+        -> void
+{
+    switch (event.progress) {
+    case Progress::Answering:
+        if (event.head.has_value()) {
+            noteHead(board, request, *event.head);
+        }
+        return;
+    case Progress::Answered:
+        if (!request.failed && !request.shed) {
+            noteSuccess(board, request.upstream);
+        }
+        return;
+    case Progress::NotSent:
+    case Progress::Lost:
+    case Progress::Cut:
+        if (!request.failed) {
+            request.failed = true;
+            noteFailure(board, request.upstream);
+        }
+        return;
+    }
+}
+
+/// Feeds tell of an upstream by whether they open.
+auto noteFeedProgress(Blackboard &board, const Feed &feed, const ExchangeProgress &event) -> void
+{
+    if (event.progress == Progress::NotSent || event.progress == Progress::Lost) {
+        noteFailure(board, feed.upstream);
+    }
+    if (event.progress == Progress::Answering && event.head.has_value() && !event.head->shed
+        && event.head->status < serverError) {
+        noteSuccess(board, feed.upstream);
+    }
+}
+
+/// Blames the upstreams of requests whose deadline passed without an answer.
+auto blameTimeouts(Blackboard &board) -> void
+{
+    for (const auto id : board.exchanges.expired(board.now.mono)) {
+        auto *request = board.cells.findRunning(id);
+        if (request != nullptr && !request->failed) {
+            request->failed = true;
+            noteFailure(board, request->upstream);
+        }
+    }
+}
+
+/// Ends what time ends: ejections and ramps.
+auto endByTime(Blackboard &board, const Upstream &upstream, UpstreamHealth &health) -> void
+{
+    if (health.ejected && health.ejectedUntil <= board.now.mono) {
+        health.ejected = false;
+        health.rampSince = board.now.mono;
+        board.log(LogEvent::UpstreamReturned, upstream.name);
+    }
+    if (health.rampSince.has_value() && board.now.mono - *health.rampSince >= config::rampTime) {
+        health.rampSince.reset();
+    }
+}
+
+auto probeIfDue(Blackboard &board, const Upstream &upstream, UpstreamHealth &health) -> void
+{
+    if (!board.tenure.since(upstream.cell()).has_value() || health.nextProbe > board.now.mono) {
+        return;
+    }
+    health.nextProbe = board.now.mono + config::upstreamProbePeriod;
+    board.act(ProbeUpstream { upstream.id, upstream.address, upstream.serviceName });
+}
+
+auto logIfDrained(Blackboard &board, const Upstream &upstream, UpstreamHealth &health) -> void
+{
+    if (upstream.state != UpstreamState::Draining || health.drainLogged) {
+        return;
+    }
+    const auto busy = board.cells.runningAt(upstream.cell(), upstream.id) > 0
+                      || board.feeds.countAt(upstream.id) > 0;
+    if (!busy) {
+        health.drainLogged = true;
+        board.log(LogEvent::UpstreamDrained, upstream.name);
+    }
+}
+
+/// Takes the table's word on one upstream. It is cold where it is new or was draining.
+auto followUpstream(Blackboard &board, const Upstream &upstream, bool first) -> void
+{
+    const auto known = board.upstreams.find(upstream.id) != nullptr;
+    auto &health = board.upstreams.health(upstream.id);
+    const auto moved = known && health.address != upstream.address;
+    const auto returned = known && health.state == UpstreamState::Draining
+                          && upstream.state == UpstreamState::Active;
+    if (moved) {
+        health = UpstreamHealth {};
+    }
+    if (!first && (!known || moved || returned)) {
+        health.rampSince = board.now.mono;
+        health.drainLogged = false;
+    }
+    health.address = upstream.address;
+    health.state = upstream.state;
+}
+
+} // namespace
+
+auto UpstreamController::handle(Blackboard &board, const Event &event) -> void
+{
+    this->followTable(board);
+    blameTimeouts(board);
+    std::visit(Overloaded {
+                       [&](const ExchangeProgress &progress) { this->onProgress(board, progress); },
+                       [&](const UpstreamReport &report) { this->onReport(board, report); },
+                       [&](const Tick &) { this->onTick(board); },
+                       [](const auto &) {},
+               },
+               event);
+}
+
+auto UpstreamController::followTable(Blackboard &board) -> void
+{
+    const auto revision = board.config.revision;
+    if (revision == board.upstreams.revision) {
+        return;
+    }
+    const auto first = !board.upstreams.revision.isValid();
+    board.upstreams.revision = revision;
+    std::unordered_set<UpstreamId> listed;
+    for (const auto &upstream : board.table().upstreams()) {
+        followUpstream(board, upstream, first);
+        listed.insert(upstream.id);
+    }
+    auto &all = board.upstreams.all();
+    for (auto entry = all.begin(); entry != all.end();) {
+        entry = listed.count(entry->first) > 0 ? std::next(entry) : all.erase(entry);
+    }
+}
+
+auto UpstreamController::onProgress(Blackboard &board, const ExchangeProgress &event) -> void
+{
+    auto *request = board.cells.findRunning(event.exchange);
+    if (request != nullptr && request->attempt == event.attempt) {
+        noteRequestProgress(board, *request, event);
+        return;
+    }
+    const auto *feed = board.feeds.find(event.exchange);
+    if (feed != nullptr && feed->attempt == event.attempt) {
+        noteFeedProgress(board, *feed, event);
+    }
+}
+
+auto UpstreamController::onReport(Blackboard &board, const UpstreamReport &report) -> void
+{
+    if (board.table().upstream(report.upstream) == nullptr) {
+        return;
+    }
+    auto &health = board.upstreams.health(report.upstream);
+    health.load = report.load;
+    health.saysDraining = report.reachable && report.draining;
+    if (report.reachable && (report.healthy || report.draining)) {
+        health.doubtedSince.reset();
+        return;
+    }
+    const auto succeeds = health.lastSuccess.has_value()
+                          && board.now.mono - *health.lastSuccess < 2 * config::upstreamProbePeriod;
+    if (!health.doubtedSince.has_value() && !succeeds) {
+        health.doubtedSince = board.now.mono;
+    }
+}
+
+auto UpstreamController::onTick(Blackboard &board) -> void
+{
+    for (const auto &upstream : board.table().upstreams()) {
+        auto &health = board.upstreams.health(upstream.id);
+        endByTime(board, upstream, health);
+        probeIfDue(board, upstream, health);
+        logIfDrained(board, upstream, health);
+    }
+}
+
+} // namespace flamingograde
--- a/src/core/upstreamstore.h
+++ b/src/core/upstreamstore.h
@@ -1,8 +1,15 @@
 /// What is known of upstreams beside the table.
 #pragma once
 
+#include "core/upstreamhealth.h"
+
 #include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
+#include <flamingograde/revision.h>
+#include <flamingograde/upstream.h>
+
+#include <cstdint>
+#include <unordered_map>
 
 namespace flamingograde {
 
@@ -14,6 +21,28 @@
     /// Returns whether `upstream` may take new work: not ejected. The table's state is not looked
     /// at.
     [[nodiscard]] auto isUsable(UpstreamId upstream, MonoTime now) const -> bool;
+
+    /// Returns how many requests `upstream` may run at once now: its slots, fewer while it is
+    /// cold, sheds or is doubted, none while it is ejected or paused.
+    [[nodiscard]] auto effectiveSlots(const Upstream &upstream, MonoTime now) const
+            -> std::uint32_t;
+
+    /// Returns what is known of `upstream`, made where nothing was.
+    auto health(UpstreamId upstream) -> UpstreamHealth & { return this->byId[upstream]; }
+    [[nodiscard]] auto find(UpstreamId upstream) const -> const UpstreamHealth *;
+    [[nodiscard]] auto all() -> std::unordered_map<UpstreamId, UpstreamHealth> &
+    {
+        return this->byId;
+    }
+    [[nodiscard]] auto all() const -> const std::unordered_map<UpstreamId, UpstreamHealth> &
+    {
+        return this->byId;
+    }
+
+    Revision revision; ///< Of the table that `byId` follows.
+
+private:
+    std::unordered_map<UpstreamId, UpstreamHealth> byId;
 };
 
 } // namespace flamingograde
--- /dev/null
+++ b/src/core/waitestimate.cpp
@@ -0,0 +1,101 @@
+/// How long a waiting request will wait.
+#include "core/waitestimate.h"
+
+#include "core/cell.h"
+
+#include <flamingograde/config.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+
+namespace flamingograde {
+
+namespace {
+
+auto secondsOf(Duration time) -> double
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+auto durationOf(double seconds) -> Duration
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+/// What is served before a request: how many, and the slot time they take.
+struct WorkAhead
+{
+    double count = 0;
+    double seconds = 0;
+};
+
+/// Returns what the weighted fair order serves before a request with `ahead` of its row before it.
+auto workAhead(const Cell &cell, const RowQueue &row, std::size_t ahead) -> WorkAhead
+{
+    const auto ownCost = secondsOf(row.serviceTime.cost());
+    const auto own = static_cast<double>(ahead);
+    const auto until = own * ownCost / row.weight;
+    WorkAhead work { own, own * ownCost };
+    for (const auto &[id, other] : cell.rows) {
+        if (id == row.row || other.waiting.empty()) {
+            continue;
+        }
+        const auto cost = std::max(secondsOf(other.serviceTime.cost()), 1e-6);
+        const auto turns = std::floor(until * other.weight / cost + 1.0);
+        const auto served = std::min(static_cast<double>(other.waiting.size()), turns);
+        work.count += served;
+        work.seconds += served * cost;
+    }
+    return work;
+}
+
+/// Returns the times left of the running requests, shortest first.
+auto timesLeft(const Cell &cell, MonoTime now) -> std::vector<double>
+{
+    std::vector<double> left;
+    for (const auto &[id, request] : cell.running) {
+        const auto &row = cell.rows.at(request.row);
+        const auto elapsed = secondsOf(now - request.since);
+        left.push_back(std::max(secondsOf(row.serviceTime.cost()) - elapsed, 0.0));
+    }
+    std::sort(left.begin(), left.end());
+    return left;
+}
+
+/// Returns when the request after `work` finds one of `slots` free.
+auto startOf(const WorkAhead &work, std::vector<double> left, std::uint32_t slots) -> double
+{
+    if (left.size() < slots) {
+        left.insert(left.begin(), slots - left.size(), 0.0);
+    }
+    const auto over = left.size() - slots; // Slots were taken back while requests ran.
+    const auto count = static_cast<std::size_t>(work.count);
+    const auto mean = work.count > 0 ? work.seconds / work.count : 0.0;
+    const auto rounds = static_cast<double>(count / slots);
+    return left[over + count % slots] + rounds * mean;
+}
+
+} // namespace
+
+auto expectedWait(const Cell &cell, const RowQueue &row, std::size_t ahead,
+                  const std::vector<SlotOffer> &offers, MonoTime now) -> Duration
+{
+    const auto slots = std::max<std::uint32_t>(offeredSlots(offers), 1);
+    auto wait = startOf(workAhead(cell, row, ahead), timesLeft(cell, now), slots);
+    if (row.concurrent != 0) {
+        const auto before = static_cast<double>(ahead + row.running);
+        const auto rounds = std::floor(before / row.concurrent);
+        wait = std::max(wait, (rounds - 0.5) * secondsOf(row.serviceTime.cost()));
+    }
+    return durationOf(std::max(wait, 0.0));
+}
+
+auto expectedRoom(const Cell &cell, const RowQueue &row, const std::vector<SlotOffer> &offers,
+                  MonoTime now) -> Duration
+{
+    const auto places = std::size_t { row.turnedAway };
+    return expectedWait(cell, row, places, offers, now);
+}
+
+} // namespace flamingograde
