--- a/include/flamingograde/config.h
+++ b/include/flamingograde/config.h
@@ -40,11 +40,19 @@
 // Exchanges.
 inline constexpr auto defaultDeadline       = 5000ms; ///< Deadline of a row that names none.
 inline constexpr std::size_t relayAttempts  = 3;      ///< Placements of one exchange, each provably not run before the next.
+inline constexpr auto placeRetryMin         = 250ms;  ///< First pause before an exchange is placed again; doubles.
+inline constexpr auto relayMargin           = 60ms;   ///< A home's deadline is earlier by this, so that its truer refusal comes in time.
 inline constexpr auto retryAfterMin         = 1000ms; ///< Shortest pause told to a caller.
 inline constexpr auto retryAfterMax         = 30s;    ///< Longest pause told to a caller.
 inline constexpr double retryBudgetShare    = 0.1;    ///< Retries allowed as a share of successes.
 inline constexpr double retryBudgetBurst    = 10.0;   ///< Retries allowed without any success.
 
+// Feeds.
+inline constexpr auto feedRetryMin          = 100ms;  ///< First pause before a feed is opened again; doubles.
+inline constexpr auto feedRetryMax          = 2000ms; ///< Longest pause before a feed is opened again.
+inline constexpr std::size_t feedOpenAttempts = 4;    ///< Failed openings after which a new feed is refused.
+inline constexpr std::size_t feedReopenAttempts = 12; ///< Failed openings after which an open feed is ended.
+
 // Keys of non-idempotent requests.
 inline constexpr auto keyLifetime           = 600s;   ///< How long a key is remembered.
 inline constexpr std::size_t keysMax        = 200000; ///< Keys remembered by a host.
@@ -71,6 +79,8 @@
 
 // Stopping.
 inline constexpr auto stopTimeout           = 60s;    ///< Longest wait of an orderly stop.
+inline constexpr auto feedMoveTime          = 2000ms; ///< Feeds are ended over this time after the listeners closed.
+inline constexpr auto stopReportPeriod      = 1000ms; ///< Period of the log's word on what a stop waits for.
 inline constexpr auto leaveNotice           = 1000ms; ///< Time between announcing a stop and closing the listeners.
 
 // clang-format on
--- a/src/core/blackboard.h
+++ b/src/core/blackboard.h
@@ -51,6 +51,7 @@
     RetryBudget retryBudget;    ///< Retries still allowed.
     StopState stop;             ///< The orderly stop.
 
+    std::vector<ExchangeId> toOpen;  ///< For the feed controller.
     std::vector<ExchangeId> toPlace; ///< For the steering controller.
     std::vector<ExchangeId> toAdmit; ///< For the key controller; at their home, this host.
     std::vector<ExchangeId> toQueue; ///< For the admission controller; keys are checked.
--- /dev/null
+++ b/src/core/cellhomeplacement.cpp
@@ -0,0 +1,97 @@
+/// Chooses a cell by key, by flow or by load.
+#include "core/cellhomeplacement.h"
+
+#include "core/blackboard.h"
+#include "core/keyplacement.h"
+
+#include <algorithm>
+
+namespace flamingograde {
+
+namespace {
+
+/// Returns the load of a cell as a share of its slots; one without news is held to be idle.
+auto loadShare(const Blackboard &board, const CellChoice &choice) -> double
+{
+    const auto load = board.cells.loadOf(choice.cell, board.now.mono);
+    if (!load) {
+        return 0;
+    }
+    const auto slots = load->slots > 0 ? static_cast<double>(load->slots) : 1.0;
+    return (load->running + load->queued) / slots;
+}
+
+/// Draws a choice in proportion to the slots, other than the one at `except`.
+auto draw(Blackboard &board, const std::vector<CellChoice> &choices, std::size_t except)
+        -> std::size_t
+{
+    std::vector<double> weights;
+    weights.reserve(choices.size());
+    for (std::size_t i = 0; i < choices.size(); ++i) {
+        weights.push_back(i == except ? 0 : choices[i].slots);
+    }
+    std::discrete_distribution<std::size_t> distribution(weights.begin(), weights.end());
+    return distribution(board.random);
+}
+
+auto lessLoaded(Blackboard &board, const std::vector<CellChoice> &choices) -> const CellChoice &
+{
+    const auto first = draw(board, choices, choices.size());
+    if (choices.size() == 1) {
+        return choices[first];
+    }
+    const auto second = draw(board, choices, first);
+    const auto isSecondLess = loadShare(board, choices[second]) < loadShare(board, choices[first]);
+    return choices[isSecondLess ? second : first];
+}
+
+/// Removes the choices for which `isBad` holds, unless that would leave none.
+template<typename Predicate>
+auto dropUnlessLast(std::vector<CellChoice> &choices, Predicate isBad) -> void
+{
+    const auto end = std::remove_if(choices.begin(), choices.end(), isBad);
+    if (end != choices.begin()) {
+        choices.erase(end, choices.end());
+    }
+}
+
+auto placeByLoad(Blackboard &board, const Exchange &exchange) -> Placed
+{
+    auto choices = cellChoices(board, exchange.service);
+    if (choices.empty()) {
+        const auto hasZones = !board.table().zonesOf(exchange.service).empty();
+        return PlaceNowhere { hasZones ? RefusalReason::NoHome : RefusalReason::NoUpstream, false };
+    }
+    dropUnlessLast(choices, [](const CellChoice &choice) { return !choice.reachable; });
+    dropUnlessLast(choices,
+                   [&](const CellChoice &choice) { return choice.cell == exchange.avoid; });
+    return placeInZone(board, exchange.service, lessLoaded(board, choices).zone);
+}
+
+auto placeByKey(const Blackboard &board, const Exchange &exchange) -> Placed
+{
+    const auto zone = zoneOfKey(board.table(), exchange.service, exchange.key);
+    if (!zone.isValid()) {
+        return PlaceNowhere { RefusalReason::NoUpstream, false };
+    }
+    return placeInZone(board, exchange.service, zone);
+}
+
+} // namespace
+
+auto CellHomePlacement::place(Blackboard &board, Exchange &exchange) const -> Placed
+{
+    if (!exchange.idempotent && !exchange.ownKey) {
+        return placeByKey(board, exchange);
+    }
+    exchange.bound = exchange.upstream.isValid() && exchange.attempt == 0
+                     && isOpenFor(board, exchange.upstream, exchange.service);
+    if (exchange.bound) {
+        const auto zone = board.table().upstream(exchange.upstream)->zone;
+        return placeInZone(board, exchange.service, zone);
+    }
+    exchange.upstream = UpstreamId();
+    return placeByLoad(board, exchange);
+}
+
+} // namespace flamingograde
--- a/src/core/exchange.h
+++ b/src/core/exchange.h
@@ -54,7 +54,10 @@
     std::uint64_t bodyBytes = 0;
     std::uint32_t attempt = 0; ///< Raised by each placement; part of the actions.
     Stage stage = Stage::Placing;
-    bool maybeSent = false; ///< Bytes may have left for an upstream or a home.
+    bool maybeSent = false;  ///< Bytes may have left for an upstream or a home.
+    bool sentBefore = false; ///< An attempt before the current one may have been sent.
+    bool callerGone = false; ///< Runs on so that a repeat of its key gets the answer.
+    CellId avoid;            ///< The cell that could not take it last; invalid for none.
 };
 
 } // namespace flamingograde
--- a/src/core/exchangestore.cpp
+++ b/src/core/exchangestore.cpp
@@ -44,4 +44,19 @@
     return ids;
 }
 
+auto ExchangeStore::placeLater(ExchangeId id, MonoTime when) -> void
+{
+    this->byPlacing.emplace(when, id);
+}
+
+auto ExchangeStore::takeToPlace(MonoTime now) -> std::vector<ExchangeId>
+{
+    std::vector<ExchangeId> due;
+    while (!this->byPlacing.empty() && this->byPlacing.begin()->first <= now) {
+        due.push_back(this->byPlacing.begin()->second);
+        this->byPlacing.erase(this->byPlacing.begin());
+    }
+    return due;
+}
+
 } // namespace flamingograde
--- a/src/core/exchangestore.h
+++ b/src/core/exchangestore.h
@@ -31,6 +31,12 @@
     /// Returns the exchanges whose deadline is at or before `now`, earliest first.
     [[nodiscard]] auto expired(MonoTime now) const -> std::vector<ExchangeId>;
 
+    /// Has the exchange placed again at `when`. Precondition: it is stored and waits for nothing.
+    auto placeLater(ExchangeId id, MonoTime when) -> void;
+
+    /// Returns the exchanges whose time to be placed again has come; some may be gone.
+    [[nodiscard]] auto takeToPlace(MonoTime now) -> std::vector<ExchangeId>;
+
     [[nodiscard]] auto size() const -> std::size_t { return this->byId.size(); }
     [[nodiscard]] auto all() const -> const std::unordered_map<ExchangeId, Exchange> &
     {
@@ -40,6 +46,7 @@
 private:
     std::unordered_map<ExchangeId, Exchange> byId;
     std::multimap<MonoTime, ExchangeId> byDeadline;
+    std::multimap<MonoTime, ExchangeId> byPlacing; ///< May name exchanges that are gone.
 };
 
 } // namespace flamingograde
--- /dev/null
+++ b/src/core/explain.cpp
@@ -0,0 +1,151 @@
+/// Explains placements by the same look-ups that make them.
+#include "core/explain.h"
+
+#include "core/blackboard.h"
+#include "core/feedplacement.h"
+#include "core/hexid.h"
+#include "core/idempotencykey.h"
+#include "core/keyplacement.h"
+#include "core/placement.h"
+#include "core/token.h"
+
+#include <nlohmann/json.hpp>
+
+namespace flamingograde {
+
+namespace {
+
+using nlohmann::json;
+
+auto upstreamName(const Blackboard &board, UpstreamId id) -> std::string
+{
+    const auto *upstream = board.table().upstream(id);
+    return upstream == nullptr ? hexOf(id) : upstream->name;
+}
+
+auto zoneName(const Blackboard &board, CellId cell) -> std::string
+{
+    const auto &indices = board.table().upstreamsOf(cell);
+    return indices.empty() ? std::string() : board.table().upstreams()[indices.front()].zoneName;
+}
+
+auto hostName(const Blackboard &board, HostId host) -> std::string
+{
+    const auto *member = board.membership.find(host);
+    return member == nullptr ? std::string() : member->name;
+}
+
+auto faultName(TokenFault fault) -> const char *
+{
+    switch (fault) {
+    case TokenFault::Malformed:
+        return "malformed";
+    case TokenFault::UnknownKey:
+        return "unknown key";
+    case TokenFault::Forged:
+        break;
+    }
+    return "forged";
+}
+
+/// Explains a feed without a token; its flow's id is drawn when it arrives.
+auto explainNewFeed(const Blackboard &board, const Row &row) -> json
+{
+    auto open = json::array();
+    for (const auto index : board.table().upstreamsOf(row.service)) {
+        const auto &upstream = board.table().upstreams()[index];
+        if (isOpenFor(board, upstream.id, row.service)) {
+            open.push_back({ { "upstream", upstream.name },
+                             { "weight", upstream.connections },
+                             { "feeds_here", board.feeds.countAt(upstream.id) } });
+        }
+    }
+    return { { "why", "a new flow is hashed over these upstreams in proportion to their weight" },
+             { "candidates", open } };
+}
+
+auto explainKey(const Blackboard &board, const Row &row, const std::string &key) -> json
+{
+    const auto zone = zoneOfKey(board.table(), row.service, key);
+    if (!zone.isValid()) {
+        return { { "why", "the service has no active upstream" } };
+    }
+    const auto cell = cellOf(row.service, zone);
+    return { { "why", "the idempotency key decides the zone" },
+             { "zone", zoneName(board, cell) },
+             { "home", hostName(board, board.membership.homeOf(cell, zone)) },
+             { "key_has_birth", keyBirthOf(key).has_value() } };
+}
+
+auto explainByLoad(const Blackboard &board, const Row &row) -> json
+{
+    auto candidates = json::array();
+    for (const auto &choice : cellChoices(board, row.service)) {
+        const auto load = board.cells.loadOf(choice.cell, board.now.mono).value_or(CellLoad {});
+        candidates.push_back({ { "zone", zoneName(board, choice.cell) },
+                               { "home", hostName(board, choice.home) },
+                               { "reachable", choice.reachable },
+                               { "weight", choice.slots },
+                               { "running", load.running },
+                               { "queued", load.queued } });
+    }
+    return { { "why", "the less loaded of two cells drawn by weight" },
+             { "candidates", candidates } };
+}
+
+auto explainFlow(const Blackboard &board, const Row &row, const FlowToken &token) -> json
+{
+    const auto isFeed = row.kind == RequestKind::Feed;
+    const auto stays = isFeed ? board.table().upstream(token.upstream) != nullptr
+                              : isOpenFor(board, token.upstream, row.service);
+    if (stays) {
+        return { { "why", "the token binds the flow" },
+                 { "upstream", upstreamName(board, token.upstream) } };
+    }
+    if (isFeed) {
+        return { { "why", "the token's upstream has left the table" },
+                 { "refused", "stale-token" } };
+    }
+    return explainByLoad(board, row);
+}
+
+auto explainRow(const Blackboard &board, const Row &row, const std::string &token,
+                const std::string &key) -> json
+{
+    if (!token.empty()) {
+        const auto flow = verifyToken(token, board.table().tokenKeys());
+        if (!flow) {
+            return { { "why", faultName(flow.error()) }, { "refused", "bad-token" } };
+        }
+        if (flow->service != row.service) {
+            return { { "why", "token of another service" }, { "refused", "bad-token" } };
+        }
+        if (row.idempotent) {
+            return explainFlow(board, row, *flow);
+        }
+    }
+    if (row.kind == RequestKind::Feed) {
+        return explainNewFeed(board, row);
+    }
+    return row.idempotent || key.empty() ? explainByLoad(board, row) : explainKey(board, row, key);
+}
+
+} // namespace
+
+auto explainOf(const Blackboard &board, Address address, const std::string &token,
+               const std::string &key) -> std::string
+{
+    json answer { { "address", address.toString() }, { "revision", board.config.revision.number } };
+    const auto *row = board.table().rowAt(address);
+    if (row == nullptr) {
+        answer["refused"] = "unknown-service";
+    } else {
+        answer["row"] = row->name;
+        answer["service"] = row->serviceName;
+        answer["kind"] = toString(row->kind);
+        answer["placement"] = explainRow(board, *row, token, key);
+    }
+    return answer.dump(2, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/core/placement.cpp
@@ -0,0 +1,66 @@
+/// What placement strategies share: the cells of a service and their homes.
+#include "core/placement.h"
+
+#include "core/blackboard.h"
+#include "core/keyplacement.h"
+
+namespace flamingograde {
+
+namespace {
+
+/// Returns whether a home answers, as far as is known: this host by its tenure, another by its
+/// membership and, in a fleet where all hosts are connected, by the connection with it.
+auto isReachable(const Blackboard &board, HostId home, CellId cell) -> bool
+{
+    if (home == board.init.self.id) {
+        return board.tenure.since(cell).has_value() || board.tenure.isClaiming(cell);
+    }
+    const auto *member = board.membership.find(home);
+    if (member == nullptr || member->state != MemberState::Alive) {
+        return false;
+    }
+    return board.membership.isConnected(home)
+           || board.membership.aliveCount() > config::flatMembershipHosts;
+}
+
+} // namespace
+
+auto cellChoices(const Blackboard &board, ServiceId service) -> std::vector<CellChoice>
+{
+    std::vector<CellChoice> choices;
+    for (const auto zone : board.table().zonesOf(service)) {
+        const auto cell = cellOf(service, zone);
+        const auto slots = activeSlots(board.table(), service, zone);
+        const auto home = board.membership.homeOf(cell, zone);
+        if (slots > 0 && home.isValid()) {
+            choices.push_back({ cell, zone, home, slots, isReachable(board, home, cell) });
+        }
+    }
+    return choices;
+}
+
+auto placeInZone(const Blackboard &board, ServiceId service, ZoneId zone) -> Placed
+{
+    const auto cell = cellOf(service, zone);
+    const auto home = board.membership.homeOf(cell, zone);
+    if (!home.isValid()) {
+        return PlaceNowhere { RefusalReason::NoHome, false };
+    }
+    if (home != board.init.self.id) {
+        return PlaceAt { cell, zone, home };
+    }
+    if (!isReachable(board, home, cell)) {
+        return PlaceNowhere { RefusalReason::NoHome, true };
+    }
+    return PlaceHere { cell };
+}
+
+auto isOpenFor(const Blackboard &board, UpstreamId upstream, ServiceId service) -> bool
+{
+    const auto *entry = board.table().upstream(upstream);
+    return entry != nullptr && entry->service == service && entry->state == UpstreamState::Active
+           && board.upstreams.isUsable(upstream, board.now.mono)
+           && !board.config.isQuarantined(upstream, board.now.mono);
+}
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/core/stopcontroller.cpp
@@ -0,0 +1,117 @@
+/// Steps of an orderly stop: notice, listeners closed, work finished, ready.
+#include "core/stopcontroller.h"
+
+#include "core/blackboard.h"
+#include "core/refuse.h"
+
+#include <algorithm>
+
+namespace flamingograde {
+
+namespace {
+
+auto begin(Blackboard &board) -> void
+{
+    if (board.stop.stopping) {
+        return;
+    }
+    board.stop.stopping = true;
+    board.stop.since = board.now.mono;
+    board.log(LogEvent::StopBegan, board.init.self.name);
+}
+
+auto closeListeners(Blackboard &board) -> void
+{
+    board.stop.closed = true;
+    for (const auto &row : board.table().rows()) {
+        board.act(Unlisten { row.address });
+    }
+}
+
+/// Returns how many cells this host is home of although another host of its zone could be.
+auto heldCells(const Blackboard &board) -> std::size_t
+{
+    const auto zone = board.init.self.zone;
+    const auto &candidates = board.membership.candidates(zone);
+    const auto hasSuccessor = std::any_of(candidates.begin(), candidates.end(),
+                                          [&](HostId host) { return host != board.init.self.id; });
+    if (!hasSuccessor) {
+        return 0;
+    }
+    std::vector<CellId> cells;
+    for (const auto &upstream : board.table().upstreams()) {
+        if (upstream.zone == zone && board.tenure.since(upstream.cell())) {
+            cells.push_back(upstream.cell());
+        }
+    }
+    std::sort(cells.begin(), cells.end());
+    return static_cast<std::size_t>(std::unique(cells.begin(), cells.end()) - cells.begin());
+}
+
+/// Returns what is not finished; empty for nothing.
+auto unfinished(const Blackboard &board) -> std::string
+{
+    std::string text;
+    const auto add = [&](std::size_t count, const char *what) {
+        if (count > 0) {
+            text += (text.empty() ? "" : ", ") + std::to_string(count) + ' ' + what;
+        }
+    };
+    add(board.exchanges.size(), "requests");
+    add(board.feeds.size(), "feeds");
+    add(heldCells(board), "cells");
+    return text;
+}
+
+/// Answers everything that is left, each with what is true of it.
+auto giveUp(Blackboard &board) -> void
+{
+    std::vector<ExchangeId> ids;
+    for (const auto &[id, exchange] : board.exchanges.all()) {
+        ids.push_back(id);
+    }
+    std::sort(ids.begin(), ids.end());
+    for (const auto id : ids) {
+        auto &exchange = *board.exchanges.find(id);
+        if (exchange.stage != Stage::Answering && !exchange.callerGone) {
+            refuse(board, exchange, RefusalReason::Stopping, config::retryAfterMin);
+        }
+    }
+}
+
+auto finish(Blackboard &board, const std::string &left) -> void
+{
+    board.stop.ready = true;
+    board.log(LogEvent::Stopped, left);
+    board.act(StopReady { left });
+}
+
+} // namespace
+
+auto StopController::handle(Blackboard &board, const Event &event) -> void
+{
+    if (std::holds_alternative<StopRequested>(event)) {
+        begin(board);
+    }
+    if (!board.stop.stopping || board.stop.ready || !std::holds_alternative<Tick>(event)) {
+        return;
+    }
+    const auto elapsed = board.now.mono - board.stop.since;
+    if (!board.stop.closed && elapsed >= config::leaveNotice) {
+        closeListeners(board);
+    }
+    const auto left = unfinished(board);
+    if (board.stop.closed && left.empty()) {
+        return finish(board, left);
+    }
+    if (elapsed >= board.init.stopTimeout) {
+        giveUp(board);
+        return finish(board, left);
+    }
+    if (board.now.mono - this->reported >= config::stopReportPeriod) {
+        this->reported = board.now.mono;
+        board.log(LogEvent::StopWaits, left);
+    }
+}
+
+} // namespace flamingograde
