--- /dev/null
+++ b/src/core/configcontroller.cpp
@@ -0,0 +1,278 @@
+/// When to read the platform, what to ask of other hosts, and which table to take.
+#include "core/configcontroller.h"
+
+#include "core/blackboard.h"
+#include "core/gossip.h"
+#include "core/overloaded.h"
+#include "core/rendezvous.h"
+#include "core/tableadoption.h"
+
+#include <flamingograde/tableparser.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace flamingograde {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration readSlack = 5s;          ///< A read unanswered this long after its wait failed.
+constexpr Duration platformStale = 3s;      ///< A host that hears no newer word reads for itself.
+constexpr Duration peerRequestTimeout = 1s; ///< A host is given this long to send its table.
+constexpr Duration startupHostPeriod = 500ms; ///< Period of the host list until it names this host.
+constexpr Duration startupReads = 10s;        ///< How long that period holds.
+constexpr std::size_t announcedMax = 16;      ///< Hosts told at once of a new table.
+
+/// The key under which the readers of a zone are drawn.
+const auto readerKey = hashName("platform reader");
+
+/// Returns whether this host is one of its zone's readers.
+auto isReader(const Blackboard &board) -> bool
+{
+    const auto self = board.init.self.id;
+    const auto ownScore = rendezvousScore(readerKey, { self.value() });
+    std::size_t better = 0;
+    for (const auto host : board.membership.candidates(board.init.self.zone)) {
+        if (host != self && rendezvousScore(readerKey, { host.value() }) > ownScore) {
+            ++better;
+        }
+    }
+    return better < config::readersPerZone;
+}
+
+/// Returns a pause drawn from the upper half of `pause`.
+auto jittered(Blackboard &board, Duration pause) -> Duration
+{
+    std::uniform_int_distribution<Duration::rep> draw(pause.count() / 2, pause.count());
+    return Duration(draw(board.random));
+}
+
+/// Tells hosts that have an older table of the one in force.
+auto announce(Blackboard &board) -> void
+{
+    std::size_t told = 0;
+    for (auto &[id, record] : board.membership.records()) {
+        if (told == announcedMax) {
+            return;
+        }
+        if (record.connected && record.revision < board.config.revision) {
+            told += sendPeer(board, id, Ping { 0, makeGossip(board, id) }) ? 1 : 0;
+        }
+    }
+}
+
+} // namespace
+
+auto ConfigController::handle(Blackboard &board, const Event &event) -> void
+{
+    if (!this->started) {
+        this->started = true;
+        this->readTable(board, 0ms);
+        this->readHosts(board);
+    }
+    std::visit(Overloaded { [&](const TableFetched &it) { this->on(board, it); },
+                            [&](const TableUnchanged &it) { this->on(board, it); },
+                            [&](const HostsFetched &it) { this->on(board, it); },
+                            [&](const PlatformFailed &it) { this->on(board, it); },
+                            [&](const PeerMessage &it) { this->on(board, it); },
+                            [&](const Tick &it) { this->on(board, it); },
+                            [](const auto & /*other*/) {} },
+               event);
+}
+
+auto ConfigController::on(Blackboard &board, const TableFetched &fetched) -> void
+{
+    this->tableAsked = false;
+    this->platformAnswered(board);
+    const auto newest = this->newestSeen(board);
+    this->offer(board, fetched.revision, fetched.text);
+    const auto fruitless = !(newest < fetched.revision);
+    this->backoff = fruitless ? std::clamp<Duration>(this->backoff * 2, config::platformRetryMin,
+                                                     config::platformRetryMax)
+                              : 0ms;
+    this->nextTableRead = board.now.mono + jittered(board, this->backoff);
+}
+
+auto ConfigController::on(Blackboard &board, const TableUnchanged & /*unchanged*/) -> void
+{
+    this->tableAsked = false;
+    this->platformAnswered(board);
+    this->backoff = 0ms;
+    this->nextTableRead = board.now.mono + jittered(board, config::platformRetryMin);
+}
+
+auto ConfigController::on(Blackboard &board, const HostsFetched & /*fetched*/) -> void
+{
+    this->hostsAsked = false;
+    this->platformAnswered(board);
+}
+
+auto ConfigController::on(Blackboard &board, const PlatformFailed &failed) -> void
+{
+    ++board.stats.platformFailures;
+    if (!this->platformLost) {
+        this->platformLost = true;
+        board.log(LogEvent::PlatformLost, failed.why);
+    }
+    if (failed.read == PlatformRead::Hosts) {
+        this->hostsAsked = false;
+        return;
+    }
+    this->tableAsked = false;
+    this->backoff = std::clamp<Duration>(this->backoff * 2, config::platformRetryMin,
+                                         config::platformRetryMax);
+    this->nextTableRead = board.now.mono + jittered(board, this->backoff);
+}
+
+auto ConfigController::on(Blackboard &board, const PeerMessage &received) -> void
+{
+    if (const auto *gossip = gossipOf(received.message)) {
+        this->noteGossip(board, received.from, *gossip);
+        return;
+    }
+    if (const auto *request = std::get_if<TableRequest>(&received.message)) {
+        if (request->have < board.config.revision) {
+            sendPeer(board, received.from, TableBody { board.config.revision, board.config.text });
+        }
+        return;
+    }
+    if (const auto *body = std::get_if<TableBody>(&received.message)) {
+        this->nextPeerRequest = board.now.mono;
+        this->offer(board, body->revision, body->text);
+    }
+}
+
+auto ConfigController::noteGossip(Blackboard &board, HostId from, const Gossip &gossip) -> void
+{
+    constexpr auto unknownAge = std::numeric_limits<std::uint32_t>::max();
+    if (gossip.platformAgeMs != unknownAge) {
+        const Duration age = std::chrono::milliseconds(gossip.platformAgeMs);
+        board.config.notePlatform(board.now.mono - age);
+    }
+    if (auto *record = board.membership.record(from)) {
+        record->revision = std::max(record->revision, gossip.revision);
+    }
+    if (gossip.revision.isValid() && gossip.revision == board.config.revision
+        && gossip.tableDigest != board.config.digest && this->conflicting != gossip.revision) {
+        this->conflicting = gossip.revision;
+        board.log(LogEvent::TableConflict, "revision " + std::to_string(gossip.revision.number));
+    }
+    if (this->newestSeen(board) < gossip.revision && board.now.mono >= this->nextPeerRequest) {
+        this->requestTable(board, from);
+    }
+}
+
+auto ConfigController::requestTable(Blackboard &board, HostId from) -> void
+{
+    if (sendPeer(board, from, TableRequest { board.config.revision })) {
+        this->nextPeerRequest = board.now.mono + peerRequestTimeout;
+    }
+}
+
+auto ConfigController::on(Blackboard &board, const Tick & /*tick*/) -> void
+{
+    const auto now = board.now.mono;
+    if (this->tableAsked && now >= this->tableGivenUp) {
+        this->on(board, PlatformFailed { PlatformRead::Table, "no answer" });
+    }
+    if (this->hostsAsked && now >= this->hostsGivenUp) {
+        this->on(board, PlatformFailed { PlatformRead::Hosts, "no answer" });
+    }
+    this->readPlatform(board);
+}
+
+auto ConfigController::readPlatform(Blackboard &board) -> void
+{
+    const auto now = board.now.mono;
+    const auto reader = isReader(board);
+    const auto stale = board.config.platformAge(now) > platformStale;
+    if (!reader && !stale) {
+        return;
+    }
+    if (!this->tableAsked && now >= this->nextTableRead) {
+        this->readTable(board, reader ? Duration(config::watchWait) : 0ms);
+    }
+    if (!this->hostsAsked && now >= this->nextHostRead) {
+        this->readHosts(board);
+    }
+}
+
+auto ConfigController::offer(Blackboard &board, Revision revision, const std::string &text) -> void
+{
+    if (!revision.isValid() || revision == this->refused) {
+        return;
+    }
+    if (revision < board.config.revision) {
+        ++board.stats.tablesOlder;
+        if (this->olderLogged != revision) {
+            this->olderLogged = revision;
+            board.log(LogEvent::TableOlder, "revision " + std::to_string(revision.number));
+        }
+        return;
+    }
+    if (revision == board.config.revision) {
+        if (hashName(text) != board.config.digest && this->conflicting != revision) {
+            this->conflicting = revision;
+            board.log(LogEvent::TableConflict, "revision " + std::to_string(revision.number));
+        }
+        return;
+    }
+    auto parsed = parseTable(text, "table");
+    if (!parsed) {
+        this->refuseTable(board, revision, parsed.error());
+        return;
+    }
+    adoptTable(board, std::move(*parsed), revision, text);
+    announce(board);
+}
+
+auto ConfigController::refuseTable(Blackboard &board, Revision revision, const Findings &findings)
+        -> void
+{
+    ++board.stats.tablesRefused;
+    this->refused = std::max(this->refused, revision);
+    std::string text = "revision " + std::to_string(revision.number);
+    for (const auto &finding : findings) {
+        text += "\n" + finding.toString();
+    }
+    board.log(LogEvent::TableRefused, std::move(text));
+}
+
+auto ConfigController::readTable(Blackboard &board, Duration wait) -> void
+{
+    ++board.stats.platformReads;
+    this->tableAsked = true;
+    this->tableGivenUp = board.now.mono + wait + readSlack;
+    board.act(ReadTable { this->newestSeen(board), wait });
+}
+
+auto ConfigController::readHosts(Blackboard &board) -> void
+{
+    ++board.stats.platformReads;
+    this->hostsAsked = true;
+    this->hostsGivenUp = board.now.mono + readSlack;
+    const auto &membership = board.membership;
+    const auto young = board.now.mono - membership.startedAt < startupReads;
+    const auto early = young && !membership.listedSelf;
+    const Duration period = early ? startupHostPeriod : Duration(config::hostListPeriod);
+    this->nextHostRead = board.now.mono + period;
+    board.act(ReadHosts {});
+}
+
+auto ConfigController::platformAnswered(Blackboard &board) -> void
+{
+    board.config.notePlatform(board.now.mono);
+    if (this->platformLost) {
+        this->platformLost = false;
+        board.log(LogEvent::PlatformBack, "");
+    }
+}
+
+auto ConfigController::newestSeen(const Blackboard &board) const -> Revision
+{
+    return std::max(this->refused, board.config.revision);
+}
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/core/configstate.cpp
@@ -0,0 +1,38 @@
+/// Questions on the table in force and its forerunners.
+#include "core/configstate.h"
+
+#include "core/keyplacement.h"
+
+#include <algorithm>
+
+namespace flamingograde {
+
+auto ConfigState::isQuarantined(UpstreamId upstream, MonoTime now) const -> bool
+{
+    const auto found = this->quarantinedUntil.find(upstream);
+    return found != this->quarantinedUntil.end() && now < found->second;
+}
+
+auto ConfigState::keyPlacedSince(ServiceId service, const std::string &key) const -> WallTime
+{
+    const auto zone = zoneOfKey(*this->table, service, key);
+    for (auto it = this->past.rbegin(); it != this->past.rend(); ++it) {
+        if (zoneOfKey(*it->table, service, key) != zone) {
+            return it->until;
+        }
+    }
+    return {};
+}
+
+auto ConfigState::platformAge(MonoTime now) const -> Duration
+{
+    return this->platformKnown ? now - this->platformHeard : Duration::max();
+}
+
+auto ConfigState::notePlatform(MonoTime at) -> void
+{
+    this->platformHeard = this->platformKnown ? std::max(this->platformHeard, at) : at;
+    this->platformKnown = true;
+}
+
+} // namespace flamingograde
--- a/src/core/configstate.h
+++ b/src/core/configstate.h
@@ -9,6 +9,8 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 namespace flamingograde {
 
@@ -29,6 +31,23 @@
     /// Returns the wall time from which keys of `service` that `key` hashes to this zone are led to
     /// the same cell as now: the last change of the table that moved `key`, or the epoch.
     [[nodiscard]] auto keyPlacedSince(ServiceId service, const std::string &key) const -> WallTime;
+
+    /// A table that was in force before.
+    struct Past
+    {
+        std::shared_ptr<const Table> table;
+        WallTime until; ///< When the next one replaced it here.
+    };
+
+    std::vector<Past> past; ///< Oldest first; those of the last `config::keyLifetime`.
+    std::unordered_map<UpstreamId, MonoTime> quarantinedUntil; ///< By upstream of `table`.
+    MonoTime platformHeard;     ///< When this host, or one it heard from, last heard the platform.
+    bool platformKnown = false; ///< Whether `platformHeard` was ever set.
+
+    /// Returns how long ago the platform was last heard by this host or one it heard from.
+    [[nodiscard]] auto platformAge(MonoTime now) const -> Duration;
+    /// Notes that the platform was heard at `at`.
+    auto notePlatform(MonoTime at) -> void;
 };
 
 } // namespace flamingograde
--- /dev/null
+++ b/src/core/gossip.cpp
@@ -0,0 +1,127 @@
+/// Chooses what messages to other hosts carry beside their purpose.
+#include "core/gossip.h"
+
+#include "core/blackboard.h"
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+
+namespace flamingograde {
+
+namespace {
+
+/// A dead host that the platform no longer lists is told of for this long.
+constexpr Duration deadToldFor = std::chrono::seconds(30);
+
+/// Returns the age of the platform's last word in the unit of the wire.
+auto platformAgeMs(const Blackboard &board) -> std::uint32_t
+{
+    constexpr auto most = std::numeric_limits<std::uint32_t>::max();
+    const auto age = board.config.platformAge(board.now.mono);
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+    return ms > static_cast<std::int64_t>(most) ? most : static_cast<std::uint32_t>(ms);
+}
+
+/// Returns the part of the gossip that does not concern members.
+auto makeBase(const Blackboard &board) -> Gossip
+{
+    Gossip gossip;
+    gossip.loads = board.cells.ownLoads();
+    gossip.revision = board.config.revision;
+    gossip.tableDigest = board.config.digest;
+    gossip.platformAgeMs = platformAgeMs(board);
+    return gossip;
+}
+
+/// Returns whether `record` is worth telling of to a host that knows nothing.
+auto isTold(const Blackboard &board, const MemberRecord &record) -> bool
+{
+    if (record.member.state != MemberState::Dead || record.listed) {
+        return true;
+    }
+    return board.now.mono - record.changed < deadToldFor;
+}
+
+/// Returns the members with changes still to be told, those told least often first.
+auto freshest(MembershipState &membership) -> std::vector<MemberRecord *>
+{
+    std::vector<MemberRecord *> fresh;
+    for (auto &[id, record] : membership.records()) {
+        if (record.tellings > 0) {
+            fresh.push_back(&record);
+        }
+    }
+    std::stable_sort(fresh.begin(), fresh.end(),
+                     [](const auto *a, const auto *b) { return a->tellings > b->tellings; });
+    if (fresh.size() > config::updatesPerMessage) {
+        fresh.resize(config::updatesPerMessage);
+    }
+    return fresh;
+}
+
+} // namespace
+
+auto sendPeer(Blackboard &board, HostId host, Message message) -> bool
+{
+    if (!board.membership.isConnected(host)) {
+        return false;
+    }
+    ++board.stats.peerMessagesSent;
+    board.act(SendPeer { host, std::move(message) });
+    return true;
+}
+
+auto makeGossip(Blackboard &board, HostId host) -> Gossip
+{
+    auto gossip = makeBase(board);
+    for (auto *record : freshest(board.membership)) {
+        --record->tellings;
+        gossip.updates.push_back(record->member);
+    }
+    const auto *receiver = board.membership.find(host);
+    const auto isListed = [host](const Member &member) { return member.id == host; };
+    if (receiver != nullptr && receiver->state != MemberState::Alive
+        && std::none_of(gossip.updates.begin(), gossip.updates.end(), isListed)) {
+        gossip.updates.push_back(*receiver);
+    }
+    return gossip;
+}
+
+auto makeFullGossip(Blackboard &board) -> Gossip
+{
+    auto gossip = makeBase(board);
+    for (const auto &[id, record] : board.membership.records()) {
+        if (isTold(board, record)) {
+            gossip.updates.push_back(record.member);
+        }
+    }
+    return gossip;
+}
+
+auto sendZoneView(Blackboard &board, HostId host) -> void
+{
+    auto gossip = makeBase(board);
+    for (const auto &[id, record] : board.membership.records()) {
+        if (record.member.zone == board.init.self.zone && isTold(board, record)) {
+            gossip.updates.push_back(record.member);
+        }
+    }
+    sendPeer(board, host, Ping { 0, std::move(gossip) });
+}
+
+auto gossipOf(const Message &message) -> const Gossip *
+{
+    if (const auto *hello = std::get_if<Hello>(&message)) {
+        return &hello->gossip;
+    }
+    if (const auto *ping = std::get_if<Ping>(&message)) {
+        return &ping->gossip;
+    }
+    if (const auto *ack = std::get_if<Ack>(&message)) {
+        return &ack->gossip;
+    }
+    return nullptr;
+}
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/core/gossip.h
@@ -0,0 +1,28 @@
+/// Messages to other hosts and the gossip that they carry.
+#pragma once
+
+#include <flamingograde/ids.h>
+#include <flamingograde/message.h>
+
+namespace flamingograde {
+
+class Blackboard;
+
+/// Sends `message` to `host` if a connection is up.
+/// @returns whether it was given to the transport.
+auto sendPeer(Blackboard &board, HostId host, Message message) -> bool;
+
+/// Returns what a message to `host` carries: the newest changes, what `host` should know of itself,
+/// this host's loads and table.
+[[nodiscard]] auto makeGossip(Blackboard &board, HostId host) -> Gossip;
+
+/// Returns all that this host knows of the fleet, for a host that was just met.
+[[nodiscard]] auto makeFullGossip(Blackboard &board) -> Gossip;
+
+/// Sends `host` all that is known of the hosts of this zone, so that both come to agree.
+auto sendZoneView(Blackboard &board, HostId host) -> void;
+
+/// Returns the gossip of `message`, or null where it carries none.
+[[nodiscard]] auto gossipOf(const Message &message) -> const Gossip *;
+
+} // namespace flamingograde
--- a/src/core/membershipstate.h
+++ b/src/core/membershipstate.h
@@ -1,9 +1,15 @@
 /// What is known of the other hosts.
 #pragma once
 
+#include "core/memberrecord.h"
+
+#include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
 #include <flamingograde/member.h>
 
+#include <cstddef>
+#include <cstdint>
+#include <map>
 #include <unordered_map>
 #include <vector>
 
@@ -28,6 +34,50 @@
 
     /// Returns the number of hosts held to be alive, this one included.
     [[nodiscard]] auto aliveCount() const -> std::size_t;
+
+    /// Returns the hosts of `zone` that may be at work: all that are not dead. A host asks all of
+    /// them but itself before it becomes home of a cell.
+    [[nodiscard]] auto voters(ZoneId zone) const -> const std::vector<HostId> &;
+
+    /// Returns the number of hosts that are not dead, this one included.
+    [[nodiscard]] auto undeadCount() const -> std::size_t { return this->undead; }
+
+    /// Returns the number of hosts with which a connection is up.
+    [[nodiscard]] auto connectedCount() const -> std::size_t;
+
+    /// Returns a number that changes with each change of `candidates` or `voters`.
+    [[nodiscard]] auto version() const -> std::uint64_t { return this->changes; }
+
+    /// Returns the record of `host`, or null. The pointer holds until `host` is erased.
+    [[nodiscard]] auto record(HostId host) -> MemberRecord *;
+    [[nodiscard]] auto record(HostId host) const -> const MemberRecord *;
+
+    /// Returns all records by id, this host's included.
+    [[nodiscard]] auto records() -> std::map<HostId, MemberRecord> & { return this->byId; }
+    [[nodiscard]] auto records() const -> const std::map<HostId, MemberRecord> &
+    {
+        return this->byId;
+    }
+
+    /// Makes the look-ups anew. To be called after each change of a member's state.
+    auto refresh() -> void;
+
+    HostId self;              ///< This host; invalid before the first event.
+    MonoTime contactAt;       ///< When the newest question that another host answered was sent.
+    MonoTime pausedAt;        ///< When this process last woke from a pause.
+    std::uint64_t pauses = 0; ///< Pauses of this process.
+    std::uint64_t deaths = 0; ///< How often others held this host to be dead.
+    bool listedSelf = false;  ///< The platform's last host list had this host.
+    bool listRead = false;    ///< The platform's host list was read since the start.
+    MonoTime listedAt;        ///< When it was last read.
+    MonoTime startedAt;       ///< Time of the first event.
+
+private:
+    std::map<HostId, MemberRecord> byId;
+    std::unordered_map<ZoneId, std::vector<HostId>> candidatesByZone;
+    std::unordered_map<ZoneId, std::vector<HostId>> votersByZone;
+    std::size_t undead = 0;
+    std::uint64_t changes = 0;
 };
 
 } // namespace flamingograde
--- a/src/core/tenurestate.h
+++ b/src/core/tenurestate.h
@@ -4,7 +4,9 @@
 #include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
 
+#include <map>
 #include <optional>
+#include <set>
 
 namespace flamingograde {
 
@@ -23,6 +25,29 @@
     /// Returns the host that granted this host's claim and was home of `cell` before; invalid for
     /// none known or none alive.
     [[nodiscard]] auto formerHome(CellId cell) const -> HostId;
+
+    /// What is known of a cell that this host is home of.
+    struct Tenure
+    {
+        WallTime since;
+        HostId former; ///< Invalid for none known.
+    };
+
+    /// Returns all cells that this host is home of.
+    [[nodiscard]] auto all() const -> const std::map<CellId, Tenure> & { return this->held; }
+
+    /// Begins to be home of `cell`; the claim, if any, is over.
+    auto begin(CellId cell, Tenure tenure) -> void;
+    /// Is no longer home of `cell`. @returns whether it was.
+    auto end(CellId cell) -> bool;
+    /// Notes whether `cell` is being claimed.
+    auto setClaiming(CellId cell, bool claiming) -> void;
+    /// Forgets `host` as a former home: it is dead.
+    auto forgetFormer(HostId host) -> void;
+
+private:
+    std::map<CellId, Tenure> held;
+    std::set<CellId> claimed;
 };
 
 } // namespace flamingograde
