Run all controllers behind the balancer

Cause: events had no way through the controllers. Change: Balancer, and the controllers in their fixed order with bounded settling. 421 counts as not run, as it does for keys; a repeat-safe verdict also covers earlier attempts.

--- /dev/null
+++ b/src/core/balancer.cpp
@@ -0,0 +1,54 @@
+/// The library's entry point: one event in, its actions out.
+#include <flamingograde/balancer.h>
+
+#include "core/blackboard.h"
+#include "core/controllers.h"
+#include "core/dump.h"
+#include "core/explain.h"
+#include "core/token.h"
+
+namespace flamingograde {
+
+Balancer::Balancer(Init init)
+    : blackboard(std::make_unique<Blackboard>(std::move(init))),
+      controllers(std::make_unique<Controllers>())
+{}
+
+Balancer::~Balancer() = default;
+
+auto Balancer::handle(Now now, Event event) -> const std::vector<Action> &
+{
+    this->blackboard->now = now;
+    this->blackboard->outbox.clear();
+    this->controllers->run(*this->blackboard, event);
+    return this->blackboard->outbox;
+}
+
+auto Balancer::caps() const -> Caps
+{
+    Caps caps;
+    caps.version = FLAMINGOGRADE_VERSION;
+    caps.tableBytesMax = config::tableBytesMax;
+    caps.tokenBytes = tokenTextBytes;
+    caps.feedsMax = this->blackboard->init.feedsMax;
+    caps.exchangesMax = this->blackboard->init.exchangesMax;
+    return caps;
+}
+
+auto Balancer::stats() const -> Stats
+{
+    return statsOf(*this->blackboard);
+}
+
+auto Balancer::dump() const -> std::string
+{
+    return dumpOf(*this->blackboard);
+}
+
+auto Balancer::explain(Address address, const std::string &token, const std::string &key) const
+        -> std::string
+{
+    return explainOf(*this->blackboard, address, token, key);
+}
+
+} // namespace flamingograde
--- a/src/core/outcomecontroller.cpp
+++ b/src/core/outcomecontroller.cpp
@@ -23,7 +23,7 @@
 /// Notes that the current attempt surely ran nothing.
 auto noteNotRun(Exchange &exchange) -> void
 {
-    exchange.maybeSent = exchange.sentBefore;
+    exchange.maybeSent = false;
     exchange.avoid = exchange.cell;
 }
 
@@ -152,7 +152,14 @@
     refuse(board, exchange, refusal);
 }
 
-auto onShed(Blackboard &board, Exchange &exchange, const AnswerHead &head) -> void
+/// Returns whether an upstream's answer says that it ran nothing: shed, or not its service.
+auto saysUnrun(const AnswerHead &head) -> bool
+{
+    constexpr int misdirected = 421;
+    return head.shed || head.status == misdirected;
+}
+
+auto onUnrun(Blackboard &board, Exchange &exchange, const AnswerHead &head) -> void
 {
     noteNotRun(exchange);
     const auto pause =
@@ -182,8 +189,8 @@
     if (exchange.stage == Stage::Relayed && head.refusal) {
         return onHomeRefusal(board, exchange, head);
     }
-    if (exchange.stage == Stage::Dispatched && head.shed) {
-        return onShed(board, exchange, head);
+    if (exchange.stage == Stage::Dispatched && saysUnrun(head)) {
+        return onUnrun(board, exchange, head);
     }
     board.act(PassAnswer { exchange.id, tokenFor(board, exchange) });
     exchange.stage = Stage::Answering;
@@ -229,8 +236,8 @@
     }
 }
 
-/// A request that is not idempotent and may be running runs on, so that a repeat of its key gets
-/// the answer. Everything else ends here.
+/// A request with a caller's key that may be running runs on, so that a repeat of its key gets the
+/// answer. Everything else ends here.
 auto onCallerLeft(Blackboard &board, ExchangeId id) -> void
 {
     auto *exchange = board.exchanges.find(id);
@@ -241,7 +248,8 @@
     const auto atUpstream =
             exchange->stage == Stage::Dispatched
             || (exchange->stage == Stage::Answering && exchange->home == board.init.self.id);
-    if (!exchange->idempotent && atUpstream) {
+    const auto mayBeRepeated = !exchange->idempotent && !exchange->ownKey;
+    if (mayBeRepeated && atUpstream) {
         exchange->callerGone = true;
         return;
     }
--- a/src/core/refuse.cpp
+++ b/src/core/refuse.cpp
@@ -20,7 +20,8 @@
 auto verdictOf(const Exchange &exchange) -> Verdict
 {
     const auto waitsOnKey = exchange.stage == Stage::Attached || exchange.stage == Stage::Looking;
-    return exchange.maybeSent || waitsOnKey ? Verdict::Unknown : Verdict::NotRun;
+    const auto maybeSent = exchange.maybeSent || exchange.sentBefore;
+    return maybeSent || waitsOnKey ? Verdict::Unknown : Verdict::NotRun;
 }
 
 auto refuse(Blackboard &board, Exchange &exchange, RefusalReason reason, Duration retryAfter)
