Add the CBOR codec of messages between hosts

Cause: hosts need a common form for their messages, and must stand anything that arrives. Ruled out: the library's parser alone; it recurses without bound and throws on hostile sizes. Change: encode and decode with one-letter keys, a guard for depth and sizes before reading, strict types; claims carry their voters, grants name what they grant.

--- a/include/flamingograde/message.h
+++ b/include/flamingograde/message.h
@@ -84,15 +84,19 @@
 /// Asks a host of the zone to give up being home of whatever rendezvous now gives to the sender.
 struct ClaimRequest
 {
-    std::uint64_t round = 0;   ///< Names this claim of the sender.
-    std::vector<CellId> cells; ///< The cells claimed; empty: none, and a pure question of age.
+    std::uint64_t round = 0;    ///< Names this request among those of the sender.
+    std::vector<CellId> cells;  ///< The cells claimed.
+    std::uint64_t claim = 0;    ///< Names the claim; the same in each request until it is granted.
+    std::vector<HostId> voters; ///< All hosts of the zone that the sender asks.
 };
 
-/// Promises that the sender runs nothing more for the claimed cells until it claims them itself.
+/// Promises that the sender runs nothing more for the granted cells until it claims them itself.
 struct ClaimGrant
 {
-    std::uint64_t round = 0;
-    std::vector<CellId> refused; ///< Cells that the sender holds to be its own; ask again later.
+    std::uint64_t round = 0;     ///< Of the request that this answers.
+    std::vector<CellId> refused; ///< Cells that the sender does not grant now; ask again later.
+    std::vector<CellId> granted; ///< Cells promised. Those in neither list are still finishing.
+    std::vector<CellId> held;    ///< Of `granted`: those that the sender was home of until this.
 };
 
 /// Asks a former home what it knows of a key.
--- /dev/null
+++ b/src/wire/messagecodec.cpp
@@ -0,0 +1,322 @@
+/// The form of each message on the wire.
+///
+/// Keys are one letter. Members, loads and the like are lists with a fixed order. Ids of members
+/// and zones are not sent: they are made from the names.
+#include "wire/messagecodec.h"
+
+#include "wire/cborguard.h"
+#include "wire/wirereader.h"
+
+#include <flamingograde/config.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <exception>
+#include <type_traits>
+
+namespace flamingograde {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t depthMax = 8;     ///< Deeper nesting is no message.
+constexpr std::size_t listMax = 100000; ///< Longer lists are no message.
+constexpr std::size_t memberFields = 8; ///< Entries of a member's list.
+constexpr std::size_t loadFields = 4;   ///< Entries of a load's list.
+constexpr std::uint64_t max32 = std::numeric_limits<std::uint32_t>::max();
+constexpr std::uint64_t max16 = std::numeric_limits<std::uint16_t>::max();
+
+template<typename Id>
+auto packIds(const std::vector<Id> &ids) -> Json
+{
+    auto list = Json::array();
+    for (const auto id : ids) {
+        list.push_back(id.value());
+    }
+    return list;
+}
+
+auto pack(const Member &member) -> Json
+{
+    return Json::array({ member.name, member.zoneName, member.peer.ip, member.peer.port,
+                         member.relay.ip, member.relay.port, member.incarnation,
+                         static_cast<std::uint8_t>(member.state) });
+}
+
+auto pack(const CellLoad &load) -> Json
+{
+    return Json::array({ load.cell.value(), load.slots, load.running, load.queued });
+}
+
+auto pack(const Gossip &gossip) -> Json
+{
+    Json map = { { "r", gossip.revision.number },
+                 { "d", gossip.tableDigest },
+                 { "a", gossip.platformAgeMs } };
+    if (!gossip.updates.empty()) {
+        auto &updates = map["u"] = Json::array();
+        for (const auto &member : gossip.updates) {
+            updates.push_back(pack(member));
+        }
+    }
+    if (!gossip.loads.empty()) {
+        auto &loads = map["l"] = Json::array();
+        for (const auto &load : gossip.loads) {
+            loads.push_back(pack(load));
+        }
+    }
+    return map;
+}
+
+auto pack(const Hello &message) -> Json
+{
+    return { { "m", pack(message.self) }, { "g", pack(message.gossip) } };
+}
+
+auto pack(const Ping &message) -> Json
+{
+    return { { "s", message.sequence }, { "g", pack(message.gossip) } };
+}
+
+auto pack(const Ack &message) -> Json
+{
+    return { { "s", message.sequence }, { "g", pack(message.gossip) } };
+}
+
+auto pack(const PingRequest &message) -> Json
+{
+    return { { "s", message.sequence }, { "h", message.target.value() } };
+}
+
+auto pack(const PingReport &message) -> Json
+{
+    return { { "s", message.sequence }, { "h", message.target.value() }, { "a", message.alive } };
+}
+
+auto pack(const TableRequest &message) -> Json
+{
+    return { { "r", message.have.number } };
+}
+
+auto pack(const TableBody &message) -> Json
+{
+    return { { "r", message.revision.number }, { "x", message.text } };
+}
+
+auto pack(const ClaimRequest &message) -> Json
+{
+    return { { "n", message.round },
+             { "c", packIds(message.cells) },
+             { "i", message.claim },
+             { "v", packIds(message.voters) } };
+}
+
+auto pack(const ClaimGrant &message) -> Json
+{
+    return { { "n", message.round },
+             { "f", packIds(message.refused) },
+             { "c", packIds(message.granted) },
+             { "b", packIds(message.held) } };
+}
+
+auto pack(const KeyLookup &message) -> Json
+{
+    return { { "s", message.sequence }, { "c", message.cell.value() }, { "k", message.key } };
+}
+
+auto pack(const KeyReport &message) -> Json
+{
+    return { { "s", message.sequence },
+             { "k", static_cast<std::uint8_t>(message.state) },
+             { "b", message.tenureSinceUs } };
+}
+
+auto unpackAddress(WireReader &reader, const Json &ip, const Json &port) -> Address
+{
+    return { static_cast<std::uint32_t>(reader.number(ip, max32)),
+             static_cast<std::uint16_t>(reader.number(port, max16)) };
+}
+
+auto unpackMember(WireReader &reader, const Json &value) -> Member
+{
+    Member member;
+    const auto *fields = reader.tuple(value, memberFields);
+    if (fields == nullptr) {
+        return member;
+    }
+    const auto &at = *fields;
+    constexpr auto lastState = static_cast<std::uint64_t>(MemberState::Dead);
+    member.name = reader.name(at[0]);
+    member.id = HostId::ofName(member.name);
+    member.zoneName = reader.name(at[1]);
+    member.zone = ZoneId::ofName(member.zoneName);
+    member.peer = unpackAddress(reader, at[2], at[3]);
+    member.relay = unpackAddress(reader, at[4], at[5]);
+    member.incarnation = reader.number(at[6]);
+    member.state = static_cast<MemberState>(reader.number(at[7], lastState));
+    return member;
+}
+
+auto unpackLoad(WireReader &reader, const Json &value) -> CellLoad
+{
+    const auto *fields = reader.tuple(value, loadFields);
+    if (fields == nullptr) {
+        return {};
+    }
+    const auto &at = *fields;
+    return { CellId(reader.number(at[0])), static_cast<std::uint32_t>(reader.number(at[1], max32)),
+             static_cast<std::uint32_t>(reader.number(at[2], max32)),
+             static_cast<std::uint32_t>(reader.number(at[3], max32)) };
+}
+
+auto unpackGossip(WireReader &reader, const Json &map) -> Gossip
+{
+    Gossip gossip;
+    if (!map.is_object()) {
+        reader.fail("gossip is not a map");
+        return gossip;
+    }
+    gossip.revision = { reader.number(reader.field(map, "r")) };
+    gossip.tableDigest = reader.number(reader.field(map, "d"));
+    gossip.platformAgeMs = static_cast<std::uint32_t>(reader.number(reader.field(map, "a"), max32));
+    if (map.contains("u")) {
+        for (const auto &entry : reader.list(map["u"], listMax)) {
+            gossip.updates.push_back(unpackMember(reader, entry));
+        }
+    }
+    if (map.contains("l")) {
+        for (const auto &entry : reader.list(map["l"], listMax)) {
+            gossip.loads.push_back(unpackLoad(reader, entry));
+        }
+    }
+    return gossip;
+}
+
+auto unpack(WireReader &reader, const Json &map, Hello &message) -> void
+{
+    message.self = unpackMember(reader, reader.field(map, "m"));
+    message.gossip = unpackGossip(reader, reader.field(map, "g"));
+}
+
+auto unpack(WireReader &reader, const Json &map, Ping &message) -> void
+{
+    message.sequence = reader.number(reader.field(map, "s"));
+    message.gossip = unpackGossip(reader, reader.field(map, "g"));
+}
+
+auto unpack(WireReader &reader, const Json &map, Ack &message) -> void
+{
+    message.sequence = reader.number(reader.field(map, "s"));
+    message.gossip = unpackGossip(reader, reader.field(map, "g"));
+}
+
+auto unpack(WireReader &reader, const Json &map, PingRequest &message) -> void
+{
+    message.sequence = reader.number(reader.field(map, "s"));
+    message.target = HostId(reader.number(reader.field(map, "h")));
+}
+
+auto unpack(WireReader &reader, const Json &map, PingReport &message) -> void
+{
+    message.sequence = reader.number(reader.field(map, "s"));
+    message.target = HostId(reader.number(reader.field(map, "h")));
+    message.alive = reader.flag(reader.field(map, "a"));
+}
+
+auto unpack(WireReader &reader, const Json &map, TableRequest &message) -> void
+{
+    message.have = { reader.number(reader.field(map, "r")) };
+}
+
+auto unpack(WireReader &reader, const Json &map, TableBody &message) -> void
+{
+    message.revision = { reader.number(reader.field(map, "r")) };
+    message.text = reader.text(reader.field(map, "x"), config::tableBytesMax);
+}
+
+auto unpack(WireReader &reader, const Json &map, ClaimRequest &message) -> void
+{
+    message.round = reader.number(reader.field(map, "n"));
+    message.cells = reader.ids<CellId>(reader.field(map, "c"), listMax);
+    message.claim = reader.number(reader.field(map, "i"));
+    message.voters = reader.ids<HostId>(reader.field(map, "v"), listMax);
+}
+
+auto unpack(WireReader &reader, const Json &map, ClaimGrant &message) -> void
+{
+    message.round = reader.number(reader.field(map, "n"));
+    message.refused = reader.ids<CellId>(reader.field(map, "f"), listMax);
+    message.granted = reader.ids<CellId>(reader.field(map, "c"), listMax);
+    message.held = reader.ids<CellId>(reader.field(map, "b"), listMax);
+}
+
+auto unpack(WireReader &reader, const Json &map, KeyLookup &message) -> void
+{
+    message.sequence = reader.number(reader.field(map, "s"));
+    message.cell = CellId(reader.number(reader.field(map, "c")));
+    message.key = reader.text(reader.field(map, "k"), config::keyBytesMax);
+}
+
+auto unpack(WireReader &reader, const Json &map, KeyReport &message) -> void
+{
+    constexpr auto lastState = static_cast<std::uint64_t>(KeyState::Unknown);
+    message.sequence = reader.number(reader.field(map, "s"));
+    message.state = static_cast<KeyState>(reader.number(reader.field(map, "k"), lastState));
+    message.tenureSinceUs = reader.signedNumber(reader.field(map, "b"));
+}
+
+/// Reads the message whose place in the variant is `type`.
+template<std::size_t Index = 0>
+auto unpackType(WireReader &reader, const Json &map, std::uint64_t type) -> Message
+{
+    if constexpr (Index < std::variant_size_v<Message>) {
+        if (type != Index) {
+            return unpackType<Index + 1>(reader, map, type);
+        }
+        std::variant_alternative_t<Index, Message> message;
+        unpack(reader, map, message);
+        return message;
+    } else {
+        reader.fail("unknown type of message");
+        return {};
+    }
+}
+
+} // namespace
+
+auto encode(const Message &message) -> std::vector<std::uint8_t>
+{
+    auto map = std::visit([](const auto &it) { return pack(it); }, message);
+    map["t"] = message.index();
+    return Json::to_cbor(map);
+}
+
+auto decode(const std::vector<std::uint8_t> &bytes) -> tl::expected<Message, std::string>
+{
+    if (bytes.size() > config::peerMessageMax) {
+        return tl::unexpected(std::string("too large"));
+    }
+    if (!isSafeCbor(bytes, depthMax)) {
+        return tl::unexpected(std::string("not CBOR"));
+    }
+    try {
+        const auto map = Json::from_cbor(bytes, true, false);
+        if (!map.is_object()) {
+            return tl::unexpected(std::string("not a map"));
+        }
+        WireReader reader;
+        const auto type = reader.number(reader.field(map, "t"));
+        auto message = unpackType(reader, map, type);
+        if (!reader.fault().empty()) {
+            return tl::unexpected(reader.fault());
+        }
+        return message;
+    } catch (const std::exception &error) {
+        return tl::unexpected(std::string(error.what()));
+    }
+}
+
+} // namespace flamingograde
--- /dev/null
+++ b/tests/unit/messagecodectests.cpp
@@ -0,0 +1,162 @@
+/// Messages between hosts: round trips, sizes, and bytes that no host would send.
+#include "wire/messagecodec.h"
+
+#include <flamingograde/config.h>
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+namespace flamingograde {
+
+namespace {
+
+constexpr std::uint64_t mutationSeed = 20240607;
+constexpr int mutations = 10000;
+
+auto sampleMember(const std::string &name, MemberState state) -> Member
+{
+    Member member;
+    member.name = name;
+    member.id = HostId::ofName(name);
+    member.zoneName = "auckland-1";
+    member.zone = ZoneId::ofName(member.zoneName);
+    member.peer = { 0x0a010001, 7001 };
+    member.relay = { 0x0a010001, 7002 };
+    member.incarnation = 1764700000000;
+    member.state = state;
+    return member;
+}
+
+auto sampleGossip() -> Gossip
+{
+    Gossip gossip;
+    gossip.updates = { sampleMember("auckland-1-a", MemberState::Alive),
+                       sampleMember("auckland-1-b", MemberState::Dead) };
+    gossip.loads = { { CellId(7), 8, 3, 0 }, { CellId(~0ULL), 1, 2, 4000000000U } };
+    gossip.revision = { 12 };
+    gossip.tableDigest = ~0ULL;
+    gossip.platformAgeMs = 1500;
+    return gossip;
+}
+
+auto samples() -> std::vector<Message>
+{
+    return { Hello { sampleMember("auckland-1-a", MemberState::Leaving), sampleGossip() },
+             Ping { 1, sampleGossip() },
+             Ping { 1, Gossip {} },
+             Ack { ~0ULL, sampleGossip() },
+             PingRequest { 3, HostId(4) },
+             PingReport { 3, HostId(4), true },
+             TableRequest { Revision { 11 } },
+             TableBody { Revision { 12 }, std::string("a\0b\n", 4) },
+             ClaimRequest { 5, { CellId(1), CellId(2) }, 6, { HostId(3) } },
+             ClaimRequest {},
+             ClaimGrant { 5, { CellId(1) }, { CellId(2), CellId(3) }, { CellId(2) } },
+             KeyLookup { 8, CellId(9), "018f-key" },
+             KeyReport { 8, KeyState::Done, -1 } };
+}
+
+} // namespace
+
+TEST_CASE("every message survives the wire", "[codec]")
+{
+    for (const auto &message : samples()) {
+        const auto bytes = encode(message);
+        const auto decoded = decode(bytes);
+        REQUIRE(decoded);
+        CHECK(decoded->index() == message.index());
+        CHECK(encode(*decoded) == bytes);
+    }
+}
+
+TEST_CASE("decoded fields are those that were sent", "[codec]")
+{
+    const auto hello = decode(encode(samples().front()));
+    REQUIRE(hello);
+    const auto &self = std::get<Hello>(*hello).self;
+    CHECK(self.id == HostId::ofName("auckland-1-a"));
+    CHECK(self.zone == ZoneId::ofName("auckland-1"));
+    CHECK(self.relay == Address { 0x0a010001, 7002 });
+    CHECK(self.state == MemberState::Leaving);
+    const auto &gossip = std::get<Hello>(*hello).gossip;
+    CHECK(gossip.updates.size() == 2);
+    CHECK(gossip.loads.back().queued == 4000000000U);
+    CHECK(gossip.platformAgeMs == 1500);
+
+    const auto grant = decode(
+            encode(ClaimGrant { 5, { CellId(1) }, { CellId(2), CellId(3) }, { CellId(2) } }));
+    REQUIRE(grant);
+    CHECK(std::get<ClaimGrant>(*grant).granted == std::vector<CellId> { CellId(2), CellId(3) });
+    CHECK(std::get<ClaimGrant>(*grant).held == std::vector<CellId> { CellId(2) });
+
+    const auto report = decode(encode(KeyReport { 8, KeyState::Done, -1 }));
+    REQUIRE(report);
+    CHECK(std::get<KeyReport>(*report).tenureSinceUs == -1);
+}
+
+TEST_CASE("a probe without news stays small", "[codec]")
+{
+    CHECK(encode(Ping { 1000, Gossip {} }).size() <= 40);
+    CHECK(encode(Ping { 1000, sampleGossip() }).size() <= 220);
+}
+
+TEST_CASE("mutated messages are refused or read, never more", "[codec]")
+{
+    std::mt19937_64 random(mutationSeed);
+    const auto originals = samples();
+    int refused = 0;
+    for (int i = 0; i < mutations; ++i) {
+        auto bytes = encode(originals[random() % originals.size()]);
+        const auto edits = 1 + random() % 4;
+        for (std::uint64_t edit = 0; edit < edits && !bytes.empty(); ++edit) {
+            const auto at = random() % bytes.size();
+            switch (random() % 4) {
+            case 0:
+                bytes[at] = static_cast<std::uint8_t>(random());
+                break;
+            case 1:
+                bytes.resize(at);
+                break;
+            case 2:
+                bytes.insert(bytes.begin() + static_cast<std::ptrdiff_t>(at),
+                             static_cast<std::uint8_t>(random()));
+                break;
+            default:
+                bytes.erase(bytes.begin() + static_cast<std::ptrdiff_t>(at));
+            }
+        }
+        const auto decoded = decode(bytes);
+        if (!decoded) {
+            ++refused;
+            CHECK_FALSE(decoded.error().empty());
+        } else {
+            CHECK(decode(encode(*decoded)));
+        }
+    }
+    CHECK(refused > mutations / 2);
+}
+
+TEST_CASE("hostile bytes are refused", "[codec]")
+{
+    const std::vector<std::uint8_t> nested(1U << 20U, 0x81);
+    CHECK_FALSE(decode(nested));
+    CHECK_FALSE(decode({}));
+    CHECK_FALSE(decode({ 0x9b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff }));
+    CHECK_FALSE(decode({ 0xbb, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff }));
+    CHECK_FALSE(decode({ 0x7b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff }));
+    CHECK_FALSE(decode({ 0xa1, 0x61, 't', 0x18, 200 }));
+    CHECK_FALSE(decode(std::vector<std::uint8_t>(config::peerMessageMax + 1, 0)));
+    auto trailing = encode(TableRequest { Revision { 1 } });
+    trailing.push_back(0);
+    CHECK_FALSE(decode(trailing));
+    auto nameless = sampleMember("x", MemberState::Alive);
+    nameless.name.clear();
+    CHECK_FALSE(decode(encode(Hello { nameless, {} })));
+    CHECK_FALSE(
+            decode(encode(KeyLookup { 1, CellId(1), std::string(config::keyBytesMax + 1, 'k') })));
+    CHECK_FALSE(decode(
+            encode(TableBody { Revision { 1 }, std::string(config::tableBytesMax + 1, 'x') })));
+}
+
+} // namespace flamingograde
