--- a/include/flamingograde/config.h
+++ b/include/flamingograde/config.h
@@ -50,17 +50,26 @@
 // Exchanges.
 inline constexpr auto defaultDeadline       = 5000ms; ///< Deadline of a row that names none.
 inline constexpr std::size_t relayAttempts  = 3;      ///< Placements of one exchange, each provably not run before the next.
+inline constexpr auto placeRetryMin         = 250ms;  ///< First pause before an exchange is placed again; doubles.
+inline constexpr auto relayMargin           = 60ms;   ///< A home's deadline is earlier by this, so that its truer refusal comes in time.
 inline constexpr auto retryAfterMin         = 1000ms; ///< Shortest pause told to a caller.
 inline constexpr auto retryAfterMax         = 30s;    ///< Longest pause told to a caller.
 inline constexpr double retryBudgetShare    = 0.1;    ///< Retries allowed as a share of successes.
 inline constexpr double retryBudgetBurst    = 10.0;   ///< Retries allowed without any success.
 
+// Feeds.
+inline constexpr auto feedRetryMin          = 100ms;  ///< First pause before a feed is opened again; doubles.
+inline constexpr auto feedRetryMax          = 2000ms; ///< Longest pause before a feed is opened again.
+inline constexpr std::size_t feedOpenAttempts = 4;    ///< Failed openings after which a new feed is refused.
+inline constexpr std::size_t feedReopenAttempts = 12; ///< Failed openings after which an open feed is ended.
+
 // Keys of non-idempotent requests.
 inline constexpr auto keyLifetime           = 600s;   ///< How long a key is remembered.
 inline constexpr std::size_t keysMax        = 200000; ///< Keys remembered by a host.
 inline constexpr std::size_t keyBytesMax    = 128;    ///< Longest key.
 inline constexpr std::size_t storedAnswerMax = 65536; ///< Largest answer kept for a repeat of its request.
 inline constexpr std::size_t storedAnswersBytesMax = 16U << 20U; ///< All kept answers of a host.
+inline constexpr auto keyLookupTimeout      = 500ms;  ///< Longest wait for a former home's word on a key.
 
 // Upstreams.
 inline constexpr auto upstreamProbePeriod   = 1000ms; ///< Period of the home's health probe of an upstream.
@@ -69,6 +78,13 @@
 inline constexpr auto ejectTime             = 5000ms; ///< First time out of rotation.
 inline constexpr double ejectShareMax       = 0.5;    ///< Largest share of a cell's upstreams ejected at once.
 
+inline constexpr auto ejectTimeMax          = 60s;    ///< Longest time out of rotation.
+inline constexpr auto serviceTimeFresh      = 5000ms; ///< A measured service time refuses nothing after this without a new measure.
+inline constexpr auto serviceTimeGuess      = 50ms;   ///< Service time of a row that was never measured, for the fair order.
+inline constexpr double serviceTimeGain     = 0.1;    ///< Weight of a new measure in the mean.
+inline constexpr auto loadFresh             = 2000ms; ///< A load told by another host is used for this long.
+inline constexpr std::size_t cellQueueMax   = 20000;  ///< Requests waiting in a cell, over all rows.
+
 // Connections.
 inline constexpr auto silenceTimeout        = 3000ms; ///< A peer connection with no bytes for this long is replaced.
 inline constexpr auto feedSilenceTimeout    = 15000ms;///< A feed with no bytes from its upstream for this long is reopened.
@@ -81,6 +97,8 @@
 
 // Stopping.
 inline constexpr auto stopTimeout           = 60s;    ///< Longest wait of an orderly stop.
+inline constexpr auto feedMoveTime          = 2000ms; ///< Feeds are ended over this time after the listeners closed.
+inline constexpr auto stopReportPeriod      = 1000ms; ///< Period of the log's word on what a stop waits for.
 inline constexpr auto leaveNotice           = 1000ms; ///< Time between announcing a stop and closing the listeners.
 
 // clang-format on
