Add the diff and print of tables and the operators' command line

Cause: operators drive the system by editing the table and must see what an edit does. Ruled out: a plain text diff (it does not tell what is dangerous); exceptions and threads in the HTTP call. Change: tablediff and tableprinter, flamingogradectl with check, show, diff, dump, explain, drain.

--- a/src/table/nearest.cpp
+++ b/src/table/nearest.cpp
@@ -1,4 +1,4 @@
-/// Finds the word that was probably meant, by Levenshtein's distance.
+/// Finds the word that was probably meant, by the optimal string alignment distance.
 #include "table/nearest.h"
 
 #include <algorithm>
@@ -12,20 +12,23 @@
 constexpr std::size_t lettersMax = 32; // Longer words are no slip of a known one.
 constexpr std::size_t lettersPerSlip = 3;
 
+/// Counts the letters to add, drop, replace or swap with their neighbour to turn `a` into `b`.
 auto distance(std::string_view a, std::string_view b) -> std::size_t
 {
-    std::vector<std::size_t> row(b.size() + 1);
-    std::iota(row.begin(), row.end(), 0);
-    for (std::size_t i = 0; i < a.size(); ++i) {
-        auto diagonal = row[0];
-        row[0] = i + 1;
-        for (std::size_t j = 0; j < b.size(); ++j) {
-            const auto replaced = diagonal + (a[i] == b[j] ? 0 : 1);
-            diagonal = row[j + 1];
-            row[j + 1] = std::min({ replaced, row[j] + 1, row[j + 1] + 1 });
+    std::vector<std::vector<std::size_t>> slips(a.size() + 1,
+                                                std::vector<std::size_t>(b.size() + 1));
+    std::iota(slips[0].begin(), slips[0].end(), 0);
+    for (std::size_t i = 1; i <= a.size(); ++i) {
+        slips[i][0] = i;
+        for (std::size_t j = 1; j <= b.size(); ++j) {
+            const auto replaced = slips[i - 1][j - 1] + (a[i - 1] == b[j - 1] ? 0 : 1);
+            slips[i][j] = std::min({ replaced, slips[i - 1][j] + 1, slips[i][j - 1] + 1 });
+            if (i > 1 && j > 1 && a[i - 1] == b[j - 2] && a[i - 2] == b[j - 1]) {
+                slips[i][j] = std::min(slips[i][j], slips[i - 2][j - 2] + 1);
+            }
         }
     }
-    return row.back();
+    return slips.back().back();
 }
 
 } // namespace
--- /dev/null
+++ b/src/table/servicediff.cpp
@@ -0,0 +1,159 @@
+/// Compares what two tables offer to each service.
+#include "core/keyplacement.h"
+#include "table/changelist.h"
+#include "table/entrydiff.h"
+#include "table/words.h"
+
+#include <flamingograde/table.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <unordered_set>
+
+namespace flamingograde {
+
+namespace {
+
+constexpr std::size_t sampleKeys = 1000;
+constexpr double shrunkenShare = 0.5; // Less than this of the former slots is worth a warning.
+
+auto slotsOf(const Table &table, ServiceId service) -> double
+{
+    double slots = 0;
+    for (const auto zone : table.zonesOf(service)) {
+        slots += activeSlots(table, service, zone);
+    }
+    return slots;
+}
+
+auto carriesNonIdempotent(const Table &table, ServiceId service) -> bool
+{
+    return std::any_of(table.rows().begin(), table.rows().end(), [service](const Row &row) {
+        return row.service == service && !row.idempotent;
+    });
+}
+
+/// Returns the share of idempotency keys that another zone runs; measured on a sample.
+auto movedKeys(const Table &before, const Table &after, ServiceId service) -> double
+{
+    std::size_t moved = 0;
+    for (std::size_t i = 0; i < sampleKeys; ++i) {
+        const auto key = "sample-" + std::to_string(i);
+        if (zoneOfKey(before, service, key) != zoneOfKey(after, service, key)) {
+            ++moved;
+        }
+    }
+    return static_cast<double>(moved) / sampleKeys;
+}
+
+auto zoneSlotsDiffer(const Table &before, const Table &after, ServiceId service) -> bool
+{
+    const auto differs = [&](ZoneId zone) {
+        return activeSlots(before, service, zone) != activeSlots(after, service, zone);
+    };
+    const auto &old = before.zonesOf(service);
+    const auto &now = after.zonesOf(service);
+    return std::any_of(old.begin(), old.end(), differs)
+           || std::any_of(now.begin(), now.end(), differs);
+}
+
+auto slotsText(double before, double after) -> std::string
+{
+    return std::to_string(static_cast<std::uint64_t>(before)) + " -> "
+           + std::to_string(static_cast<std::uint64_t>(after));
+}
+
+auto diffCapacity(const std::string &subject, double before, double after, ChangeList &changes)
+        -> void
+{
+    if (after == 0) {
+        changes.add(subject + " has no active upstream", "its rows refuse everything");
+        return;
+    }
+    if (before != after) {
+        const auto isShrunken = after < before * shrunkenShare;
+        changes.add(subject + ": active slots " + slotsText(before, after),
+                    isShrunken ? "less than half is left; see that the load fits" : "");
+    }
+}
+
+auto diffKeys(const std::string &subject, const Table &before, const Table &after,
+              ServiceId service, ChangeList &changes) -> void
+{
+    if (!carriesNonIdempotent(after, service) || !zoneSlotsDiffer(before, after, service)) {
+        return;
+    }
+    const auto moved = movedKeys(before, after, service);
+    if (moved > 0) {
+        changes.add(subject + ": about " + percentText(moved)
+                            + " of its idempotency keys move to another zone",
+                    "a repeat of a request sent before the change may be answered \"unknown\"; "
+                    "change as few zones as can be at a time of little work");
+    }
+}
+
+auto diffService(const Row &row, const Table &before, const Table &after, ChangeList &changes)
+        -> void
+{
+    const auto subject = "service \"" + row.serviceName + "\"";
+    const auto oldSlots = slotsOf(before, row.service);
+    const auto newSlots = slotsOf(after, row.service);
+    if (oldSlots == 0 && newSlots == 0 && !before.upstreamsOf(row.service).empty()) {
+        return;
+    }
+    diffCapacity(subject, oldSlots, newSlots, changes);
+    if (oldSlots > 0 && newSlots > 0) {
+        diffKeys(subject, before, after, row.service, changes);
+    }
+}
+
+/// Which entry of a table has an address.
+struct AddressOwner
+{
+    std::string name;
+    std::string service;
+};
+
+using AddressOwners = std::map<Address, AddressOwner>;
+
+auto addressOwners(const Table &table) -> AddressOwners
+{
+    AddressOwners owners;
+    for (const auto &row : table.rows()) {
+        owners.emplace(row.address, AddressOwner { row.name, row.serviceName });
+    }
+    for (const auto &upstream : table.upstreams()) {
+        owners.emplace(upstream.address, AddressOwner { upstream.name, upstream.serviceName });
+    }
+    return owners;
+}
+
+} // namespace
+
+auto diffServices(const Table &before, const Table &after, ChangeList &changes) -> void
+{
+    std::unordered_set<ServiceId> seen;
+    for (const auto &row : after.rows()) {
+        if (seen.insert(row.service).second) {
+            diffService(row, before, after, changes);
+        }
+    }
+}
+
+auto diffAddresses(const Table &before, const Table &after, ChangeList &changes) -> void
+{
+    const auto old = addressOwners(before);
+    for (const auto &[address, owner] : addressOwners(after)) {
+        const auto found = old.find(address);
+        const auto hasMoved = found != old.end() && found->second.service != owner.service;
+        if (hasMoved && found->second.name != owner.name) {
+            changes.add("address " + address.toString() + ": service \"" + found->second.service
+                                + "\" -> \"" + owner.service + "\"",
+                        "what is sent to it under the old table reaches another service; leave "
+                        "it unused for a revision first");
+        }
+    }
+}
+
+} // namespace flamingograde
--- a/src/table/tablereader.cpp
+++ b/src/table/tablereader.cpp
@@ -3,6 +3,7 @@
 
 #include "table/fieldreader.h"
 #include "table/nearest.h"
+#include "table/words.h"
 
 #include <flamingograde/config.h>
 
@@ -37,12 +38,6 @@
     return "line " + std::to_string(place.line);
 }
 
-auto milliseconds(Duration duration) -> std::uint64_t
-{
-    return static_cast<std::uint64_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 } // namespace
 
 auto TableReader::take() -> Table
@@ -169,8 +164,8 @@
     row.urgency = number("urgency", { 0, config::urgencyMax, row.urgency });
     row.concurrent = number("concurrent", { 0, config::concurrentMax, row.concurrent });
     row.queue = number("queue", { 0, config::queueMax, row.queue });
-    const NumberRange deadlines { 1, milliseconds(config::deadlineMax),
-                                  milliseconds(row.deadline) };
+    const NumberRange deadlines { 1, toMilliseconds(config::deadlineMax),
+                                  toMilliseconds(row.deadline) };
     row.deadline = std::chrono::milliseconds(fields.number("deadline_ms", deadlines));
     row.bodyMax = fields.number("body_max", { 0, config::bodyBytesMax, row.bodyMax });
     if (row.kind == RequestKind::Feed && !row.idempotent) {
--- /dev/null
+++ b/src/table/words.h
@@ -0,0 +1,29 @@
+/// Words that printed tables and changes share.
+#pragma once
+
+#include <flamingograde/clock.h>
+#include <flamingograde/upstream.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace flamingograde {
+
+/// Returns the state's name in the table.
+/// @remarks Thread safe.
+[[nodiscard]] auto toString(UpstreamState state) -> std::string_view;
+
+/// Returns "true" or "false".
+/// @remarks Thread safe.
+[[nodiscard]] auto toString(bool value) -> std::string_view;
+
+/// Returns the whole milliseconds of `duration`.
+/// @remarks Thread safe.
+[[nodiscard]] auto toMilliseconds(Duration duration) -> std::uint64_t;
+
+/// Returns `share`, from 0 to 1, as a percentage such as "29%".
+/// @remarks Thread safe.
+[[nodiscard]] auto percentText(double share) -> std::string;
+
+} // namespace flamingograde
