--- /dev/null
+++ b/tests/harness/logfile.h
@@ -0,0 +1,18 @@
+/// Reads the log of a host.
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <cstddef>
+#include <filesystem>
+#include <string>
+
+namespace harness {
+
+/// Returns the last `count` lines of `file`, each indented.
+[[nodiscard]] auto lastLines(const std::filesystem::path &file, std::size_t count) -> std::string;
+
+/// Returns how often each numbered event stands in the log, such as `{"302": 1}`.
+[[nodiscard]] auto countEvents(const std::filesystem::path &file) -> nlohmann::json;
+
+} // namespace harness
--- /dev/null
+++ b/tests/harness/tabledraft.h
@@ -0,0 +1,57 @@
+/// The table of services as a test edits it.
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace harness {
+
+/// One edit, split into words, such as `upstream pack-z1-1 state=draining`.
+using EditWords = std::vector<std::string>;
+
+/// Returns the words of `text`.
+[[nodiscard]] auto splitWords(const std::string &text) -> EditWords;
+
+/// Rows, upstreams and token keys with the fields of docs/TABLE.md.
+/// @remarks Not thread safe. Each record is found by its `name`, a token key by its `id`.
+class TableDraft
+{
+public:
+    using Record = nlohmann::ordered_json;
+
+    /// Adds a record of `kind`: "row", "upstream" or "token_key".
+    auto add(const std::string &kind, Record record) -> void;
+
+    /// Returns the record. Throws `std::runtime_error` if there is none.
+    [[nodiscard]] auto find(const std::string &kind, const std::string &name) -> Record &;
+
+    /// Returns all records of a kind. Throws `std::out_of_range` for an unknown kind.
+    [[nodiscard]] auto all(const std::string &kind) const -> const std::vector<Record> &
+    {
+        return this->records.at(kind);
+    }
+
+    /// Applies one edit; throws `std::runtime_error` for one that means nothing.
+    ///
+    /// `KIND NAME field=value...` sets fields, `add KIND NAME field=value...` adds a record,
+    /// `remove KIND NAME` removes one, `swap KIND NAME NAME` exchanges two addresses,
+    /// `key ID` adds a token key and `sign ID` makes it the signing one.
+    auto apply(const EditWords &words) -> void;
+
+    /// Returns the table's text.
+    [[nodiscard]] auto toToml() const -> std::string;
+
+private:
+    auto setFields(Record &record, const EditWords &words, std::size_t from) -> void;
+    auto remove(const std::string &kind, const std::string &name) -> void;
+    auto sign(const std::string &id) -> void;
+
+    std::map<std::string, std::vector<Record>> records { { "row", {} },
+                                                         { "token_key", {} },
+                                                         { "upstream", {} } };
+};
+
+} // namespace harness
