Add the stand-ins: platform, upstream, caller and proxy

Cause: scenarios need what surrounds the product: platform, upstreams, callers and a fabric with faults. Ruled out: linking them with the product's library, since they judge it; threads. Conclusion: usable by others; faults of the proxy and the platform's modes are not tried yet.

--- /dev/null
+++ b/tests/standins/caller/callerprogram.h
@@ -0,0 +1,42 @@
+/// The loads of a caller and their commands.
+#pragma once
+
+#include "standins/caller/callanswer.h"
+#include "standins/caller/callrequest.h"
+#include "standins/caller/feedload.h"
+#include "standins/caller/requestload.h"
+#include "standins/common/asio.h"
+#include "standins/common/control.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <variant>
+
+namespace standins {
+
+/// Carries out the control protocol's commands of the caller stand-in.
+/// @remarks Not thread safe.
+class CallerProgram
+{
+public:
+    CallerProgram(asio::io_context &loop, Control &control, const Json &options);
+
+    /// Returns the fields of the `ready` event: a caller has no address.
+    [[nodiscard]] auto ready() const -> Json { return { { "address", nullptr } }; }
+
+private:
+    using Load = std::variant<std::unique_ptr<RequestLoad>, std::unique_ptr<FeedLoad>>;
+
+    auto startLoad(const Json &command) -> Json;
+    auto sendRequest(const Json &command, const Control::Reply &reply) -> void;
+    [[nodiscard]] auto loadOf(const Json &command) -> Load &;
+
+    asio::io_context &loop;
+    std::mt19937_64 random;
+    std::map<std::string, Load> loads;
+};
+
+} // namespace standins
--- /dev/null
+++ b/tests/standins/common/asio.h
@@ -0,0 +1,15 @@
+/// Shorthands for the libraries that every stand-in uses.
+#pragma once
+
+#include <boost/asio.hpp>
+#include <nlohmann/json.hpp>
+
+namespace standins {
+
+namespace asio = boost::asio;
+
+using Tcp = asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+using Json = nlohmann::json;
+
+} // namespace standins
--- /dev/null
+++ b/tests/standins/common/wallclock.h
@@ -0,0 +1,16 @@
+/// The clock that all parties share.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace standins {
+
+/// Returns the milliseconds since 1970.
+[[nodiscard]] inline auto wallMillis() -> std::int64_t
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+} // namespace standins
--- /dev/null
+++ b/tests/standins/upstream/faults.cpp
@@ -0,0 +1,27 @@
+#include "standins/upstream/faults.h"
+
+namespace standins {
+
+NLOHMANN_JSON_SERIALIZE_ENUM(HealthMode, { { HealthMode::Ok, "ok" },
+                                           { HealthMode::Cold, "cold" },
+                                           { HealthMode::Draining, "draining" },
+                                           { HealthMode::Lie, "lie" } })
+
+NLOHMANN_JSON_SERIALIZE_ENUM(CutAnswers, { { CutAnswers::None, "none" },
+                                           { CutAnswers::Head, "head" },
+                                           { CutAnswers::Middle, "middle" } })
+
+auto Faults::update(const Json &json) -> void
+{
+    this->shed = json.value("shed", this->shed);
+    this->freezeAnswers = json.value("freeze_answers", this->freezeAnswers);
+    this->silent = json.value("silent", this->silent);
+    this->cutAnswers = json.value("cut_answers", this->cutAnswers);
+    this->health = json.value("health", this->health);
+    if (json.contains("load")) {
+        const Json &told = json.at("load");
+        this->load = told.is_null() ? std::nullopt : std::optional<double>(told.get<double>());
+    }
+}
+
+} // namespace standins
--- /dev/null
+++ b/tests/standins/upstream/feedsource.cpp
@@ -0,0 +1,119 @@
+#include "standins/upstream/feedsource.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+#include <vector>
+
+namespace standins {
+
+namespace {
+
+constexpr std::uint64_t batchMax = 512; ///< Events in one write.
+
+const std::string feedHead = "HTTP/1.1 200 OK\r\n"
+                             "Content-Type: text/event-stream\r\n"
+                             "Cache-Control: no-store\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n";
+const std::string lastChunk = "0\r\n\r\n";
+
+} // namespace
+
+FeedSource::FeedSource(asio::io_context &loop, std::string name, std::string service,
+                       double eventMs)
+    : timer(loop), period(eventMs), name(std::move(name)), service(std::move(service))
+{
+    if (eventMs > 0) {
+        this->timer.expires_after(std::chrono::nanoseconds(0));
+        this->scheduleEvent();
+    }
+}
+
+auto FeedSource::open(const HttpConnection::Ptr &connection, std::optional<std::uint64_t> lastId)
+        -> void
+{
+    auto stream = std::make_shared<FeedStream>();
+    stream->connection = connection;
+    stream->sent = std::min(lastId.value_or(this->newest), this->newest);
+    this->streams.insert(stream);
+    connection->onClosed([this, stream] { this->streams.erase(stream); });
+    this->write(stream, std::make_shared<const std::string>(feedHead));
+}
+
+auto FeedSource::setSilent(bool silent) -> void
+{
+    this->silent = silent;
+    for (const StreamPtr &stream : this->streams) {
+        this->writeMissing(stream);
+    }
+}
+
+auto FeedSource::endAll() -> void
+{
+    const auto ended = std::exchange(this->streams, {});
+    for (const StreamPtr &stream : ended) {
+        if (stream->writing) {
+            stream->connection->close();
+            continue;
+        }
+        const auto &connection = stream->connection;
+        connection->onClosed(nullptr);
+        connection->write(std::make_shared<const std::string>(lastChunk),
+                          [connection = connection] { connection->close(); });
+    }
+}
+
+auto FeedSource::scheduleEvent() -> void
+{
+    const auto step = std::chrono::duration_cast<std::chrono::nanoseconds>(this->period);
+    this->timer.expires_at(this->timer.expiry() + step);
+    this->timer.async_wait([this](ErrorCode error) {
+        if (error) {
+            return;
+        }
+        ++this->newest;
+        const auto chunk = std::make_shared<const std::string>(this->chunkOf(this->newest));
+        for (const StreamPtr &stream : this->streams) {
+            if (!stream->writing && !this->silent && stream->sent + 1 == this->newest) {
+                stream->sent = this->newest;
+                this->write(stream, chunk);
+            }
+        }
+        this->scheduleEvent();
+    });
+}
+
+auto FeedSource::write(const StreamPtr &stream, std::shared_ptr<const std::string> bytes) -> void
+{
+    stream->writing = true;
+    stream->connection->write(std::move(bytes), [this, stream] {
+        stream->writing = false;
+        this->writeMissing(stream);
+    });
+}
+
+auto FeedSource::writeMissing(const StreamPtr &stream) -> void
+{
+    if (stream->writing || this->silent || stream->sent >= this->newest) {
+        return;
+    }
+    const std::uint64_t last = std::min(this->newest, stream->sent + batchMax);
+    std::string batch;
+    while (stream->sent < last) {
+        ++stream->sent;
+        batch += this->chunkOf(stream->sent);
+    }
+    this->write(stream, std::make_shared<const std::string>(std::move(batch)));
+}
+
+auto FeedSource::chunkOf(std::uint64_t event) const -> std::string
+{
+    const std::string number = std::to_string(event);
+    const std::string text = "id: " + number + "\ndata: {\"n\":" + number + ",\"upstream\":\""
+                             + this->name + "\",\"service\":\"" + this->service + "\"}\n\n";
+    std::ostringstream chunk;
+    chunk << std::hex << text.size() << "\r\n" << text << "\r\n";
+    return chunk.str();
+}
+
+} // namespace standins
--- /dev/null
+++ b/tests/standins/upstream/upstreamprogram.cpp
@@ -0,0 +1,82 @@
+#include "standins/upstream/upstreamprogram.h"
+
+#include "standins/common/control.h"
+
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+namespace standins {
+
+namespace {
+
+constexpr std::size_t runsListed = 1000; ///< Unless the command `ledger` gives a `limit`.
+
+} // namespace
+
+UpstreamProgram::UpstreamProgram(asio::io_context &loop, Control &control, const Json &options)
+{
+    const Json list = options.value("upstreams", Json::array({ options }));
+    for (const Json &each : list) {
+        const auto parsed = UpstreamOptions::fromJson(each);
+        this->upstreams.push_back(std::make_unique<Upstream>(loop, parsed, this->ledger));
+    }
+    control.on("set", [this](const Json &command) { return this->set(command); });
+    control.on("ledger", [this](const Json &command) { return this->report(command); });
+    control.on("ledger_of", [this](const Json &command) -> Json {
+        return { { "times", this->ledger.timesOf(command.at("key").get<std::string>()) } };
+    });
+    control.on("ledger_check",
+               [this](const Json &command) { return this->ledger.check(command.at("verdicts")); });
+}
+
+auto UpstreamProgram::ready() const -> Json
+{
+    Json addresses = Json::object();
+    for (const auto &upstream : this->upstreams) {
+        addresses[upstream->name()] = upstream->address();
+    }
+    return { { "address", this->upstreams.front()->address() },
+             { "addresses", std::move(addresses) } };
+}
+
+auto UpstreamProgram::set(const Json &command) -> Json
+{
+    for (Upstream *upstream : this->selected(command)) {
+        upstream->set(command);
+    }
+    return Json::object();
+}
+
+auto UpstreamProgram::report(const Json &command) const -> Json
+{
+    Totals sum;
+    Json byUpstream = Json::object();
+    for (const Upstream *upstream : this->selected(command)) {
+        const Totals totals = upstream->totals();
+        byUpstream[upstream->name()] = totals.toJson();
+        sum.add(totals);
+    }
+    Json totals = sum.toJson();
+    totals["double_runs"] = this->ledger.doubleRuns();
+    return { { "runs", this->ledger.runs(command.value("limit", runsListed)) },
+             { "totals", std::move(totals) },
+             { "by_upstream", std::move(byUpstream) } };
+}
+
+auto UpstreamProgram::selected(const Json &command) const -> std::vector<Upstream *>
+{
+    const std::string name = command.value("upstream", "");
+    std::vector<Upstream *> list;
+    for (const auto &upstream : this->upstreams) {
+        if (name.empty() || upstream->name() == name) {
+            list.push_back(upstream.get());
+        }
+    }
+    if (list.empty()) {
+        throw std::invalid_argument("no upstream " + name);
+    }
+    return list;
+}
+
+} // namespace standins
