--- a/src/net/httpcall.cpp
+++ b/src/net/httpcall.cpp
@@ -111,8 +111,16 @@
     handlers(std::move(told)),
     ownPool(nullptr, nullptr),
     lastByte(Loop::now().mono)
+{}
+
+HttpCall::~HttpCall()
+{
+    this->drop();
+}
+
+auto HttpCall::start() -> void
 {
-    this->deadline = owner.eventLoop().after(this->request.timeout, [this] { this->timeOut(); });
+    this->deadline = this->client.eventLoop().after(this->request.timeout, [this] { this->timeOut(); });
     auto *pool = this->request.fresh ? nullptr : this->client.poolOf(this->request.target);
     if (pool == nullptr || isEmpty(pool)) {
         this->connect();
@@ -122,9 +130,10 @@
     this->runOn(pool);
 }
 
-HttpCall::~HttpCall()
+auto HttpCall::breakOff() -> void
 {
-    this->drop();
+    this->deadline =
+            this->client.eventLoop().after(Duration(0), [this] { this->timeOut(); });
 }
 
 auto HttpCall::connect() -> void
@@ -160,9 +169,9 @@
                                       &ClientCallbacks::onConnect);
 }
 
-auto HttpCall::mayWrite() -> bool
+auto HttpCall::mayWrite() const -> bool
 {
-    return !this->handlers.mayWrite || this->handlers.mayWrite();
+    return !this->request.notAfter || Loop::now().wall <= *this->request.notAfter;
 }
 
 auto HttpCall::takeHead(int status, st_h2o_header_t *headers, std::size_t count) -> void
--- a/src/net/httpcall.h
+++ b/src/net/httpcall.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -43,6 +44,7 @@
     std::shared_ptr<const std::string> body; ///< May be null.
     bool isHead = false;                     ///< The method is HEAD: the answer has no body.
     bool fresh = false;                      ///< On a new connection, used for nothing else.
+    std::optional<WallTime> notAfter;        ///< Not written after this.
     Duration timeout { 0 };                  ///< For the whole call.
     Duration silence { 0 };                  ///< Longest time without a byte; 0: no limit.
 };
@@ -50,7 +52,6 @@
 /// What the user of a call is told.
 struct CallHandlers
 {
-    std::function<bool()> mayWrite;                 ///< Asked right before the request is written.
     std::function<void(HttpHead)> onHead;           ///< The answer's head came.
     std::function<void(std::string_view)> onBody;   ///< Some of the body came.
     std::function<void(CallEnd, int error)> onEnd;  ///< Last; `error` is of a failed connect.
@@ -63,13 +64,16 @@
 class HttpCall
 {
 public:
-    /// Starts the call. Handlers may be called from within.
-    /// Precondition: `client` outlives the call.
+    /// Precondition: `owner` outlives the call.
     HttpCall(HttpClient &owner, HttpRequest sent, CallHandlers told);
     ~HttpCall();
     HttpCall(const HttpCall &) = delete;
     auto operator=(const HttpCall &) -> HttpCall & = delete;
 
+    /// Starts the call; handlers may be called from within. Precondition: called once.
+    auto start() -> void;
+    /// Ends the call soon, as if its time were over. Precondition: none.
+    auto breakOff() -> void;
     /// Stops reading the body until `resume`. Precondition: none.
     auto pause() -> void;
     /// Goes on reading. Precondition: none.
@@ -89,11 +93,11 @@
     auto connect() -> void;
     auto connected(st_h2o_socket_t *socket, int error) -> void;
     auto runOn(st_h2o_socketpool_t *pool) -> void;
-    auto mayWrite() -> bool;
+    [[nodiscard]] auto mayWrite() const -> bool;
     auto takeHead(int status, st_h2o_header_t *headers, std::size_t count) -> void;
     auto takeBody(const char *error) -> void;
     auto takeBytes() -> void;
-    auto isCutAtChunk() const -> bool;
+    [[nodiscard]] auto isCutAtChunk() const -> bool;
     auto end(CallEnd end, int error = 0) -> void;
     auto timeOut() -> void;
     auto watchSilence() -> void;
--- /dev/null
+++ b/src/net/leavewatch.cpp
@@ -0,0 +1,57 @@
+/// A poll set of callers' descriptors inside the loop's own.
+#include "net/leavewatch.h"
+
+#include "net/loop.h"
+
+#include <h2o.h>
+
+#include <sys/epoll.h>
+
+#include <array>
+#include <utility>
+
+namespace flamingograde::net {
+
+namespace {
+
+constexpr auto eventsPerTurn = 64;
+
+} // namespace
+
+LeaveWatch::LeaveWatch(Loop &loop, Left callback) :
+    poll(epoll_create1(EPOLL_CLOEXEC)),
+    socket(h2o_evloop_socket_create(loop.raw(), this->poll, H2O_SOCKET_FLAG_DONT_READ)),
+    left(std::move(callback))
+{
+    this->socket->data = this;
+    h2o_socket_read_start(this->socket, [](h2o_socket_t *self, const char * /*error*/) {
+        static_cast<LeaveWatch *>(self->data)->readAll();
+    });
+}
+
+LeaveWatch::~LeaveWatch()
+{
+    h2o_socket_read_stop(this->socket);
+    h2o_socket_close(this->socket);
+}
+
+auto LeaveWatch::watch(int descriptor, ExchangeId exchange) -> void
+{
+    epoll_event event {};
+    event.events = EPOLLRDHUP | EPOLLONESHOT;
+    event.data.u64 = exchange.value();
+    if (epoll_ctl(this->poll, EPOLL_CTL_MOD, descriptor, &event) != 0) {
+        epoll_ctl(this->poll, EPOLL_CTL_ADD, descriptor, &event);
+    }
+}
+
+auto LeaveWatch::readAll() -> void
+{
+    std::array<epoll_event, eventsPerTurn> events {};
+    const auto count = epoll_wait(this->poll, events.data(), eventsPerTurn, 0);
+    for (auto index = 0; index < count; ++index) {
+        this->left(ExchangeId(events[static_cast<std::size_t>(index)].data.u64));
+    }
+}
+
+} // namespace flamingograde::net
