--- a/src/net/httpexchange.cpp
+++ b/src/net/httpexchange.cpp
@@ -165,6 +165,10 @@
         this->report(Progress::Cut);
         break;
     case CallEnd::Whole:
+        if (this->splitting) {
+            this->report(Progress::Cut); // A feed that ends is opened again.
+            break;
+        }
         this->callEnded = true;
         this->finishAnswer();
         break;
@@ -185,7 +189,7 @@
     if (!this->callEnded) {
         return;
     }
-    if (this->splitting || this->answer == nullptr) {
+    if (this->answer == nullptr) {
         this->reportAnswered();
     } else if (this->streaming) {
         this->answer->end();
@@ -292,12 +296,15 @@
 
 auto HttpExchange::act(const EndFeed & /*action*/) -> void
 {
+    this->call.reset();
+    this->keepAliveTimer.cancel();
+    this->callEnded = true;
     if (this->answer != nullptr && this->headPassed) {
-        this->answer->end();
-    } else if (this->answer != nullptr) {
-        this->answer->abort();
+        this->answer->end(); // Whole events only were written.
+        return;
     }
-    this->close();
+    this->reportAnswered();
+    this->act(AbortAnswer { this->id });
 }
 
 auto HttpExchange::close() -> void
--- /dev/null
+++ b/src/net/metrics.cpp
@@ -0,0 +1,168 @@
+/// The metrics of a host in Prometheus' text form.
+#include "net/metrics.h"
+
+#include "net/peertraffic.h"
+
+#include <flamingograde/refusal.h>
+
+#include <prometheus/text_serializer.h>
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <sstream>
+#include <utility>
+#include <vector>
+
+namespace flamingograde::net {
+
+namespace {
+
+using Families = std::vector<prometheus::MetricFamily>;
+
+constexpr auto microsecondsPerSecond = 1e6;
+
+/// Collects metrics.
+class MetricList
+{
+public:
+    auto counter(const std::string &name, const std::string &help, double value) -> void
+    {
+        prometheus::ClientMetric metric;
+        metric.counter.value = value;
+        this->add(name + "_total", help, prometheus::MetricType::Counter, { metric });
+    }
+
+    auto gauge(const std::string &name, const std::string &help, double value) -> void
+    {
+        prometheus::ClientMetric metric;
+        metric.gauge.value = value;
+        this->add(name, help, prometheus::MetricType::Gauge, { metric });
+    }
+
+    auto add(const std::string &name, const std::string &help, prometheus::MetricType type,
+             std::vector<prometheus::ClientMetric> metrics) -> void
+    {
+        this->families.push_back({ "flamingograde_" + name, help, type, std::move(metrics) });
+    }
+
+    [[nodiscard]] auto toText() const -> std::string
+    {
+        std::ostringstream text;
+        prometheus::TextSerializer().Serialize(text, this->families);
+        return text.str();
+    }
+
+private:
+    Families families;
+};
+
+auto number(std::uint64_t value) -> double
+{
+    return static_cast<double>(value);
+}
+
+auto seconds(const timeval &time) -> double
+{
+    return static_cast<double>(time.tv_sec)
+            + static_cast<double>(time.tv_usec) / microsecondsPerSecond;
+}
+
+auto cpuSeconds() -> double
+{
+    rusage usage {};
+    getrusage(RUSAGE_SELF, &usage);
+    return seconds(usage.ru_utime) + seconds(usage.ru_stime);
+}
+
+auto residentBytes() -> double
+{
+    std::ifstream file("/proc/self/statm");
+    std::uint64_t total = 0;
+    std::uint64_t resident = 0;
+    file >> total >> resident;
+    return number(resident) * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+auto addRefusals(MetricList &list, const Stats &stats) -> void
+{
+    std::vector<prometheus::ClientMetric> metrics;
+    for (std::size_t index = 0; index < stats.refused.size(); ++index) {
+        prometheus::ClientMetric metric;
+        const auto reason = toString(static_cast<RefusalReason>(index));
+        metric.label = { { "reason", std::string(reason) } };
+        metric.counter.value = number(stats.refused[index]);
+        metrics.push_back(std::move(metric));
+    }
+    list.add("refused_total", "Refusals by reason.", prometheus::MetricType::Counter,
+             std::move(metrics));
+}
+
+auto addExchanges(MetricList &list, const Stats &stats) -> void
+{
+    list.counter("callers_arrived", "Requests from callers.", number(stats.callersArrived));
+    list.counter("relays_arrived", "Requests relayed to this host.", number(stats.relaysArrived));
+    list.counter("dispatched", "Requests sent to an upstream.", number(stats.dispatched));
+    list.counter("relayed", "Requests sent to a home host.", number(stats.relayed));
+    list.counter("answered", "Whole answers passed on.", number(stats.answered));
+    list.counter("cut", "Answers that broke off.", number(stats.cut));
+    list.counter("retried", "Requests placed again after provably not run.",
+                 number(stats.retried));
+    list.counter("cancelled", "Callers that left, or deadlines that passed.",
+                 number(stats.cancelled));
+    list.counter("replayed", "Answers given again for a repeated key.", number(stats.replayed));
+    list.counter("feeds_reopened", "Feeds opened again at their upstream.",
+                 number(stats.feedsReopened));
+    list.counter("feeds_ended", "Feeds moved to another host.", number(stats.feedsEnded));
+    list.gauge("exchanges", "Requests under way.", number(stats.exchanges));
+    list.gauge("feeds", "Feeds held.", number(stats.feeds));
+    list.gauge("queued", "Requests waiting in homed cells.", number(stats.queued));
+    list.gauge("running", "Requests running in homed cells.", number(stats.running));
+    list.gauge("keys", "Remembered keys.", number(stats.keys));
+    addRefusals(list, stats);
+}
+
+auto addFleet(MetricList &list, const Stats &stats) -> void
+{
+    list.gauge("revision", "The table in force.", number(stats.revision));
+    list.counter("tables_accepted", "Tables put in force.", number(stats.tablesAccepted));
+    list.counter("tables_refused", "Tables with findings.", number(stats.tablesRefused));
+    list.counter("tables_older", "Older tables offered.", number(stats.tablesOlder));
+    list.counter("platform_reads", "Calls on the platform.", number(stats.platformReads));
+    list.counter("platform_failures", "Failed calls on the platform.",
+                 number(stats.platformFailures));
+    list.gauge("members_alive", "Hosts held to be alive.", number(stats.membersAlive));
+    list.counter("tenures_begun", "Times this host became home of a cell.",
+                 number(stats.tenuresBegun));
+    list.counter("ejections", "Upstreams taken out of rotation.", number(stats.ejections));
+    list.counter("pauses", "Pauses of the process.", number(stats.pauses));
+}
+
+auto addPeers(MetricList &list, const PeerTraffic &traffic) -> void
+{
+    list.counter("peer_bytes_sent", "Bytes sent on peer connections.", number(traffic.bytesSent));
+    list.counter("peer_bytes_received", "Bytes received on peer connections.",
+                 number(traffic.bytesReceived));
+    list.counter("peer_messages_sent", "Messages sent on peer connections.",
+                 number(traffic.messagesSent));
+    list.counter("peer_messages_received", "Messages received on peer connections.",
+                 number(traffic.messagesReceived));
+    list.counter("peer_connections", "Peer connections opened.",
+                 number(traffic.connectionsOpened));
+}
+
+} // namespace
+
+auto metricsText(const Stats &stats, const PeerTraffic &traffic) -> std::string
+{
+    MetricList list;
+    addExchanges(list, stats);
+    addFleet(list, stats);
+    addPeers(list, traffic);
+    list.counter("process_cpu_seconds", "CPU time of the process.", cpuSeconds());
+    list.gauge("process_resident_bytes", "Resident memory of the process.", residentBytes());
+    return list.toText();
+}
+
+} // namespace flamingograde::net
--- /dev/null
+++ b/src/net/peerlink.cpp
@@ -0,0 +1,156 @@
+/// One connection with another host, from dialling or accepting to its end.
+#include "net/peerlink.h"
+
+#include "net/loop.h"
+#include "net/peerhub.h"
+#include "wire/messagecodec.h"
+
+#include <flamingograde/config.h>
+
+#include <cerrno>
+#include <utility>
+
+namespace flamingograde::net {
+
+namespace {
+
+constexpr auto watchPeriod = config::silenceTimeout / 3;
+constexpr std::size_t backlogMax = 4 * config::peerMessageMax; ///< A peer that reads nothing.
+
+auto lossOf(int error) -> PeerLoss
+{
+    return error == ECONNREFUSED || error == ECONNRESET ? PeerLoss::Refused : PeerLoss::Silent;
+}
+
+} // namespace
+
+PeerLink::~PeerLink() = default;
+
+auto PeerLink::dial(HostId host, Address address) -> void
+{
+    this->expected = host;
+    this->connector = std::make_unique<Connector>(
+            this->hub.loop, this->hub.source, address, config::connectTimeout,
+            [this](st_h2o_socket_t *connection, int error) {
+                if (connection == nullptr) {
+                    this->lose(lossOf(error));
+                    return;
+                }
+                this->begin(connection, PeerRole::Dialled);
+            });
+}
+
+auto PeerLink::accept(st_h2o_socket_t *connection) -> void
+{
+    this->begin(connection, PeerRole::Accepted);
+}
+
+auto PeerLink::begin(st_h2o_socket_t *connection, PeerRole role) -> void
+{
+    PeerSocket::Callbacks callbacks;
+    callbacks.onOpen = [this] { this->opened(); };
+    callbacks.onBytes = [this] { this->lastByte = Loop::now().mono; };
+    callbacks.onMessage = [this](std::string_view bytes) { this->received(bytes); };
+    callbacks.onEnd = [this](PeerEnd end, const std::string &why) { this->ended(end, why); };
+    this->lastByte = Loop::now().mono;
+    this->socket = std::make_unique<PeerSocket>(connection, role, *this->hub.endpoints,
+                                                this->hub.counters, std::move(callbacks));
+    this->timer = this->hub.loop.after(watchPeriod, [this] { this->watch(); });
+    this->socket->start();
+}
+
+auto PeerLink::opened() -> void
+{
+    this->send(Hello { this->hub.self, {} });
+}
+
+auto PeerLink::send(const Message &message) -> void
+{
+    if (this->socket == nullptr || this->lost) {
+        return;
+    }
+    if (this->socket->backlog() > backlogMax) {
+        this->lose(PeerLoss::Silent);
+        return;
+    }
+    this->socket->send(encode(message));
+}
+
+auto PeerLink::received(std::string_view bytes) -> void
+{
+    if (this->lost) {
+        return;
+    }
+    auto message = decode(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
+    if (!message) {
+        this->ended(PeerEnd::Malformed, message.error());
+        return;
+    }
+    ++this->hub.counters.messagesReceived;
+    if (!this->member) {
+        this->receivedFirst(*message);
+        return;
+    }
+    this->hub.post(PeerMessage { this->member->id, std::move(*message) });
+}
+
+auto PeerLink::receivedFirst(const Message &message) -> void
+{
+    const auto *hello = std::get_if<Hello>(&message);
+    if (hello == nullptr) {
+        this->ended(PeerEnd::Malformed, "the first message is not Hello");
+        return;
+    }
+    if (this->expected.isValid() && hello->self.id != this->expected) {
+        this->lose(PeerLoss::Refused); // Another process has the address now.
+        return;
+    }
+    this->member = hello->self;
+    this->hub.introduced(*this);
+}
+
+auto PeerLink::ended(PeerEnd end, const std::string &why) -> void
+{
+    if (end == PeerEnd::Malformed) {
+        this->hub.log(LogEvent::PeerMessageBad, why);
+    }
+    const auto beforeHello = !this->member && end == PeerEnd::Reset;
+    this->lose(beforeHello ? PeerLoss::Refused : PeerLoss::Closed);
+}
+
+auto PeerLink::lose(PeerLoss loss) -> void
+{
+    if (std::exchange(this->lost, true)) {
+        return;
+    }
+    this->timer.cancel();
+    this->hub.ended(*this, loss);
+}
+
+auto PeerLink::watch() -> void
+{
+    const auto quiet = this->quietFor();
+    if (quiet >= config::silenceTimeout || (!this->member && quiet >= watchPeriod)) {
+        if (this->member) {
+            this->hub.log(LogEvent::PeerSilent, this->member->name);
+        }
+        this->lose(PeerLoss::Silent);
+        return;
+    }
+    if (quiet >= watchPeriod / 2) {
+        this->socket->ping();
+    }
+    this->timer = this->hub.loop.after(watchPeriod, [this] { this->watch(); });
+}
+
+auto PeerLink::dialler() const -> HostId
+{
+    return this->expected.isValid() ? this->hub.self.id : this->member->id;
+}
+
+auto PeerLink::quietFor() const -> Duration
+{
+    return Loop::now().mono - this->lastByte;
+}
+
+} // namespace flamingograde::net
--- /dev/null
+++ b/src/net/platformreader.cpp
@@ -0,0 +1,123 @@
+/// Reads the platform's table and host list.
+#include "net/platformreader.h"
+
+#include "net/loop.h"
+#include "net/plainget.h"
+#include "wire/hostlist.h"
+
+#include <flamingograde/config.h>
+
+#include <charconv>
+#include <chrono>
+#include <optional>
+#include <utility>
+
+namespace flamingograde::net {
+
+namespace {
+
+constexpr auto statusOk = 200;
+constexpr auto statusNotModified = 304;
+constexpr auto readTimeout = std::chrono::milliseconds(2000); ///< Beyond the wait asked for.
+constexpr std::size_t hostListMax = 1U << 20U;
+
+auto readRevision(std::string_view text) -> std::optional<Revision>
+{
+    Revision revision;
+    const auto *end = text.data() + text.size();
+    const auto read = std::from_chars(text.data(), end, revision.number);
+    if (read.ec != std::errc() || read.ptr != end || !revision.isValid()) {
+        return std::nullopt;
+    }
+    return revision;
+}
+
+auto statusText(const HttpHead &head) -> std::string
+{
+    return "status " + std::to_string(head.status);
+}
+
+} // namespace
+
+PlatformReader::PlatformReader(Loop &owner, HttpClient &http, Address platform, Post report) :
+    loop(owner), client(http), target(platform), post(std::move(report))
+{}
+
+PlatformReader::~PlatformReader() = default;
+
+auto PlatformReader::act(const ReadTable &action) -> void
+{
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(action.wait);
+    GetRequest asked;
+    asked.target = this->target;
+    asked.host = this->target.toString();
+    asked.path = "/v1/table?after=" + std::to_string(action.after.number)
+            + "&wait=" + std::to_string(wait.count());
+    asked.timeout = action.wait + readTimeout;
+    asked.bodyMax = config::tableBytesMax;
+    this->table = std::make_unique<PlainGet>(
+            this->client, asked, [this](const HttpHead *head, const std::string &body) {
+                this->takeTable(head, body);
+            });
+}
+
+auto PlatformReader::act(const ReadHosts & /*action*/) -> void
+{
+    GetRequest asked;
+    asked.target = this->target;
+    asked.host = this->target.toString();
+    asked.path = "/v1/hosts";
+    asked.timeout = readTimeout;
+    asked.bodyMax = hostListMax;
+    this->hosts = std::make_unique<PlainGet>(
+            this->client, asked, [this](const HttpHead *head, const std::string &body) {
+                this->takeHosts(head, body);
+            });
+}
+
+auto PlatformReader::takeTable(const HttpHead *head, const std::string &body) -> void
+{
+    if (head == nullptr) {
+        this->fail(PlatformRead::Table, "no whole answer");
+        return;
+    }
+    const auto revision = readRevision(head->header("revision"));
+    if (head->status == statusNotModified) {
+        this->post(TableUnchanged { revision.value_or(Revision {}) });
+        return;
+    }
+    if (head->status != statusOk) {
+        this->fail(PlatformRead::Table, statusText(*head));
+        return;
+    }
+    if (!revision) {
+        this->fail(PlatformRead::Table, "the header Revision is missing or no number");
+        return;
+    }
+    this->post(TableFetched { *revision, body });
+}
+
+auto PlatformReader::takeHosts(const HttpHead *head, const std::string &body) -> void
+{
+    if (head == nullptr) {
+        this->fail(PlatformRead::Hosts, "no whole answer");
+        return;
+    }
+    if (head->status != statusOk) {
+        this->fail(PlatformRead::Hosts, statusText(*head));
+        return;
+    }
+    auto members = parseHostList(body);
+    if (!members) {
+        this->fail(PlatformRead::Hosts, members.error());
+        return;
+    }
+    this->post(HostsFetched { std::move(*members) });
+}
+
+auto PlatformReader::fail(PlatformRead read, const std::string &why) -> void
+{
+    this->post(PlatformFailed { read, why });
+}
+
+} // namespace flamingograde::net
