Add the daemon: transport, servers, peers, platform, settings, log, metrics

Cause: the deciding library needs a process that carries out its actions. Change: src/net, tools/flamingograded, settings and event splitter; the log event ListenFailed.

--- a/include/flamingograde/logevent.h
+++ b/include/flamingograde/logevent.h
@@ -16,6 +16,7 @@
     Stopped             = 103, ///< The host stopped; says what was left.
     PauseNoticed        = 104, ///< The process had been paused.
     SettingRefused      = 105, ///< A setting is wrong.
+    ListenFailed        = 106, ///< A row's address cannot be listened on; tried again.
     // 2xx: configuration.
     TableAccepted       = 200, ///< A table is in force.
     TableRefused        = 201, ///< A table has findings; the last good one stays.
--- a/src/net/answerhead.cpp
+++ b/src/net/answerhead.cpp
@@ -20,9 +20,9 @@
 constexpr auto eventStream = "text/event-stream"sv;
 
 /// Headers that concern one connection, or that this host sets itself.
-constexpr std::array ownHeaders { "connection"sv,  "keep-alive"sv, "proxy-authenticate"sv,
-                                  "te"sv,          "trailer"sv,    "transfer-encoding"sv,
-                                  "upgrade"sv,     "date"sv,       "server"sv };
+constexpr std::array ownHeaders { "connection"sv, "keep-alive"sv, "proxy-authenticate"sv,
+                                  "te"sv,         "trailer"sv,    "transfer-encoding"sv,
+                                  "upgrade"sv,    "date"sv,       "server"sv };
 
 auto startsWith(std::string_view text, std::string_view start) -> bool
 {
@@ -85,8 +85,7 @@
     return startsWith(head.header("content-type"), eventStream);
 }
 
-auto passedHead(const HttpHead &head, AnswerSource source, const std::string &setToken)
-        -> HttpHead
+auto passedHead(const HttpHead &head, AnswerSource source, const std::string &setToken) -> HttpHead
 {
     HttpHead result;
     result.status = head.status;
--- a/src/net/calleranswer.cpp
+++ b/src/net/calleranswer.cpp
@@ -55,8 +55,8 @@
     return answer;
 }
 
-CallerAnswer::CallerAnswer(st_h2o_req_t *taken, Callbacks told) :
-    request(taken), callbacks(std::move(told))
+CallerAnswer::CallerAnswer(st_h2o_req_t *taken, Callbacks told)
+    : request(taken), callbacks(std::move(told))
 {}
 
 auto CallerAnswer::detach(void *memory) -> void
--- a/src/net/connector.cpp
+++ b/src/net/connector.cpp
@@ -36,7 +36,8 @@
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     const auto name = toSockaddr(target);
-    const auto started = bindSource(fd, source)
+    const auto started =
+            bindSource(fd, source)
             && (connect(fd, reinterpret_cast<const sockaddr *>(&name), sizeof(name)) == 0
                 || errno == EINPROGRESS);
     if (!started) {
@@ -57,8 +58,8 @@
 
 } // namespace
 
-Connector::Connector(Loop &loop, Address source, Address target, Duration timeout, Done callback) :
-    done(std::move(callback))
+Connector::Connector(Loop &loop, Address source, Address target, Duration timeout, Done callback)
+    : done(std::move(callback))
 {
     const auto fd = startConnecting(source, target);
     if (fd < 0) {
--- a/src/net/exchangecontext.h
+++ b/src/net/exchangecontext.h
@@ -16,9 +16,9 @@
 {
     Loop &loop;
     HttpClient &client;
-    std::string hostName;                           ///< This host's.
-    std::function<void(Event)> post;                ///< Gives an event to the deciding library.
-    std::function<void(ExchangeId)> finished;       ///< Nothing of the exchange is left.
+    std::string hostName;                     ///< This host's.
+    std::function<void(Event)> post;          ///< Gives an event to the deciding library.
+    std::function<void(ExchangeId)> finished; ///< Nothing of the exchange is left.
 };
 
 } // namespace flamingograde::net
--- a/src/net/exchangetransport.cpp
+++ b/src/net/exchangetransport.cpp
@@ -18,8 +18,8 @@
 template<typename A>
 auto reportGone(const ExchangeContext &context, const A &action) -> void
 {
-    if constexpr (std::is_same_v<A, Dispatch> || std::is_same_v<A, Relay>
-                  || std::is_same_v<A, OpenFeed>) {
+    if constexpr (std::is_same_v<
+                          A, Dispatch> || std::is_same_v<A, Relay> || std::is_same_v<A, OpenFeed>) {
         context.post(ExchangeProgress { action.exchange, action.attempt, Progress::NotSent });
     }
 }
@@ -27,17 +27,17 @@
 } // namespace
 
 ExchangeTransport::ExchangeTransport(Loop &loop, HttpClient &client, std::string hostName,
-                                     Post post) :
-    context { loop, client, std::move(hostName), std::move(post),
-              [this](ExchangeId id) {
-                  this->context.loop.defer([this, id] { this->exchanges.erase(id); });
-              } },
-    leaveWatch(loop, [this](ExchangeId id) {
-        const auto found = this->exchanges.find(id);
-        if (found != this->exchanges.end()) {
-            found->second->callerLeft();
-        }
-    })
+                                     Post post)
+    : context { loop, client, std::move(hostName), std::move(post),
+                [this](ExchangeId id) {
+                    this->context.loop.defer([this, id] { this->exchanges.erase(id); });
+                } },
+      leaveWatch(loop, [this](ExchangeId id) {
+          const auto found = this->exchanges.find(id);
+          if (found != this->exchanges.end()) {
+              found->second->callerLeft();
+          }
+      })
 {}
 
 ExchangeTransport::~ExchangeTransport() = default;
@@ -50,8 +50,8 @@
 auto ExchangeTransport::add(st_h2o_req_t *request) -> HttpExchange &
 {
     const auto id = this->nextId();
-    auto exchange = std::make_unique<HttpExchange>(this->context, id, readRequest(*request),
-                                                   request);
+    auto exchange =
+            std::make_unique<HttpExchange>(this->context, id, readRequest(*request), request);
     const auto descriptor = exchange->callerDescriptor();
     if (descriptor >= 0) {
         this->leaveWatch.watch(descriptor, id);
--- a/src/net/hostlog.cpp
+++ b/src/net/hostlog.cpp
@@ -35,6 +35,7 @@
     case LogEvent::TableRefused:
     case LogEvent::TableConflict:
         return LogLevel::Error;
+    case LogEvent::ListenFailed:
     case LogEvent::PauseNoticed:
     case LogEvent::TableOlder:
     case LogEvent::PlatformLost:
--- a/src/net/httpcall.cpp
+++ b/src/net/httpcall.cpp
@@ -46,9 +46,8 @@
     static auto onBody(h2o_http1client_t *client, const char *error) -> int;
 };
 
-auto ClientCallbacks::onConnect(h2o_http1client_t *client, const char *error,
-                                h2o_iovec_t **buffers, std::size_t *count, int *isHead)
-        -> h2o_http1client_head_cb
+auto ClientCallbacks::onConnect(h2o_http1client_t *client, const char *error, h2o_iovec_t **buffers,
+                                std::size_t *count, int *isHead) -> h2o_http1client_head_cb
 {
     auto *call = static_cast<HttpCall *>(client->data);
     call->raw = client;
@@ -105,12 +104,9 @@
     return 0;
 }
 
-HttpCall::HttpCall(HttpClient &owner, HttpRequest sent, CallHandlers told) :
-    client(owner),
-    request(std::move(sent)),
-    handlers(std::move(told)),
-    ownPool(nullptr, nullptr),
-    lastByte(Loop::now().mono)
+HttpCall::HttpCall(HttpClient &owner, HttpRequest sent, CallHandlers told)
+    : client(owner), request(std::move(sent)), handlers(std::move(told)), ownPool(nullptr, nullptr),
+      lastByte(Loop::now().mono)
 {}
 
 HttpCall::~HttpCall()
@@ -120,7 +116,8 @@
 
 auto HttpCall::start() -> void
 {
-    this->deadline = this->client.eventLoop().after(this->request.timeout, [this] { this->timeOut(); });
+    this->deadline =
+            this->client.eventLoop().after(this->request.timeout, [this] { this->timeOut(); });
     auto *pool = this->request.fresh ? nullptr : this->client.poolOf(this->request.target);
     if (pool == nullptr || isEmpty(pool)) {
         this->connect();
@@ -132,8 +129,7 @@
 
 auto HttpCall::breakOff() -> void
 {
-    this->deadline =
-            this->client.eventLoop().after(Duration(0), [this] { this->timeOut(); });
+    this->deadline = this->client.eventLoop().after(Duration(0), [this] { this->timeOut(); });
 }
 
 auto HttpCall::connect() -> void
--- a/src/net/httpcall.h
+++ b/src/net/httpcall.h
@@ -52,9 +52,9 @@
 /// What the user of a call is told.
 struct CallHandlers
 {
-    std::function<void(HttpHead)> onHead;           ///< The answer's head came.
-    std::function<void(std::string_view)> onBody;   ///< Some of the body came.
-    std::function<void(CallEnd, int error)> onEnd;  ///< Last; `error` is of a failed connect.
+    std::function<void(HttpHead)> onHead;          ///< The answer's head came.
+    std::function<void(std::string_view)> onBody;  ///< Some of the body came.
+    std::function<void(CallEnd, int error)> onEnd; ///< Last; `error` is of a failed connect.
 };
 
 /// Sends one request and reports its answer.
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -23,8 +23,8 @@
     h2o_http1client_ctx_t client {};
 };
 
-HttpClient::HttpClient(Loop &owner, Address sourceIp) :
-    loop(owner), source(sourceIp), shared(std::make_unique<Context>())
+HttpClient::HttpClient(Loop &owner, Address sourceIp)
+    : loop(owner), source(sourceIp), shared(std::make_unique<Context>())
 {
     h2o_timeout_init(this->loop.raw(), &this->shared->timeout, ioTimeoutMs);
     this->shared->client.loop = this->loop.raw();
--- a/src/net/httpexchange.cpp
+++ b/src/net/httpexchange.cpp
@@ -15,7 +15,8 @@
 
 namespace {
 
-constexpr std::size_t backlogMax = 256U << 10U; ///< Bytes waiting for a caller before reading stops.
+constexpr std::size_t backlogMax = 256U
+                                   << 10U; ///< Bytes waiting for a caller before reading stops.
 constexpr auto feedTimeout = std::chrono::hours(24 * 365); ///< A feed has no deadline.
 constexpr auto statusOk = 200;
 constexpr std::string_view keepAliveComment = ":\n\n";
@@ -23,14 +24,11 @@
 } // namespace
 
 HttpExchange::HttpExchange(ExchangeContext &shared, ExchangeId number, Request request,
-                           st_h2o_req_t *incoming) :
-    context(shared),
-    id(number),
-    request(std::make_shared<const Request>(std::move(request)))
+                           st_h2o_req_t *incoming)
+    : context(shared), id(number), request(std::make_shared<const Request>(std::move(request)))
 {
-    this->answer = CallerAnswer::attach(incoming,
-                                        { [this](bool whole) { this->answerGone(whole); },
-                                          [this] { this->drained(); } });
+    this->answer = CallerAnswer::attach(incoming, { [this](bool whole) { this->answerGone(whole); },
+                                                    [this] { this->drained(); } });
 }
 
 HttpExchange::~HttpExchange() = default;
@@ -96,8 +94,8 @@
     handlers.onHead = [this](HttpHead came) { this->takeHead(std::move(came)); };
     handlers.onBody = [this](std::string_view bytes) { this->takeBody(bytes); };
     handlers.onEnd = [this](CallEnd end, int /*error*/) { this->takeEnd(end); };
-    this->call = std::make_unique<HttpCall>(this->context.client, std::move(sent),
-                                            std::move(handlers));
+    this->call =
+            std::make_unique<HttpCall>(this->context.client, std::move(sent), std::move(handlers));
     this->call->start();
 }
 
--- a/src/net/httpexchange.h
+++ b/src/net/httpexchange.h
@@ -78,17 +78,17 @@
     std::unique_ptr<HttpCall> call;
     std::uint32_t attempt = 0;
     AnswerSource source = AnswerSource::Upstream;
-    std::optional<HttpHead> head;       ///< Of the current call.
-    std::string held;                   ///< Body that came before `PassAnswer`.
-    std::optional<StoredAnswer> stored; ///< What is kept of the answer, on request.
+    std::optional<HttpHead> head;          ///< Of the current call.
+    std::string held;                      ///< Body that came before `PassAnswer`.
+    std::optional<StoredAnswer> stored;    ///< What is kept of the answer, on request.
     std::unique_ptr<EventSplitter> events; ///< Of a feed; kept while it is reopened.
     Timer keepAliveTimer;
     MonoTime lastWrite;
-    bool headPassed = false;  ///< The caller has a head.
-    bool streaming = false;   ///< The current call's body goes to the caller.
-    bool splitting = false;   ///< The current call's body is a stream of events.
-    bool callEnded = false;   ///< The current call ended wholly.
-    bool closed = false;      ///< The library holds the exchange to be finished.
+    bool headPassed = false; ///< The caller has a head.
+    bool streaming = false;  ///< The current call's body goes to the caller.
+    bool splitting = false;  ///< The current call's body is a stream of events.
+    bool callEnded = false;  ///< The current call ended wholly.
+    bool closed = false;     ///< The library holds the exchange to be finished.
 };
 
 } // namespace flamingograde::net
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -39,8 +39,8 @@
 auto markOwnAnswer(h2o_filter_t * /*self*/, h2o_req_t *request, h2o_ostream_t **slot) -> void
 {
     constexpr std::string_view verdict = "flamingograde-verdict";
-    const auto marked = h2o_find_header_by_str(&request->res.headers, verdict.data(),
-                                               verdict.size(), -1);
+    const auto marked =
+            h2o_find_header_by_str(&request->res.headers, verdict.data(), verdict.size(), -1);
     if (marked == -1 && request->res.status >= 400) {
         addHeader(request, verdict, "not-run");
         if (request->res.status == 413) {
@@ -73,15 +73,15 @@
     static auto onRequest(h2o_handler_t *self, h2o_req_t *request) -> int;
 };
 
-HttpServer::Engine::Engine(Loop &loop, std::size_t bodyMax, Handler callback) :
-    handler(std::move(callback))
+HttpServer::Engine::Engine(Loop &loop, std::size_t bodyMax, Handler callback)
+    : handler(std::move(callback))
 {
     h2o_config_init(&this->config);
     this->config.server_name = h2o_iovec_init(H2O_STRLIT("flamingograde"));
     this->config.max_request_entity_size = bodyMax;
     this->config.http1.req_timeout = requestTimeoutMs;
-    this->host = h2o_config_register_host(&this->config, h2o_iovec_init(H2O_STRLIT("default")),
-                                          anyPort);
+    this->host =
+            h2o_config_register_host(&this->config, h2o_iovec_init(H2O_STRLIT("default")), anyPort);
     auto *path = h2o_config_register_path(this->host, "/", 0);
     auto *slot = reinterpret_cast<HandlerSlot *>(h2o_create_handler(path, sizeof(HandlerSlot)));
     slot->handler = &this->handler;
@@ -98,8 +98,8 @@
     return 0;
 }
 
-HttpServer::HttpServer(Loop &owner, std::size_t bodyMax, Handler callback) :
-    loop(owner), engine(std::make_unique<Engine>(owner, bodyMax, std::move(callback)))
+HttpServer::HttpServer(Loop &owner, std::size_t bodyMax, Handler callback)
+    : loop(owner), engine(std::make_unique<Engine>(owner, bodyMax, std::move(callback)))
 {}
 
 HttpServer::~HttpServer() = default;
--- a/src/net/incomingrequest.cpp
+++ b/src/net/incomingrequest.cpp
@@ -24,8 +24,7 @@
 
 auto header(const st_h2o_req_t &request, std::string_view name) -> std::string_view
 {
-    const auto index =
-            h2o_find_header_by_str(&request.headers, name.data(), name.size(), SIZE_MAX);
+    const auto index = h2o_find_header_by_str(&request.headers, name.data(), name.size(), SIZE_MAX);
     return index == -1 ? std::string_view() : toView(request.headers.entries[index].value);
 }
 
--- a/src/net/leavewatch.cpp
+++ b/src/net/leavewatch.cpp
@@ -18,10 +18,10 @@
 
 } // namespace
 
-LeaveWatch::LeaveWatch(Loop &loop, Left callback) :
-    poll(epoll_create1(EPOLL_CLOEXEC)),
-    socket(h2o_evloop_socket_create(loop.raw(), this->poll, H2O_SOCKET_FLAG_DONT_READ)),
-    left(std::move(callback))
+LeaveWatch::LeaveWatch(Loop &loop, Left callback)
+    : poll(epoll_create1(EPOLL_CLOEXEC)),
+      socket(h2o_evloop_socket_create(loop.raw(), this->poll, H2O_SOCKET_FLAG_DONT_READ)),
+      left(std::move(callback))
 {
     this->socket->data = this;
     h2o_socket_read_start(this->socket, [](h2o_socket_t *self, const char * /*error*/) {
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr auto backlog = 4096;     ///< Connections that wait to be accepted.
+constexpr auto backlog = 4096;      ///< Connections that wait to be accepted.
 constexpr auto acceptsPerTurn = 64; ///< So that a burst does not starve open connections.
 
 /// Returns a listening descriptor, or -1 with `errno` set.
@@ -51,8 +51,8 @@
     return std::unique_ptr<Listener>(new Listener(socket, boundAddress(fd), std::move(accepted)));
 }
 
-Listener::Listener(st_h2o_socket_t *listening, Address boundTo, Accepted callback) :
-    socket(listening), address(boundTo), accepted(std::move(callback))
+Listener::Listener(st_h2o_socket_t *listening, Address boundTo, Accepted callback)
+    : socket(listening), address(boundTo), accepted(std::move(callback))
 {
     this->socket->data = this;
     h2o_socket_read_start(this->socket, [](h2o_socket_t *self, const char *error) {
--- a/src/net/metrics.cpp
+++ b/src/net/metrics.cpp
@@ -66,7 +66,7 @@
 auto seconds(const timeval &time) -> double
 {
     return static_cast<double>(time.tv_sec)
-            + static_cast<double>(time.tv_usec) / microsecondsPerSecond;
+           + static_cast<double>(time.tv_usec) / microsecondsPerSecond;
 }
 
 auto cpuSeconds() -> double
@@ -107,8 +107,7 @@
     list.counter("relayed", "Requests sent to a home host.", number(stats.relayed));
     list.counter("answered", "Whole answers passed on.", number(stats.answered));
     list.counter("cut", "Answers that broke off.", number(stats.cut));
-    list.counter("retried", "Requests placed again after provably not run.",
-                 number(stats.retried));
+    list.counter("retried", "Requests placed again after provably not run.", number(stats.retried));
     list.counter("cancelled", "Callers that left, or deadlines that passed.",
                  number(stats.cancelled));
     list.counter("replayed", "Answers given again for a repeated key.", number(stats.replayed));
@@ -148,8 +147,7 @@
                  number(traffic.messagesSent));
     list.counter("peer_messages_received", "Messages received on peer connections.",
                  number(traffic.messagesReceived));
-    list.counter("peer_connections", "Peer connections opened.",
-                 number(traffic.connectionsOpened));
+    list.counter("peer_connections", "Peer connections opened.", number(traffic.connectionsOpened));
 }
 
 } // namespace
--- a/src/net/peerhub.cpp
+++ b/src/net/peerhub.cpp
@@ -19,13 +19,9 @@
 
 } // namespace
 
-PeerHub::PeerHub(Loop &owner, Member member, Address sourceIp, Post report, LogText logger) :
-    loop(owner),
-    self(std::move(member)),
-    source(sourceIp),
-    post(std::move(report)),
-    log(std::move(logger)),
-    endpoints(std::make_unique<PeerEndpoints>())
+PeerHub::PeerHub(Loop &owner, Member member, Address sourceIp, Post report, LogText logger)
+    : loop(owner), self(std::move(member)), source(sourceIp), post(std::move(report)),
+      log(std::move(logger)), endpoints(std::make_unique<PeerEndpoints>())
 {}
 
 PeerHub::~PeerHub()
--- a/src/net/peerlink.cpp
+++ b/src/net/peerlink.cpp
@@ -29,15 +29,15 @@
 auto PeerLink::dial(HostId host, Address address) -> void
 {
     this->expected = host;
-    this->connector = std::make_unique<Connector>(
-            this->hub.loop, this->hub.source, address, config::connectTimeout,
-            [this](st_h2o_socket_t *connection, int error) {
-                if (connection == nullptr) {
-                    this->lose(lossOf(error));
-                    return;
-                }
-                this->begin(connection, PeerRole::Dialled);
-            });
+    this->connector = std::make_unique<Connector>(this->hub.loop, this->hub.source, address,
+                                                  config::connectTimeout,
+                                                  [this](st_h2o_socket_t *connection, int error) {
+                                                      if (connection == nullptr) {
+                                                          this->lose(lossOf(error));
+                                                          return;
+                                                      }
+                                                      this->begin(connection, PeerRole::Dialled);
+                                                  });
 }
 
 auto PeerLink::accept(st_h2o_socket_t *connection) -> void
--- a/src/net/peersocket.cpp
+++ b/src/net/peersocket.cpp
@@ -31,13 +31,9 @@
 };
 
 PeerSocket::PeerSocket(st_h2o_socket_t *connection, PeerRole end, PeerEndpoints &endpoints,
-                       PeerTraffic &counters, Callbacks told) :
-    socket(connection),
-    traffic(counters),
-    callbacks(std::move(told)),
-    role(end),
-    shared(endpoints),
-    websocket(std::make_unique<Websocket>())
+                       PeerTraffic &counters, Callbacks told)
+    : socket(connection), traffic(counters), callbacks(std::move(told)), role(end),
+      shared(endpoints), websocket(std::make_unique<Websocket>())
 {
     this->socket->data = this;
 }
@@ -60,9 +56,8 @@
 {
     std::error_code failed;
     auto &connection = this->websocket->connection;
-    connection = this->role == PeerRole::Accepted
-            ? this->shared.server.get_connection()
-            : this->shared.client.get_connection(uri, failed);
+    connection = this->role == PeerRole::Accepted ? this->shared.server.get_connection()
+                                                  : this->shared.client.get_connection(uri, failed);
     if (connection == nullptr || failed) {
         this->end(PeerEnd::Malformed, "no websocket can be made");
         return;
@@ -82,11 +77,11 @@
 auto PeerSocket::setHandlers() -> void
 {
     auto &connection = this->websocket->connection;
-    connection->set_write_handler([this](websocketpp::connection_hdl, const char *bytes,
-                                         std::size_t count) {
-        this->write(bytes, count);
-        return std::error_code();
-    });
+    connection->set_write_handler(
+            [this](websocketpp::connection_hdl, const char *bytes, std::size_t count) {
+                this->write(bytes, count);
+                return std::error_code();
+            });
     connection->set_validate_handler([this](websocketpp::connection_hdl) {
         auto &asked = *this->websocket->connection;
         std::error_code failed;
@@ -96,9 +91,7 @@
         }
         return false;
     });
-    connection->set_open_handler([this](websocketpp::connection_hdl) {
-        this->callbacks.onOpen();
-    });
+    connection->set_open_handler([this](websocketpp::connection_hdl) { this->callbacks.onOpen(); });
     connection->set_message_handler(
             [this](websocketpp::connection_hdl, const PeerEndpoints::Connection::message_ptr &got) {
                 this->callbacks.onMessage(got->get_payload());
@@ -108,7 +101,7 @@
     });
     connection->set_close_handler([this](websocketpp::connection_hdl) {
         const auto isOrderly = this->websocket->connection->get_local_close_code()
-                < websocketpp::close::status::protocol_error;
+                               < websocketpp::close::status::protocol_error;
         this->end(isOrderly ? PeerEnd::Closed : PeerEnd::Malformed,
                   this->websocket->connection->get_local_close_reason());
     });
--- a/src/net/peersocket.h
+++ b/src/net/peersocket.h
@@ -37,10 +37,10 @@
     /// What the user is told.
     struct Callbacks
     {
-        std::function<void()> onOpen;                             ///< Messages can be sent.
-        std::function<void(std::string_view)> onMessage;          ///< A whole message came.
-        std::function<void()> onBytes;                            ///< Something came.
-        std::function<void(PeerEnd, const std::string &)> onEnd;  ///< Last.
+        std::function<void()> onOpen;                            ///< Messages can be sent.
+        std::function<void(std::string_view)> onMessage;         ///< A whole message came.
+        std::function<void()> onBytes;                           ///< Something came.
+        std::function<void(PeerEnd, const std::string &)> onEnd; ///< Last.
     };
 
     /// Takes over `connection`. Precondition: `endpoints` and `counters` outlive this.
--- a/src/net/plainget.cpp
+++ b/src/net/plainget.cpp
@@ -9,8 +9,8 @@
 
 namespace flamingograde::net {
 
-PlainGet::PlainGet(HttpClient &client, const GetRequest &asked, Done callback) :
-    bodyMax(asked.bodyMax), done(std::move(callback))
+PlainGet::PlainGet(HttpClient &client, const GetRequest &asked, Done callback)
+    : bodyMax(asked.bodyMax), done(std::move(callback))
 {
     HttpRequest sent;
     sent.target = asked.target;
--- a/src/net/platformreader.cpp
+++ b/src/net/platformreader.cpp
@@ -39,8 +39,8 @@
 
 } // namespace
 
-PlatformReader::PlatformReader(Loop &owner, HttpClient &http, Address platform, Post report) :
-    loop(owner), client(http), target(platform), post(std::move(report))
+PlatformReader::PlatformReader(Loop &owner, HttpClient &http, Address platform, Post report)
+    : loop(owner), client(http), target(platform), post(std::move(report))
 {}
 
 PlatformReader::~PlatformReader() = default;
@@ -52,13 +52,12 @@
     asked.target = this->target;
     asked.host = this->target.toString();
     asked.path = "/v1/table?after=" + std::to_string(action.after.number)
-            + "&wait=" + std::to_string(wait.count());
+                 + "&wait=" + std::to_string(wait.count());
     asked.timeout = action.wait + readTimeout;
     asked.bodyMax = config::tableBytesMax;
     this->table = std::make_unique<PlainGet>(
-            this->client, asked, [this](const HttpHead *head, const std::string &body) {
-                this->takeTable(head, body);
-            });
+            this->client, asked,
+            [this](const HttpHead *head, const std::string &body) { this->takeTable(head, body); });
 }
 
 auto PlatformReader::act(const ReadHosts & /*action*/) -> void
@@ -70,9 +69,8 @@
     asked.timeout = readTimeout;
     asked.bodyMax = hostListMax;
     this->hosts = std::make_unique<PlainGet>(
-            this->client, asked, [this](const HttpHead *head, const std::string &body) {
-                this->takeHosts(head, body);
-            });
+            this->client, asked,
+            [this](const HttpHead *head, const std::string &body) { this->takeHosts(head, body); });
 }
 
 auto PlatformReader::takeTable(const HttpHead *head, const std::string &body) -> void
--- /dev/null
+++ b/src/net/reporter.cpp
@@ -0,0 +1,45 @@
+/// The daemon's events on standard output.
+#include "net/reporter.h"
+
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+
+namespace flamingograde::net {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+auto write(const Json &event) -> void
+{
+    std::cout << event.dump() << std::endl;
+}
+
+} // namespace
+
+auto reportReady(const Member &self, Address admin) -> void
+{
+    write({ { "event", "ready" },
+            { "host", self.name },
+            { "admin", admin.toString() },
+            { "peer", self.peer.toString() },
+            { "relay", self.relay.toString() } });
+}
+
+auto reportListen(Address row, Address bound) -> void
+{
+    write({ { "event", "listen" }, { "address", row.toString() }, { "bound", bound.toString() } });
+}
+
+auto reportUnlisten(Address row) -> void
+{
+    write({ { "event", "unlisten" }, { "address", row.toString() } });
+}
+
+auto reportStopped(const std::string &left) -> void
+{
+    write({ { "event", "stopped" }, { "left", left } });
+}
+
+} // namespace flamingograde::net
--- a/src/net/requesthead.cpp
+++ b/src/net/requesthead.cpp
@@ -68,7 +68,7 @@
 {
     head.add("content-type", request.contentType).add("accept", request.accept);
     const auto carriesBody = !request.body.empty() || request.method == "POST"
-            || request.method == "PUT" || request.method == "PATCH";
+                             || request.method == "PUT" || request.method == "PATCH";
     if (carriesBody) {
         head.add("content-length", std::to_string(request.body.size()));
     }
@@ -88,16 +88,14 @@
     return head.finish();
 }
 
-auto requestHead(const Relay &action, const Request &request, std::string_view from)
-        -> std::string
+auto requestHead(const Relay &action, const Request &request, std::string_view from) -> std::string
 {
     HeadWriter head(request.method, request.path);
     head.add("host", action.address.toString())
             .add(headers::from, from)
             .add(headers::row, action.rowName)
             .add(headers::rowAddress, action.rowAddress.toString())
-            .add(headers::upstream,
-                 action.upstream.isValid() ? hex(action.upstream.value()) : "")
+            .add(headers::upstream, action.upstream.isValid() ? hex(action.upstream.value()) : "")
             .add(headers::remaining, milliseconds(action.remaining))
             .add(headers::idempotencyKey, action.key)
             .add("connection", action.key.empty() ? "" : "close");
@@ -118,7 +116,7 @@
 
 auto getHead(std::string_view host, std::string_view path) -> std::string
 {
-    return HeadWriter("GET", path).add("host", host).finish();
+    return HeadWriter("GET", path).add("host", host).add("connection", "close").finish();
 }
 
 } // namespace flamingograde::net
--- /dev/null
+++ b/src/net/signalwatch.h
@@ -0,0 +1,30 @@
+/// Termination signals as events of the loop.
+#pragma once
+
+#include <functional>
+
+struct st_h2o_socket_t;
+
+namespace flamingograde::net {
+
+class Loop;
+
+/// Takes SIGTERM and SIGINT; ignores SIGPIPE.
+/// @remarks Not thread safe. One in a process, made before anything starts a thread.
+class SignalWatch
+{
+public:
+    SignalWatch(Loop &loop, std::function<void()> callback);
+    ~SignalWatch();
+    SignalWatch(const SignalWatch &) = delete;
+    auto operator=(const SignalWatch &) -> SignalWatch & = delete;
+
+private:
+    auto readAll() -> void;
+
+    int descriptor;
+    st_h2o_socket_t *socket;
+    std::function<void()> terminate;
+};
+
+} // namespace flamingograde::net
--- a/src/net/timer.h
+++ b/src/net/timer.h
@@ -15,14 +15,13 @@
 {
 public:
     Timer() = default;
-    Timer(Loop &owner, MonoTime time, std::uint64_t number) :
-        loop(&owner), due(time), sequence(number)
+    Timer(Loop &owner, MonoTime time, std::uint64_t number)
+        : loop(&owner), due(time), sequence(number)
     {}
     ~Timer() { this->cancel(); }
     Timer(const Timer &) = delete;
     auto operator=(const Timer &) -> Timer & = delete;
-    Timer(Timer &&other) noexcept :
-        loop(other.loop), due(other.due), sequence(other.sequence)
+    Timer(Timer &&other) noexcept : loop(other.loop), due(other.due), sequence(other.sequence)
     {
         other.loop = nullptr;
     }
--- a/src/net/upstreamprober.cpp
+++ b/src/net/upstreamprober.cpp
@@ -40,8 +40,8 @@
 
 } // namespace
 
-UpstreamProber::UpstreamProber(HttpClient &http, Post report) :
-    client(http), post(std::move(report))
+UpstreamProber::UpstreamProber(HttpClient &http, Post report)
+    : client(http), post(std::move(report))
 {}
 
 UpstreamProber::~UpstreamProber() = default;
@@ -60,8 +60,8 @@
         unreachable.load = -1;
         this->post(head != nullptr ? readReport(upstream, body) : unreachable);
     };
-    this->probes[action.upstream] = std::make_unique<PlainGet>(this->client, asked,
-                                                               std::move(done));
+    this->probes[action.upstream] =
+            std::make_unique<PlainGet>(this->client, asked, std::move(done));
 }
 
 } // namespace flamingograde::net
--- a/src/wire/eventsplitter.cpp
+++ b/src/wire/eventsplitter.cpp
@@ -45,8 +45,8 @@
 
 auto EventSplitter::endLine(std::size_t lineEnd) -> void
 {
-    const auto line = std::string_view(this->partial)
-                              .substr(this->lineStart, lineEnd - this->lineStart);
+    const auto line =
+            std::string_view(this->partial).substr(this->lineStart, lineEnd - this->lineStart);
     this->lineStart = lineEnd + 1;
     if (line.empty()) {
         this->whole = lineEnd + 1;
--- a/src/wire/settings.cpp
+++ b/src/wire/settings.cpp
@@ -116,7 +116,8 @@
                            "begin it with [" + std::string(section) + "]");
     }
     const auto isWrong = table == nullptr && (node != nullptr || !this->text.isWhole);
-    const auto isBroken = isWrong
+    const auto isBroken =
+            isWrong
             || (table != nullptr
                 && this->text.brokenSections.count(placeOf(table->source()).line) != 0);
     FieldReader result(table != nullptr ? *table : this->none, section, isBroken, this->findings);
@@ -279,8 +280,7 @@
 
 } // namespace
 
-auto parseSettings(std::string_view text, std::string_view file)
-        -> tl::expected<Settings, Findings>
+auto parseSettings(std::string_view text, std::string_view file) -> tl::expected<Settings, Findings>
 {
     FindingList findings(file);
     const auto read = readToml(text, findings);
--- a/src/wire/settings.h
+++ b/src/wire/settings.h
@@ -23,15 +23,15 @@
 /// What a host is told in its settings file. docs/SETTINGS.md describes the file.
 struct Settings
 {
-    Init init;                      ///< For the deciding library; `self` has the advertised addresses
-                                    ///< that the file names, the others are invalid.
-    bool servicesFromTable = true;  ///< Rows are served at their own addresses.
-    Address services;               ///< Otherwise: the IP number on whose free ports they are.
-    Address peer;                   ///< Where to listen for hosts' connections.
-    Address relay;                  ///< Where to listen for relayed requests.
-    Address admin;                  ///< Where to listen for operators.
-    Address source;                 ///< Of outgoing connections; invalid: the system's choice.
-    Address platform;               ///< Where the platform is read.
+    Init init; ///< For the deciding library; `self` has the advertised addresses
+               ///< that the file names, the others are invalid.
+    bool servicesFromTable = true; ///< Rows are served at their own addresses.
+    Address services;              ///< Otherwise: the IP number on whose free ports they are.
+    Address peer;                  ///< Where to listen for hosts' connections.
+    Address relay;                 ///< Where to listen for relayed requests.
+    Address admin;                 ///< Where to listen for operators.
+    Address source;                ///< Of outgoing connections; invalid: the system's choice.
+    Address platform;              ///< Where the platform is read.
     LogLevel logLevel = LogLevel::Info;
 };
 
--- /dev/null
+++ b/tools/flamingograded/main.cpp
@@ -0,0 +1,108 @@
+/// The daemon's command line.
+#include "net/daemon.h"
+#include "net/hostlog.h"
+#include "wire/settings.h"
+
+#include <popt.h>
+
+#include <array>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace {
+
+constexpr auto exitUsage = 2;
+constexpr auto hint = "try flamingograded --help";
+
+/// What the command line asks for.
+struct Options
+{
+    std::string config;
+    bool check = false;
+    bool version = false;
+};
+
+auto usageError(const std::string &what) -> std::nullopt_t
+{
+    std::cerr << "flamingograded: " << what << "; " << hint << std::endl;
+    return std::nullopt;
+}
+
+/// Reads the command line; says what is wrong with it.
+auto readOptions(int count, const char **arguments) -> std::optional<Options>
+{
+    char *config = nullptr;
+    int check = 0;
+    int version = 0;
+    const std::array<poptOption, 5> table { {
+            { "config", 'c', POPT_ARG_STRING, &config, 0, "settings file", "FILE" },
+            { "check", 0, POPT_ARG_NONE, &check, 0, "check the settings and end", nullptr },
+            { "version", 'V', POPT_ARG_NONE, &version, 0, "print the version", nullptr },
+            POPT_AUTOHELP POPT_TABLEEND,
+    } };
+    const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> context(
+            poptGetContext("flamingograded", count, arguments, table.data(), 0), &poptFreeContext);
+    const auto read = poptGetNextOpt(context.get());
+    const std::unique_ptr<char, void (*)(void *)> owned(config, &std::free);
+    if (read < -1) {
+        return usageError(std::string(poptBadOption(context.get(), 0)) + ": " + poptStrerror(read));
+    }
+    if (const auto *extra = poptGetArg(context.get())) {
+        return usageError(std::string("unexpected argument ") + extra);
+    }
+    if (version == 0 && config == nullptr) {
+        return usageError("--config is missing");
+    }
+    return Options { config != nullptr ? config : "", check != 0, version != 0 };
+}
+
+/// Reads the settings file; says everything that is wrong with it.
+auto readSettings(const std::string &path) -> std::optional<flamingograde::Settings>
+{
+    std::ifstream file(path);
+    if (!file) {
+        std::cerr << path << ": cannot be read" << std::endl;
+        return std::nullopt;
+    }
+    const std::string text((std::istreambuf_iterator<char>(file)),
+                           std::istreambuf_iterator<char>());
+    auto settings = flamingograde::parseSettings(text, path);
+    if (settings) {
+        return std::move(*settings);
+    }
+    for (const auto &finding : settings.error()) {
+        std::cerr << finding.toString() << std::endl;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+auto main(int count, char **arguments) -> int
+{
+    const auto options = readOptions(count, const_cast<const char **>(arguments));
+    if (!options) {
+        return exitUsage;
+    }
+    if (options->version) {
+        std::cout << "flamingograded " FLAMINGOGRADE_VERSION << std::endl;
+        return EXIT_SUCCESS;
+    }
+    auto settings = readSettings(options->config);
+    if (!settings) {
+        return EXIT_FAILURE;
+    }
+    if (options->check) {
+        std::cout << options->config << ": no findings" << std::endl;
+        return EXIT_SUCCESS;
+    }
+    flamingograde::net::openLog(settings->logLevel);
+    flamingograde::net::Daemon daemon(std::move(*settings));
+    return daemon.run();
+}
