--- a/src/net/calleranswer.cpp
+++ b/src/net/calleranswer.cpp
@@ -114,9 +114,10 @@
     this->pump();
 }
 
-auto CallerAnswer::end() -> void
+auto CallerAnswer::end(std::string_view bytes) -> void
 {
-    if (!this->aborted) {
+    if (this->request != nullptr && !this->aborted) {
+        this->pending.append(bytes);
         this->ended = true;
         this->pump();
     }
--- a/src/net/calleranswer.h
+++ b/src/net/calleranswer.h
@@ -44,8 +44,8 @@
     /// Appends to the body. Precondition: started, not ended.
     auto write(std::string_view bytes) -> void;
 
-    /// Ends the answer completely after what was written. Precondition: started.
-    auto end() -> void;
+    /// Ends the answer completely after what was written and `bytes`. Precondition: started.
+    auto end(std::string_view bytes = {}) -> void;
 
     /// Cuts the answer and drops what was written, so that its receiver sees it as incomplete.
     /// Precondition: none.
@@ -55,6 +55,8 @@
     [[nodiscard]] auto isOpen() const -> bool { return this->request != nullptr; }
     /// Returns whether the head was set.
     [[nodiscard]] auto isStarted() const -> bool { return this->started; }
+    /// Returns whether all of the answer was written.
+    [[nodiscard]] auto isEnded() const -> bool { return this->ended; }
     /// Returns the bytes that wait to be sent.
     [[nodiscard]] auto backlog() const -> std::size_t
     {
--- a/src/net/httpcall.cpp
+++ b/src/net/httpcall.cpp
@@ -149,7 +149,7 @@
     }
     auto *pool = this->client.poolOf(this->request.target);
     if (this->request.fresh) {
-        this->ownPool = HttpClient::makePool();
+        this->ownPool = this->client.makePool();
         pool = this->ownPool.get();
     }
     if (!giveToPool(pool, socket)) {
@@ -217,7 +217,9 @@
 
 auto HttpCall::isCutAtChunk() const -> bool
 {
-    return false;
+    // h2o takes the end of a connection between two chunks for the end of the answer. The real end,
+    // the last chunk, comes with bytes.
+    return this->chunked && this->raw->sock->bytes_read == 0;
 }
 
 auto HttpCall::end(CallEnd end, int error) -> void
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -38,7 +38,7 @@
     return &this->shared->client;
 }
 
-auto HttpClient::makePool() -> Pool
+auto HttpClient::makePool() const -> Pool
 {
     // The broadcast address cannot be connected to: sockets come in only by h2o_socketpool_return.
     auto nowhere = toSockaddr({ INADDR_BROADCAST, 1 });
@@ -48,6 +48,7 @@
     });
     h2o_socketpool_init_by_address(pool.get(), reinterpret_cast<sockaddr *>(&nowhere),
                                    sizeof(nowhere), 0, poolCapacity);
+    h2o_socketpool_set_timeout(pool.get(), this->loop.raw(), idleTimeoutMs);
     return pool;
 }
 
@@ -55,8 +56,7 @@
 {
     auto found = this->pools.find(target);
     if (found == this->pools.end()) {
-        found = this->pools.emplace(target, HttpClient::makePool()).first;
-        h2o_socketpool_set_timeout(found->second.get(), this->loop.raw(), idleTimeoutMs);
+        found = this->pools.emplace(target, this->makePool()).first;
     }
     return found->second.get();
 }
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -32,7 +32,7 @@
     [[nodiscard]] auto poolOf(Address target) -> st_h2o_socketpool_t *;
 
     /// Makes a pool that never connects by itself. Precondition: none.
-    [[nodiscard]] static auto makePool()
+    [[nodiscard]] auto makePool() const
             -> std::unique_ptr<st_h2o_socketpool_t, void (*)(st_h2o_socketpool_t *)>;
 
 private:
--- a/src/net/httpexchange.cpp
+++ b/src/net/httpexchange.cpp
@@ -211,13 +211,13 @@
     }
     this->passHead(action.setToken);
     this->streaming = true;
-    if (!this->held.empty()) {
-        this->answer->write(std::exchange(this->held, {}));
-    }
-    this->finishAnswer();
-    if (this->answer != nullptr && !this->callEnded) {
-        this->answer->flush();
+    const auto came = std::exchange(this->held, {});
+    if (this->callEnded) {
+        this->answer->end(came);
+        return;
     }
+    this->answer->flush();
+    this->passBytes(came);
 }
 
 auto HttpExchange::passHead(const std::string &setToken) -> void
@@ -271,8 +271,7 @@
         sized.contentLength = body.size();
         this->headPassed = true;
         this->answer->start(sized);
-        this->answer->write(body);
-        this->answer->end();
+        this->answer->end(body);
     }
     this->close();
 }
@@ -315,7 +314,8 @@
 
 auto HttpExchange::callerLeft() -> void
 {
-    if (this->answer != nullptr) {
+    // A caller may close as soon as it has the last byte, before h2o has seen it leave.
+    if (this->answer != nullptr && !this->answer->isEnded()) {
         this->answer->abort();
     }
 }
