--- a/tests/scenarios/steprunner.cpp
+++ b/tests/scenarios/steprunner.cpp
@@ -259,7 +259,7 @@
     const bool idempotent = record.value("idempotent", true);
     Step command = {
         { "cmd", "load" },        { "kind", record.at("kind") }, { "idempotent", idempotent },
-        { "keyed", !idempotent }, { "source", callersIp },       { "name", row }
+        { "keyed", idempotent ? 0.0 : 1.0 }, { "source", callersIp },       { "name", row }
     };
     command.update(withoutOwnFields(step));
     command["address"] = this->fleet.rowAddress(row, step.value("via", ""));
