--- a/include/flamingograde/message.h
+++ b/include/flamingograde/message.h
@@ -42,7 +42,7 @@
 /// Asks for an `Ack`.
 struct Ping
 {
-    std::uint64_t sequence = 0;
+    std::uint64_t sequence = 0; ///< 0: no `Ack` is wanted, the message only carries its gossip.
     Gossip gossip;
 };
 
--- a/src/core/gossip.cpp
+++ b/src/core/gossip.cpp
@@ -14,6 +14,9 @@
 /// A dead host that the platform no longer lists is told of for this long.
 constexpr Duration deadToldFor = std::chrono::seconds(30);
 
+/// Hosts told at once of an urgent change.
+constexpr std::size_t pushedTo = 8;
+
 /// Returns the age of the platform's last word in the unit of the wire.
 auto platformAgeMs(const Blackboard &board) -> std::uint32_t
 {
@@ -34,15 +37,6 @@
     return gossip;
 }
 
-/// Returns whether `record` is worth telling of to a host that knows nothing.
-auto isTold(const Blackboard &board, const MemberRecord &record) -> bool
-{
-    if (record.member.state != MemberState::Dead || record.listed) {
-        return true;
-    }
-    return board.now.mono - record.changed < deadToldFor;
-}
-
 /// Returns the members with changes still to be told, those told least often first.
 auto freshest(MembershipState &membership) -> std::vector<MemberRecord *>
 {
@@ -62,6 +56,14 @@
 
 } // namespace
 
+auto isTold(const Blackboard &board, const MemberRecord &record) -> bool
+{
+    if (record.member.state != MemberState::Dead || record.listed) {
+        return true;
+    }
+    return board.now.mono - record.changed < deadToldFor;
+}
+
 auto sendPeer(Blackboard &board, HostId host, Message message) -> bool
 {
     if (!board.membership.isConnected(host)) {
@@ -110,6 +112,23 @@
     sendPeer(board, host, Ping { 0, std::move(gossip) });
 }
 
+auto pushGossip(Blackboard &board) -> void
+{
+    std::vector<HostId> hosts;
+    for (const auto &[id, record] : board.membership.records()) {
+        if (record.connected) {
+            hosts.push_back(id);
+        }
+    }
+    std::shuffle(hosts.begin(), hosts.end(), board.random);
+    if (hosts.size() > pushedTo) {
+        hosts.resize(pushedTo);
+    }
+    for (const auto host : hosts) {
+        sendPeer(board, host, Ping { 0, makeGossip(board, host) });
+    }
+}
+
 auto gossipOf(const Message &message) -> const Gossip *
 {
     if (const auto *hello = std::get_if<Hello>(&message)) {
--- a/src/core/gossip.h
+++ b/src/core/gossip.h
@@ -7,6 +7,7 @@
 namespace flamingograde {
 
 class Blackboard;
+struct MemberRecord;
 
 /// Sends `message` to `host` if a connection is up.
 /// @returns whether it was given to the transport.
@@ -19,9 +20,16 @@
 /// Returns all that this host knows of the fleet, for a host that was just met.
 [[nodiscard]] auto makeFullGossip(Blackboard &board) -> Gossip;
 
+/// Returns whether `record` is still worth telling of: dead hosts are, while someone may not know.
+[[nodiscard]] auto isTold(const Blackboard &board, const MemberRecord &record) -> bool;
+
 /// Sends `host` all that is known of the hosts of this zone, so that both come to agree.
 auto sendZoneView(Blackboard &board, HostId host) -> void;
 
+/// Tells a few connected hosts, drawn at random, of the newest changes without waiting for the next
+/// probes.
+auto pushGossip(Blackboard &board) -> void;
+
 /// Returns the gossip of `message`, or null where it carries none.
 [[nodiscard]] auto gossipOf(const Message &message) -> const Gossip *;
 
--- /dev/null
+++ b/src/core/membermerge.cpp
@@ -0,0 +1,168 @@
+/// The precedence of what is said of members.
+#include "core/membermerge.h"
+
+#include "core/blackboard.h"
+#include "core/gossip.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace flamingograde {
+
+namespace {
+
+/// Each change is told this often, times the logarithm of the fleet's size.
+constexpr std::uint32_t tellingsFactor = 3;
+
+auto markChanged(Blackboard &board, MemberRecord &record) -> void
+{
+    const auto hosts = static_cast<double>(board.membership.records().size());
+    record.tellings = tellingsFactor * static_cast<std::uint32_t>(std::ceil(std::log2(hosts + 1)));
+    record.changed = board.now.mono;
+    board.membership.touch();
+}
+
+auto logState(Blackboard &board, const Member &member) -> void
+{
+    const auto event = [&] {
+        switch (member.state) {
+        case MemberState::Leaving:
+            return LogEvent::MemberLeaving;
+        case MemberState::Suspect:
+            return LogEvent::MemberSuspected;
+        case MemberState::Dead:
+            return LogEvent::MemberDead;
+        case MemberState::Alive:
+            break;
+        }
+        return LogEvent::MemberJoined;
+    }();
+    board.log(event, member.name + " incarnation " + std::to_string(member.incarnation));
+}
+
+/// Returns whether `update` goes before what is known.
+auto isNewer(const Member &update, const Member &known) -> bool
+{
+    if (update.incarnation != known.incarnation) {
+        return update.incarnation > known.incarnation;
+    }
+    return update.state > known.state;
+}
+
+/// Sets whether the member announced a stop; a suspicion says nothing about it.
+auto noteLeaving(MemberRecord &record) -> void
+{
+    if (record.member.state == MemberState::Alive) {
+        record.leaving = false;
+    } else if (record.member.state == MemberState::Leaving) {
+        record.leaving = true;
+    }
+}
+
+/// Returns whether this host itself has nothing against the death of a member.
+auto mayBeDead(const Blackboard &board, const MemberRecord &record) -> bool
+{
+    const auto now = board.now.mono;
+    if (now - record.heard < config::refusedTimeout) {
+        return false;
+    }
+    if (record.member.zone != board.init.self.zone) {
+        return true;
+    }
+    return record.unanswered && now - record.unansweredSince >= config::refusedTimeout;
+}
+
+/// Answers what others say of this host.
+auto refute(Blackboard &board, MemberRecord &self, const Member &update) -> void
+{
+    const auto own = self.member.incarnation;
+    if (update.incarnation < own
+        || (update.incarnation == own && update.state <= self.member.state)) {
+        return;
+    }
+    if (update.state == MemberState::Dead) {
+        ++board.membership.deaths;
+    }
+    board.log(LogEvent::MemberRefuted, "incarnation " + std::to_string(update.incarnation));
+    raiseIncarnation(board, update.incarnation);
+    pushGossip(board);
+}
+
+} // namespace
+
+auto addMember(Blackboard &board, Member member) -> MemberRecord &
+{
+    member.id = HostId::ofName(member.name);
+    member.zone = ZoneId::ofName(member.zoneName);
+    const auto [found, added] = board.membership.records().try_emplace(member.id);
+    auto &record = found->second;
+    if (!added) {
+        return record;
+    }
+    record.member = std::move(member);
+    record.heard = board.now.mono;
+    noteLeaving(record);
+    markChanged(board, record);
+    if (record.member.id != board.membership.self) {
+        logState(board, record.member);
+    }
+    return record;
+}
+
+auto mergeMember(Blackboard &board, HostId from, const Member &said) -> void
+{
+    auto *record = board.membership.record(said.id);
+    if (record == nullptr) {
+        addMember(board, said);
+        return;
+    }
+    if (said.id == board.membership.self) {
+        refute(board, *record, said);
+        return;
+    }
+    auto update = said;
+    if (said.state == MemberState::Dead && from != said.id && !mayBeDead(board, *record)) {
+        record->confirmed = record->confirmed || record->unanswered;
+        update.state = MemberState::Suspect;
+    }
+    if (!isNewer(update, record->member)) {
+        return;
+    }
+    const auto before = record->member.state;
+    record->member = update;
+    noteLeaving(*record);
+    markChanged(board, *record);
+    if (before != update.state) {
+        logState(board, update);
+    }
+    if (update.state >= MemberState::Suspect) {
+        record->probeSoon = true;
+        sendPeer(board, update.id, Ping { 0, makeGossip(board, update.id) });
+    }
+    if (update.state >= MemberState::Suspect) {
+        return;
+    }
+    record->unanswered = false;
+    record->confirmed = false;
+    if (before >= MemberState::Suspect) {
+        pushGossip(board);
+    }
+}
+
+auto changeMember(Blackboard &board, MemberRecord &record, MemberState state) -> void
+{
+    record.member.state = state;
+    noteLeaving(record);
+    markChanged(board, record);
+    logState(board, record.member);
+    pushGossip(board);
+}
+
+auto raiseIncarnation(Blackboard &board, std::uint64_t incarnation) -> void
+{
+    auto &record = *board.membership.record(board.membership.self);
+    record.member.incarnation = std::max(record.member.incarnation, incarnation) + 1;
+    markChanged(board, record);
+}
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/core/membermerge.h
@@ -0,0 +1,31 @@
+/// How what is heard of a member changes what is known of it.
+#pragma once
+
+#include "core/memberrecord.h"
+
+#include <flamingograde/ids.h>
+#include <flamingograde/member.h>
+
+namespace flamingograde {
+
+class Blackboard;
+
+/// Adds a member that a seed or the platform names, if it is new.
+/// @returns its record; `MemberRecord::member` is left as it is where it was known.
+auto addMember(Blackboard &board, Member member) -> MemberRecord &;
+
+/// Takes what `from` says of a member, where it is newer: a higher incarnation goes first, then the
+/// order of `MemberState`. What concerns this host itself is refuted.
+///
+/// That a member is dead is taken from others only where this host does not hear it either, and of
+/// a host of the own zone only where it failed to answer this host for `config::refusedTimeout`:
+/// until then it may be home of a cell that this host would take over.
+auto mergeMember(Blackboard &board, HostId from, const Member &update) -> void;
+
+/// Changes a member's state at its present incarnation, and has it told to others.
+auto changeMember(Blackboard &board, MemberRecord &record, MemberState state) -> void;
+
+/// Raises this host's incarnation above `incarnation`, and has it told to others.
+auto raiseIncarnation(Blackboard &board, std::uint64_t incarnation) -> void;
+
+} // namespace flamingograde
--- a/src/core/memberrecord.h
+++ b/src/core/memberrecord.h
@@ -13,19 +13,24 @@
 struct MemberRecord
 {
     Member member;
-    MonoTime changed;           ///< When `member.state` or its incarnation last changed.
-    MonoTime heard;             ///< When it last sent anything; meaningless before `everHeard`.
+    MonoTime changed;           ///< When its state or incarnation last changed.
+    MonoTime heard;             ///< When it last sent anything; when it was added, before that.
+    MonoTime vouched;           ///< When another host last said that it reaches it.
+    MonoTime unansweredSince;   ///< Since when it does not answer this host, if `unanswered`.
     MonoTime nextDial;          ///< Not dialled before this.
+    MonoTime nextIndirect;      ///< Others are not asked about it before this.
     Duration backoff { 0 };     ///< Pause after the next failed dial.
     Revision revision;          ///< Its table, as it last said.
     std::uint32_t refusals = 0; ///< Refused dials in a row.
     std::uint32_t tellings = 0; ///< How often its last change is still to be gossiped.
     bool everHeard = false;
     bool connected = false;
-    bool dialling = false;  ///< A `ConnectPeer` is not answered yet.
-    bool listed = false;    ///< In the platform's last host list.
-    bool leaving = false;   ///< Announced a stop; holds until a new life of it is heard of.
-    bool confirmed = false; ///< Another host cannot reach it either; while suspect.
+    bool listed = false;     ///< In the platform's last host list, and not as leaving.
+    bool everListed = false; ///< In any host list of the platform.
+    bool leaving = false;    ///< Announced a stop; holds until a new life of it is heard of.
+    bool unanswered = false; ///< A probe or dial of this host failed.
+    bool probeSoon = false;  ///< To be probed by this host itself, out of turn.
+    bool confirmed = false;  ///< Another host does not reach it either, since `unansweredSince`.
 };
 
 } // namespace flamingograde
--- a/src/core/membershipcontroller.cpp
+++ b/src/core/membershipcontroller.cpp
@@ -1,38 +1,222 @@
-/// Members from seeds and the platform's host list.
+/// Events that concern the other hosts.
 #include "core/membershipcontroller.h"
 
 #include "core/blackboard.h"
+#include "core/gossip.h"
+#include "core/membermerge.h"
+#include "core/overloaded.h"
+
+#include <vector>
 
 namespace flamingograde {
 
 namespace {
 
-auto addMember(Blackboard &board, Member member) -> void
+using namespace std::chrono_literals;
+
+constexpr Duration forgetAfter = 60s; ///< A dead host that is not listed is forgotten after this.
+
+/// Takes one entry of the platform's list. What a host says of itself goes before the list.
+auto takeListed(Blackboard &board, const Member &listed) -> void
 {
-    member.id = HostId::ofName(member.name);
-    member.zone = ZoneId::ofName(member.zoneName);
-    board.membership.records().try_emplace(member.id).first->second.member = member;
+    auto &record = addMember(board, listed);
+    record.everListed = true;
+    record.listed = listed.state == MemberState::Alive;
+    if (record.member.id == board.membership.self) {
+        return;
+    }
+    const auto unproven = record.member.incarnation == 0;
+    if (unproven || record.member.state == MemberState::Dead) {
+        record.member.peer = listed.peer;
+        record.member.relay = listed.relay;
+    }
+    if (unproven && !record.listed && record.member.state == MemberState::Alive) {
+        changeMember(board, record, MemberState::Leaving);
+    }
+}
+
+/// Forgets hosts that are long dead and that the platform does not name.
+auto forgetGone(Blackboard &board) -> void
+{
+    auto &records = board.membership.records();
+    for (auto it = records.begin(); it != records.end();) {
+        const auto &record = it->second;
+        const auto gone = record.member.state == MemberState::Dead && !record.listed
+                          && !record.connected && board.now.mono - record.changed > forgetAfter;
+        if (!gone) {
+            ++it;
+            continue;
+        }
+        board.act(DropPeer { it->first });
+        board.membership.touch();
+        it = records.erase(it);
+    }
+}
+
+/// Notes that the member sent something. A suspicion stays until the member refutes it.
+auto noteHeard(const Blackboard &board, MemberRecord &record) -> void
+{
+    record.heard = board.now.mono;
+    record.everHeard = true;
+    record.refusals = 0;
+    if (record.member.state < MemberState::Suspect) {
+        record.unanswered = false;
+        record.confirmed = false;
+    }
+}
+
+/// Takes what a message tells beside its purpose.
+auto noteGossip(Blackboard &board, HostId from, const Gossip &gossip) -> void
+{
+    for (const auto &update : gossip.updates) {
+        mergeMember(board, from, update);
+    }
+    for (const auto &load : gossip.loads) {
+        board.cells.noteRemoteLoad(load, board.now.mono);
+    }
 }
 
 } // namespace
 
 auto MembershipController::handle(Blackboard &board, const Event &event) -> void
 {
-    if (!board.membership.self.isValid()) {
-        board.membership.self = board.init.self.id;
-        board.membership.startedAt = board.now.mono;
-        addMember(board, board.init.self);
-        for (const auto &seed : board.init.seeds) {
-            addMember(board, seed);
-        }
+    if (!this->started) {
+        this->start(board);
     }
-    if (const auto *fetched = std::get_if<HostsFetched>(&event)) {
-        for (const auto &host : fetched->hosts) {
-            addMember(board, host);
-        }
+    this->noticePause(board);
+    std::visit(Overloaded { [&](const HostsFetched &it) { this->on(board, it); },
+                            [&](const PeerUp &it) { this->on(board, it); },
+                            [&](const PeerDown &it) { this->on(board, it); },
+                            [&](const PeerMessage &it) { this->on(board, it); },
+                            [&](const Tick &it) { this->on(board, it); },
+                            [&](const StopRequested & /*it*/) { this->leave(board); },
+                            [](const auto & /*other*/) {} },
+               event);
+    board.membership.refresh();
+}
+
+auto MembershipController::start(Blackboard &board) -> void
+{
+    this->started = true;
+    this->lastEvent = board.now.mono;
+    auto &self = board.init.self;
+    self.id = HostId::ofName(self.name);
+    self.zone = ZoneId::ofName(self.zoneName);
+    if (self.incarnation == 0) {
+        const auto age = board.now.wall.time_since_epoch();
+        self.incarnation = static_cast<std::uint64_t>(
+                std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
+    }
+    auto &membership = board.membership;
+    membership.self = self.id;
+    membership.startedAt = board.now.mono;
+    membership.pausedAt = board.now.mono;
+    membership.contactAt = board.now.mono - config::pauseThreshold;
+    addMember(board, self);
+    for (const auto &seed : board.init.seeds) {
+        addMember(board, seed);
+    }
+}
+
+auto MembershipController::noticePause(Blackboard &board) -> void
+{
+    const auto gap = board.now.mono - this->lastEvent;
+    this->lastEvent = board.now.mono;
+    if (gap <= config::pauseThreshold) {
+        return;
+    }
+    ++board.stats.pauses;
+    ++board.membership.pauses;
+    board.membership.pausedAt = board.now.mono;
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(gap).count();
+    board.log(LogEvent::PauseNoticed, std::to_string(ms) + " ms");
+    this->detector.reset(board);
+    raiseIncarnation(board, 0);
+}
+
+auto MembershipController::on(Blackboard &board, const HostsFetched &fetched) -> void
+{
+    auto &membership = board.membership;
+    for (auto &[id, record] : membership.records()) {
+        record.listed = false;
+    }
+    for (const auto &listed : fetched.hosts) {
+        takeListed(board, listed);
+    }
+    membership.listRead = true;
+    membership.listedAt = board.now.mono;
+    membership.listedSelf = membership.record(membership.self)->everListed;
+    forgetGone(board);
+}
+
+auto MembershipController::on(Blackboard &board, const PeerUp &up) -> void
+{
+    auto member = up.member;
+    member.id = HostId::ofName(member.name);
+    member.zone = ZoneId::ofName(member.zoneName);
+    if (member.id == board.membership.self) {
+        return;
+    }
+    mergeMember(board, member.id, member);
+    noteHeard(board, *board.membership.record(member.id));
+    this->dialer.connected(board, member.id);
+    sendPeer(board, member.id, Ping { 0, makeFullGossip(board) });
+}
+
+auto MembershipController::on(Blackboard &board, const PeerDown &down) -> void
+{
+    this->dialer.lost(board, down);
+    this->detector.unreachable(board, down.host);
+}
+
+auto MembershipController::on(Blackboard &board, const PeerMessage &received) -> void
+{
+    ++board.stats.peerMessagesReceived;
+    auto *record = board.membership.record(received.from);
+    if (record == nullptr || received.from == board.membership.self) {
+        return;
     }
+    noteHeard(board, *record);
+    if (const auto *gossip = gossipOf(received.message)) {
+        noteGossip(board, received.from, *gossip);
+    }
+    std::visit(
+            Overloaded { [&](const Ping &ping) {
+                            if (ping.sequence != 0) {
+                                sendPeer(board, received.from,
+                                         Ack { ping.sequence, makeGossip(board, received.from) });
+                            }
+                        },
+                         [&](const Ack &ack) { this->detector.acked(board, ack); },
+                         [&](const PingRequest &request) {
+                             this->detector.requested(board, received.from, request);
+                         },
+                         [&](const PingReport &report) { this->detector.reported(board, report); },
+                         [](const auto & /*other*/) {} },
+            received.message);
+}
+
+auto MembershipController::on(Blackboard &board, const Tick & /*tick*/) -> void
+{
+    if (board.stop.ready && !this->goodbyeSaid) {
+        this->goodbyeSaid = true;
+        changeMember(board, *board.membership.record(board.membership.self), MemberState::Dead);
+        return;
+    }
+    this->dialer.tick(board);
+    this->detector.tick(board, this->dialer);
     board.membership.refresh();
     board.stats.membersAlive = board.membership.aliveCount();
 }
 
+auto MembershipController::leave(Blackboard &board) -> void
+{
+    auto &record = *board.membership.record(board.membership.self);
+    if (record.leaving) {
+        return;
+    }
+    raiseIncarnation(board, 0);
+    changeMember(board, record, MemberState::Leaving);
+}
+
 } // namespace flamingograde
--- a/src/core/membershipcontroller.h
+++ b/src/core/membershipcontroller.h
@@ -1,19 +1,42 @@
 /// Knows which hosts of the fleet are at work.
 #pragma once
 
+#include "core/dialer.h"
+#include "core/failuredetector.h"
+
+#include <flamingograde/clock.h>
 #include <flamingograde/event.h>
 
 namespace flamingograde {
 
 class Blackboard;
 
-/// Keeps the members from seeds, the platform's list and the hosts themselves.
+/// Keeps the members from seeds, the platform's lagging list and the hosts themselves.
+///
+/// A membership protocol like SWIM: probes, indirect probes, suspicion with refutation by
+/// incarnation, and gossip carried by the probes.
 /// @remarks Not thread safe. Throws nothing.
 class MembershipController
 {
 public:
     /// Takes one event. Precondition: `board.now` is the time of it.
     auto handle(Blackboard &board, const Event &event) -> void;
+
+private:
+    auto start(Blackboard &board) -> void;
+    auto noticePause(Blackboard &board) -> void;
+    auto on(Blackboard &board, const HostsFetched &fetched) -> void;
+    auto on(Blackboard &board, const PeerUp &up) -> void;
+    auto on(Blackboard &board, const PeerDown &down) -> void;
+    auto on(Blackboard &board, const PeerMessage &received) -> void;
+    auto on(Blackboard &board, const Tick &tick) -> void;
+    auto leave(Blackboard &board) -> void;
+
+    Dialer dialer;
+    FailureDetector detector;
+    MonoTime lastEvent;
+    bool started = false;
+    bool goodbyeSaid = false;
 };
 
 } // namespace flamingograde
--- a/src/core/membershipstate.cpp
+++ b/src/core/membershipstate.cpp
@@ -3,6 +3,8 @@
 
 #include "core/rendezvous.h"
 
+#include <flamingograde/config.h>
+
 #include <algorithm>
 
 namespace flamingograde {
@@ -66,10 +68,12 @@
     return static_cast<std::size_t>(std::count_if(this->byId.begin(), this->byId.end(), isAlive));
 }
 
-auto MembershipState::connectedCount() const -> std::size_t
+auto MembershipState::isIsolated(MonoTime now) const -> bool
 {
-    const auto isUp = [](const auto &entry) { return entry.second.connected; };
-    return static_cast<std::size_t>(std::count_if(this->byId.begin(), this->byId.end(), isUp));
+    if (this->undead <= 1) {
+        return false;
+    }
+    return this->connected == 0 || now - this->contactAt > config::pauseThreshold;
 }
 
 auto MembershipState::record(HostId host) -> MemberRecord *
@@ -86,10 +90,16 @@
 
 auto MembershipState::refresh() -> void
 {
+    if (!this->stale) {
+        return;
+    }
+    this->stale = false;
+    this->undead = 0;
+    this->connected = 0;
     std::unordered_map<ZoneId, std::vector<HostId>> newCandidates;
     std::unordered_map<ZoneId, std::vector<HostId>> newVoters;
-    this->undead = 0;
     for (const auto &[id, record] : this->byId) {
+        this->connected += record.connected ? 1 : 0;
         if (record.member.state == MemberState::Dead) {
             continue;
         }
--- a/src/core/membershipstate.h
+++ b/src/core/membershipstate.h
@@ -43,7 +43,12 @@
     [[nodiscard]] auto undeadCount() const -> std::size_t { return this->undead; }
 
     /// Returns the number of hosts with which a connection is up.
-    [[nodiscard]] auto connectedCount() const -> std::size_t;
+    [[nodiscard]] auto connectedCount() const -> std::size_t { return this->connected; }
+
+    /// Returns whether this host is cut off from all others that are not dead: no connection is up,
+    /// or no question of the last `config::pauseThreshold` was answered. False where there are
+    /// none.
+    [[nodiscard]] auto isIsolated(MonoTime now) const -> bool;
 
     /// Returns a number that changes with each change of `candidates` or `voters`.
     [[nodiscard]] auto version() const -> std::uint64_t { return this->changes; }
@@ -59,14 +64,16 @@
         return this->byId;
     }
 
-    /// Makes the look-ups anew. To be called after each change of a member's state.
+    /// Marks the look-ups as out of date: a member was added, erased or changed.
+    auto touch() -> void { this->stale = true; }
+    /// Makes the look-ups anew where they are out of date.
     auto refresh() -> void;
 
     HostId self;              ///< This host; invalid before the first event.
     MonoTime contactAt;       ///< When the newest question that another host answered was sent.
     MonoTime pausedAt;        ///< When this process last woke from a pause.
     std::uint64_t pauses = 0; ///< Pauses of this process.
-    std::uint64_t deaths = 0; ///< How often others held this host to be dead.
+    std::uint64_t deaths = 0; ///< How often this host heard that it was held to be dead.
     bool listedSelf = false;  ///< The platform's last host list had this host.
     bool listRead = false;    ///< The platform's host list was read since the start.
     MonoTime listedAt;        ///< When it was last read.
@@ -77,7 +84,9 @@
     std::unordered_map<ZoneId, std::vector<HostId>> candidatesByZone;
     std::unordered_map<ZoneId, std::vector<HostId>> votersByZone;
     std::size_t undead = 0;
+    std::size_t connected = 0;
     std::uint64_t changes = 0;
+    bool stale = true;
 };
 
 } // namespace flamingograde
