Learn service times from requests whatever ends them

Cause: the outcome of a request removes it before admission sees it end. Ruled out: another order of the controllers; outcomes would then find no exchange. Change: what ended is kept until admission accounts for it; Dispatch carries the row's name. Conclusion: one path for all ends.

--- a/src/core/admissioncontroller.cpp
+++ b/src/core/admissioncontroller.cpp
@@ -21,12 +21,15 @@
     return std::clamp<Duration>(pause, config::retryAfterMin, config::retryAfterMax);
 }
 
-/// Learns from a request that held a slot for `used`.
-auto account(Blackboard &board, const RunningRequest &request, Duration used, bool measured) -> void
+/// Corrects the charge of a request that ended, and learns from it how long its row takes.
+auto account(Blackboard &board, const RunningRequest &request) -> void
 {
     auto &row = board.cells.cell(request.cell).rows[request.row];
+    const auto used = board.now.mono - request.since;
     correctCharge(row, request.charged, used);
-    if (measured) {
+    const auto timedOut = request.deadline <= board.now.mono;
+    const auto served = request.answered && !request.shed && !request.failed;
+    if (served || timedOut) {
         row.serviceTime.sample(used, board.now.mono);
     }
 }
@@ -110,7 +113,7 @@
 
 auto AdmissionController::settle(Blackboard &board) -> void
 {
-    this->settleAbandoned(board);
+    this->settleEnded(board);
     for (const auto id : std::exchange(board.toQueue, {})) {
         auto *exchange = board.exchanges.find(id);
         if (exchange != nullptr) {
@@ -127,25 +130,17 @@
 
 auto AdmissionController::onProgress(Blackboard &board, const ExchangeProgress &event) -> void
 {
+    const auto *request = board.cells.findRunning(event.exchange);
     const auto ended = event.progress != Progress::Answering;
-    if (!ended) {
-        return;
-    }
-    const auto request = board.cells.finish(event.exchange, event.attempt);
-    if (!request.has_value()) {
-        return;
+    if (ended && request != nullptr && request->attempt == event.attempt) {
+        board.cells.remove(event.exchange);
     }
-    const auto used = board.now.mono - request->since;
-    const auto measured = event.progress == Progress::Answered && !request->shed;
-    account(board, *request, used, measured);
 }
 
-auto AdmissionController::settleAbandoned(Blackboard &board) -> void
+auto AdmissionController::settleEnded(Blackboard &board) -> void
 {
-    for (const auto &request : board.cells.takeAbandoned()) {
-        const auto used = board.now.mono - request.since;
-        const auto timedOut = request.deadline <= board.now.mono;
-        account(board, request, used, timedOut);
+    for (const auto &request : board.cells.takeEnded()) {
+        account(board, request);
     }
 }
 
--- a/src/core/admissioncontroller.h
+++ b/src/core/admissioncontroller.h
@@ -26,7 +26,7 @@
 
 private:
     auto onProgress(Blackboard &board, const ExchangeProgress &event) -> void;
-    auto settleAbandoned(Blackboard &board) -> void;
+    auto settleEnded(Blackboard &board) -> void;
     auto admit(Blackboard &board, Exchange &exchange) -> void;
     auto queueUp(Blackboard &board, Exchange &exchange, const Row &row) -> void;
     auto settleCell(Blackboard &board, Cell &cell) -> void;
--- a/src/core/cellstore.cpp
+++ b/src/core/cellstore.cpp
@@ -27,7 +27,7 @@
     }
     const auto place = found->second;
     if (place.running) {
-        this->abandoned.push_back(this->release(place, exchange));
+        this->ended.push_back(this->release(place, exchange));
     } else {
         this->dequeue(place, exchange);
     }
@@ -122,6 +122,7 @@
     auto &cell = this->cell(cellId);
     auto &queue = cell.rows[row.id];
     queue.row = row.id;
+    queue.name = row.name;
     queue.weight = std::max<std::uint32_t>(row.weight, 1);
     queue.urgency = row.urgency;
     queue.concurrent = row.concurrent;
@@ -147,17 +148,6 @@
     cell.running[request.exchange] = request;
 }
 
-auto CellStore::finish(ExchangeId exchange, std::uint32_t attempt) -> std::optional<RunningRequest>
-{
-    const auto *request = this->findRunning(exchange);
-    if (request == nullptr || request->attempt != attempt) {
-        return std::nullopt;
-    }
-    const auto place = this->places.at(exchange);
-    this->places.erase(exchange);
-    return this->release(place, exchange);
-}
-
 auto CellStore::findRunning(ExchangeId exchange) -> RunningRequest *
 {
     const auto found = this->places.find(exchange);
@@ -173,9 +163,9 @@
     return found != this->places.end() && !found->second.running;
 }
 
-auto CellStore::takeAbandoned() -> std::vector<RunningRequest>
+auto CellStore::takeEnded() -> std::vector<RunningRequest>
 {
-    return std::exchange(this->abandoned, {});
+    return std::exchange(this->ended, {});
 }
 
 auto CellStore::dequeue(const Place &place, ExchangeId exchange) -> void
--- a/src/core/cellstore.h
+++ b/src/core/cellstore.h
@@ -19,8 +19,8 @@
 namespace flamingograde {
 
 /// Queues, running counts and loads by cell.
-/// @remarks Written by the admission controller, but for `noteRemoteLoad`, `remove` and
-/// `noteOutcome`. Not thread safe.
+/// @remarks Written by the admission controller, but for `noteRemoteLoad` and `remove`. Not thread
+/// safe.
 class CellStore
 {
 public:
@@ -56,15 +56,12 @@
     /// Takes a waiting `exchange` out of its queue and lets it hold a slot.
     /// Precondition: it waits in `request.cell` and `request.row`.
     auto start(const RunningRequest &request) -> void;
-    /// Ends a running request and frees its slot.
-    /// @returns what it was; nothing where it does not run or its attempt is another.
-    auto finish(ExchangeId exchange, std::uint32_t attempt) -> std::optional<RunningRequest>;
     /// Returns the running request, or null.
     [[nodiscard]] auto findRunning(ExchangeId exchange) -> RunningRequest *;
     /// Returns whether `exchange` waits in a queue here.
     [[nodiscard]] auto isWaiting(ExchangeId exchange) const -> bool;
-    /// Returns the running requests that `remove` took away since the last call.
-    [[nodiscard]] auto takeAbandoned() -> std::vector<RunningRequest>;
+    /// Returns the running requests that `remove` took away, and forgets the list.
+    [[nodiscard]] auto takeEnded() -> std::vector<RunningRequest>;
 
 private:
     /// Where an exchange is.
@@ -87,7 +84,7 @@
     std::map<CellId, Cell> cells;
     std::unordered_map<ExchangeId, Place> places;
     std::unordered_map<CellId, RemoteLoad> remote;
-    std::vector<RunningRequest> abandoned;
+    std::vector<RunningRequest> ended;
 };
 
 } // namespace flamingograde
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -85,8 +85,8 @@
     return remaining > Duration { 0 } && remaining >= expected;
 }
 
-auto dispatchOf(const Blackboard &board, const Exchange &exchange, const Upstream &upstream)
-        -> Dispatch
+auto dispatchOf(const Blackboard &board, const Exchange &exchange, const RowQueue &row,
+                const Upstream &upstream) -> Dispatch
 {
     Dispatch action;
     action.exchange = exchange.id;
@@ -94,6 +94,7 @@
     action.upstream = upstream.id;
     action.address = upstream.address;
     action.service = upstream.serviceName;
+    action.rowName = row.name;
     action.key = exchange.key;
     action.freshConnection = !exchange.idempotent;
     action.keepAnswer = !exchange.idempotent && !exchange.ownKey;
@@ -134,7 +135,7 @@
     exchange.stage = Stage::Dispatched;
     exchange.maybeSent = true;
     ++board.stats.dispatched;
-    board.act(dispatchOf(board, exchange, upstream));
+    board.act(dispatchOf(board, exchange, *candidate.row, upstream));
 }
 
 } // namespace
--- a/src/core/giveback.cpp
+++ b/src/core/giveback.cpp
@@ -8,7 +8,7 @@
 
 auto giveBack(Blackboard &board, Exchange &exchange) -> void
 {
-    exchange.maybeSent = false;
+    exchange.maybeSent = exchange.sentBefore;
     if (exchange.origin == Origin::Relay) {
         exchange.stage = Stage::Admitting;
         refuse(board, exchange, RefusalReason::WrongHome, config::retryAfterMin);
--- a/src/core/keycontroller.cpp
+++ b/src/core/keycontroller.cpp
@@ -223,7 +223,7 @@
 auto KeyController::admit(Blackboard &board, Exchange &exchange) -> void
 {
     exchange.stage = Stage::Admitting;
-    exchange.maybeSent = false;
+    exchange.maybeSent = exchange.sentBefore;
     const auto hasSharedKey = !exchange.idempotent && !exchange.ownKey && !exchange.key.empty();
     if (!hasSharedKey) {
         board.toQueue.push_back(exchange.id);
@@ -250,7 +250,7 @@
     case KeyState::Unseen:
     case KeyState::Running:
         exchange.stage = Stage::Attached;
-        exchange.maybeSent = record.state == KeyState::Running;
+        exchange.maybeSent = exchange.sentBefore || record.state == KeyState::Running;
         board.keys.attach(name, exchange.id);
         return;
     case KeyState::Done:
--- a/src/core/rowqueue.h
+++ b/src/core/rowqueue.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <string>
 
 namespace flamingograde {
 
@@ -16,7 +17,8 @@
 struct RowQueue
 {
     RowId row;
-    std::uint32_t weight = 1;     ///< Copied from the row when it last queued.
+    std::string name;             ///< Copied from the row when it last queued.
+    std::uint32_t weight = 1;     ///< Likewise.
     std::uint32_t urgency = 0;    ///< Likewise.
     std::uint32_t concurrent = 0; ///< Likewise; 0: no limit.
     std::size_t capacity = 0;     ///< Likewise: most that may wait.
--- a/src/core/runningrequest.h
+++ b/src/core/runningrequest.h
@@ -19,6 +19,7 @@
     MonoTime since;         ///< When it was dispatched.
     MonoTime deadline;      ///< When it is given up.
     Duration charged { 0 }; ///< Slot time already charged to its row.
+    bool answered = false;  ///< The whole answer came.
     bool failed = false;    ///< Its upstream was already blamed for it.
     bool shed = false;      ///< Its upstream sent it back unrun.
 };
--- a/src/core/upstreamcontroller.cpp
+++ b/src/core/upstreamcontroller.cpp
@@ -120,6 +120,7 @@
         }
         return;
     case Progress::Answered:
+        request.answered = true;
         if (!request.failed && !request.shed) {
             noteSuccess(board, request.upstream);
         }
