--- /dev/null
+++ b/tests/unit/main.cpp
@@ -0,0 +1,3 @@
+/// The main function of the unit tests.
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/unit/sampletable.h
@@ -0,0 +1,56 @@
+/// A table of two services in two zones for tests.
+#pragma once
+
+#include <string>
+
+namespace flamingograde {
+
+inline constexpr auto feedAddress = "10.9.0.1:80";
+inline constexpr auto readAddress = "10.9.0.2:80";
+inline constexpr auto voteAddress = "10.9.0.3:80";
+inline constexpr auto uploadAddress = "10.9.0.4:80";
+
+/// Returns the text of one upstream.
+inline auto upstreamText(const std::string &name, const std::string &service,
+                         const std::string &zone, int number, const std::string &more = {})
+        -> std::string
+{
+    return "[[upstream]]\nname = \"" + name + "\"\nservice = \"" + service + "\"\nzone = \"" + zone
+           + "\"\naddress = \"10.1.1." + std::to_string(number) + ":80\"\n" + more + "\n";
+}
+
+/// Returns the text of the rows and of one token key with each id; the last one signs.
+inline auto rowsText(const std::string &keyIds = "1") -> std::string
+{
+    std::string text;
+    for (const auto id : keyIds) {
+        text += std::string("[[token_key]]\nid = ") + id
+                + "\nsecret = \"00112233445566778899aabbccddee0" + id
+                + "\"\nsigning = " + (id == keyIds.back() ? "true" : "false") + "\n";
+    }
+    const auto row = [&](const std::string &name, const std::string &service,
+                         const std::string &address, const std::string &more) {
+        text += "[[row]]\nname = \"" + name + "\"\nservice = \"" + service + "\"\naddress = \""
+                + address + "\"\n" + more;
+    };
+    row("feed", "packs", feedAddress, "kind = \"feed\"\n");
+    row("reads", "packs", readAddress, "kind = \"request\"\n");
+    row("votes", "packs", voteAddress, "kind = \"request\"\nidempotent = false\n");
+    row("papers", "intake", uploadAddress, "kind = \"upload\"\n");
+    return text;
+}
+
+/// Returns a table with three upstreams of "packs" and one of "intake" in each of zones a and b.
+inline auto sampleTable() -> std::string
+{
+    auto text = rowsText();
+    for (int i = 1; i <= 3; ++i) {
+        text += upstreamText("pa" + std::to_string(i), "packs", "a", i);
+        text += upstreamText("pb" + std::to_string(i), "packs", "b", 10 + i);
+    }
+    text += upstreamText("ia1", "intake", "a", 21);
+    text += upstreamText("ib1", "intake", "b", 22);
+    return text;
+}
+
+} // namespace flamingograde
--- /dev/null
+++ b/tests/unit/virtualfleet.cpp
@@ -0,0 +1,379 @@
+/// Carries out the actions of hosts in virtual time.
+#include "virtualfleet.h"
+
+#include "core/idempotencykey.h"
+#include "core/overloaded.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingograde {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration oneWay = 500us;
+constexpr auto startOfTime = WallTime(Duration(1'800'000'000s));
+
+auto statusHead(int status, bool shed = false) -> AnswerHead
+{
+    AnswerHead head;
+    head.status = status;
+    head.shed = shed;
+    head.retryAfter = shed ? Duration(1s) : Duration(0);
+    return head;
+}
+
+} // namespace
+
+VirtualFleet::VirtualFleet(const std::vector<std::pair<std::string, std::string>> &names,
+                           std::string text)
+    : table(std::move(text))
+{
+    this->clock = { MonoTime(Duration(100s)), startOfTime };
+    std::uint16_t port = 1;
+    for (const auto &[name, zone] : names) {
+        Init init;
+        init.self.name = name;
+        init.self.id = HostId::ofName(name);
+        init.self.zoneName = zone;
+        init.self.zone = ZoneId::ofName(zone);
+        init.self.peer = { 0x0a000001, port };
+        init.self.relay = { 0x0a000002, port };
+        init.seed = port++;
+        this->hosts.push_back({ init.self, std::make_unique<Balancer>(init), false, {} });
+    }
+}
+
+auto VirtualFleet::advance(Duration duration) -> void
+{
+    const auto end = this->clock.mono + duration;
+    while (this->clock.mono < end) {
+        const auto tickAt = std::min(end, this->clock.mono + Duration(config::tickPeriod));
+        while (!this->pending.empty() && this->pending.top().at <= tickAt) {
+            const auto next = this->pending.top();
+            this->pending.pop();
+            this->clock.wall += next.at - this->clock.mono;
+            this->clock.mono = next.at;
+            next.run();
+        }
+        this->clock.wall += tickAt - this->clock.mono;
+        this->clock.mono = tickAt;
+        for (std::size_t i = 0; i < this->hosts.size(); ++i) {
+            this->give(i, Tick {});
+        }
+    }
+}
+
+auto VirtualFleet::publish(std::string text) -> void
+{
+    this->table = std::move(text);
+    ++this->revision.number;
+    for (std::size_t i = 0; i < this->hosts.size(); ++i) {
+        if (this->blind.count(i) == 0 && this->hosts[i].watch) {
+            this->hosts[i].watch.reset();
+            this->give(i, TableFetched { this->revision, this->table });
+        }
+    }
+}
+
+auto VirtualFleet::give(std::size_t host, Event event) -> void
+{
+    if (this->hosts[host].dead) {
+        return;
+    }
+    const auto actions = this->hosts[host].balancer->handle(this->clock, std::move(event));
+    for (const auto &action : actions) {
+        this->perform(host, action);
+    }
+}
+
+auto VirtualFleet::call(std::size_t host, const std::string &address, const std::string &token,
+                        const std::string &key, Duration timeout) -> ExchangeId
+{
+    const ExchangeId id(++this->lastExchange);
+    this->results[id] = {};
+    CallerArrived arrived;
+    arrived.exchange = id;
+    arrived.address = *Address::parse(address);
+    arrived.token = token;
+    arrived.key = key;
+    arrived.timeout = timeout;
+    this->give(host, arrived);
+    return id;
+}
+
+auto VirtualFleet::kill(std::size_t host) -> void
+{
+    this->hosts[host].dead = true;
+    for (std::size_t i = 0; i < this->hosts.size(); ++i) {
+        this->give(i, PeerDown { this->hosts[host].member.id, PeerLoss::Closed });
+    }
+}
+
+auto VirtualFleet::result(ExchangeId exchange) const -> CallerResult
+{
+    const auto found = this->results.find(exchange);
+    return found == this->results.end() ? CallerResult {} : found->second;
+}
+
+auto VirtualFleet::newKey() -> std::string
+{
+    std::mt19937_64 random(++this->lastKey);
+    return makeUuidV7(random, this->clock.wall);
+}
+
+auto VirtualFleet::runsOf(const std::string &key) const -> std::size_t
+{
+    return static_cast<std::size_t>(
+            std::count_if(this->runs.begin(), this->runs.end(),
+                          [&](const UpstreamRun &run) { return run.key == key; }));
+}
+
+auto VirtualFleet::later(Duration delay, std::function<void()> run) -> void
+{
+    this->pending.push({ this->clock.mono + delay, ++this->order, std::move(run) });
+}
+
+auto VirtualFleet::indexOf(HostId id) const -> std::size_t
+{
+    const auto found = std::find_if(this->hosts.begin(), this->hosts.end(),
+                                    [&](const Host &host) { return host.member.id == id; });
+    return static_cast<std::size_t>(found - this->hosts.begin());
+}
+
+auto VirtualFleet::isCut(std::size_t a, std::size_t b) const -> bool
+{
+    return this->hosts[b].dead || this->mute.count(a) > 0 || this->mute.count(b) > 0;
+}
+
+auto VirtualFleet::progress(std::size_t host, ExchangeId exchange, std::uint32_t attempt,
+                            Progress progress, std::optional<AnswerHead> head, bool keep) -> void
+{
+    ExchangeProgress event;
+    event.exchange = exchange;
+    event.attempt = attempt;
+    event.progress = progress;
+    event.head = head;
+    if (keep) {
+        event.whole = std::make_shared<const std::string>("kept");
+    }
+    this->give(host, event);
+    const auto *sender = this->senderOf(exchange);
+    if (sender != nullptr && (progress == Progress::Answered || progress == Progress::Cut)) {
+        this->progress(sender->host, sender->exchange, sender->attempt, progress);
+        return;
+    }
+    const auto found = this->results.find(exchange);
+    if (found != this->results.end() && progress == Progress::Answered) {
+        found->second.answered = found->second.headed;
+        found->second.at = this->clock.mono;
+        this->feeds.erase(exchange);
+    }
+}
+
+auto VirtualFleet::perform(std::size_t host, const Action &action) -> void
+{
+    std::visit(Overloaded {
+                       [&](const Dispatch &it) { this->on(host, it); },
+                       [&](const Relay &it) { this->on(host, it); },
+                       [&](const OpenFeed &it) { this->on(host, it); },
+                       [&](const ConnectPeer &it) { this->on(host, it); },
+                       [&](const SendPeer &it) { this->on(host, it); },
+                       [&](const ReadTable &it) { this->on(host, it); },
+                       [&](const PassAnswer &it) { this->passAnswer(host, it); },
+                       [&](const Refuse &it) { this->refused(host, it); },
+                       [&](const ReplayAnswer &it) {
+                           const auto *sender = this->senderOf(it.exchange);
+                           if (sender != nullptr) {
+                               const auto to = *sender;
+                               this->progress(to.host, to.exchange, to.attempt, Progress::Answering,
+                                              statusHead(200));
+                               this->progress(to.host, to.exchange, to.attempt, Progress::Answered);
+                               return;
+                           }
+                           this->results[it.exchange].answered = true;
+                           this->results[it.exchange].replayed = true;
+                       },
+                       [&](const AbortAnswer &it) { this->results[it.exchange].aborted = true; },
+                       [&](const EndFeed &it) {
+                           this->later(oneWay, [this, host, id = it.exchange] {
+                               this->progress(host, id, this->attempts[id], Progress::Answered);
+                           });
+                       },
+                       [&](const ReadHosts &) {
+                           if (this->blind.count(host) > 0) {
+                               return;
+                           }
+                           HostsFetched fetched;
+                           for (const auto &other : this->hosts) {
+                               fetched.hosts.push_back(other.member);
+                           }
+                           this->later(oneWay,
+                                       [this, host, fetched] { this->give(host, fetched); });
+                       },
+                       [&](const Unlisten &it) { this->unlistened.emplace_back(host, it.address); },
+                       [&](const StopReady &it) { this->stopped[host] = it.left; },
+                       [](const auto &) {},
+               },
+               action);
+}
+
+auto VirtualFleet::on(std::size_t host, const Dispatch &action) -> void
+{
+    const auto report = [=](Duration delay, Progress progress,
+                            std::optional<AnswerHead> head = {}) {
+        this->later(delay, [=] {
+            this->progress(host, action.exchange, action.attempt, progress, head,
+                           progress == Progress::Answered && action.keepAnswer);
+        });
+    };
+    const auto behaviour = this->behaviour(action.upstream);
+    if (behaviour == Behaviour::Refuse) {
+        return report(oneWay, Progress::NotSent);
+    }
+    if (behaviour == Behaviour::Shed) {
+        return report(oneWay, Progress::Answering, statusHead(503, true));
+    }
+    if (behaviour == Behaviour::Mistake) {
+        return report(oneWay, Progress::Answering, statusHead(421));
+    }
+    this->runs.push_back({ action.upstream, action.key, action.service, action.exchange, host });
+    if (behaviour == Behaviour::Lose) {
+        return report(oneWay, Progress::Lost);
+    }
+    if (behaviour == Behaviour::Hold) {
+        return;
+    }
+    report(this->serviceTime, Progress::Answering, statusHead(200));
+    report(this->serviceTime + 1ms,
+           behaviour == Behaviour::Break ? Progress::Cut : Progress::Answered);
+}
+
+auto VirtualFleet::on(std::size_t host, const Relay &action) -> void
+{
+    const auto to = this->indexOf(action.host);
+    if (this->isCut(host, to)) {
+        return this->later(oneWay, [=] {
+            this->progress(host, action.exchange, action.attempt, Progress::NotSent);
+        });
+    }
+    const ExchangeId id(++this->lastExchange);
+    this->senders[id] = { host, action.exchange, action.attempt };
+    RelayArrived arrived;
+    arrived.exchange = id;
+    arrived.from = this->hosts[host].member.id;
+    arrived.row = action.row;
+    arrived.address = action.rowAddress;
+    arrived.upstream = action.upstream;
+    arrived.key = action.key;
+    arrived.remaining = action.remaining;
+    this->later(oneWay, [=] { this->give(to, arrived); });
+}
+
+auto VirtualFleet::on(std::size_t host, const OpenFeed &action) -> void
+{
+    const UpstreamRun run { action.upstream, {}, action.service, action.exchange, host };
+    this->attempts[action.exchange] = action.attempt;
+    const auto behaviour = this->behaviour(action.upstream);
+    this->later(oneWay, [=] {
+        if (behaviour == Behaviour::Answer) {
+            this->opened.push_back(run);
+            this->feeds[action.exchange] = run;
+            this->progress(host, action.exchange, action.attempt, Progress::Answering,
+                           statusHead(200));
+        } else if (behaviour == Behaviour::Shed) {
+            this->progress(host, action.exchange, action.attempt, Progress::Answering,
+                           statusHead(503, true));
+        } else {
+            this->progress(host, action.exchange, action.attempt, Progress::NotSent);
+        }
+    });
+}
+
+auto VirtualFleet::on(std::size_t host, const ConnectPeer &action) -> void
+{
+    const auto to = this->indexOf(action.host);
+    this->later(oneWay, [=] {
+        if (this->isCut(host, to)) {
+            const auto loss = this->hosts[to].dead ? PeerLoss::Refused : PeerLoss::Silent;
+            return this->give(host, PeerDown { action.host, loss });
+        }
+        this->give(host, PeerUp { this->hosts[to].member });
+        this->give(to, PeerUp { this->hosts[host].member });
+    });
+}
+
+auto VirtualFleet::on(std::size_t host, const SendPeer &action) -> void
+{
+    const auto to = this->indexOf(action.host);
+    if (this->isCut(host, to)) {
+        return;
+    }
+    this->later(oneWay, [=] {
+        this->give(to, PeerMessage { this->hosts[host].member.id, action.message });
+    });
+}
+
+auto VirtualFleet::on(std::size_t host, const ReadTable &action) -> void
+{
+    if (this->blind.count(host) > 0) {
+        return this->later(oneWay, [=] {
+            this->give(host, PlatformFailed { PlatformRead::Table, "blind" });
+        });
+    }
+    if (action.after == this->revision && action.wait > Duration::zero()) {
+        this->hosts[host].watch = action.after;
+        return;
+    }
+    this->later(oneWay, [=] {
+        if (action.after == this->revision) {
+            return this->give(host, TableUnchanged { this->revision });
+        }
+        this->give(host, TableFetched { this->revision, this->table });
+    });
+}
+
+auto VirtualFleet::passAnswer(std::size_t, const PassAnswer &action) -> void
+{
+    const auto *sender = this->senderOf(action.exchange);
+    if (sender == nullptr) {
+        this->results[action.exchange].headed = true;
+        if (!action.setToken.empty()) {
+            this->results[action.exchange].token = action.setToken;
+        }
+        return;
+    }
+    const auto to = *sender;
+    if (!action.setToken.empty()) {
+        this->results[to.exchange].token = action.setToken;
+    }
+    this->progress(to.host, to.exchange, to.attempt, Progress::Answering, statusHead(200));
+}
+
+auto VirtualFleet::refused(std::size_t, const Refuse &action) -> void
+{
+    const auto *sender = this->senderOf(action.exchange);
+    if (sender == nullptr) {
+        this->results[action.exchange].refusal = action.refusal;
+        this->results[action.exchange].at = this->clock.mono;
+        return;
+    }
+    AnswerHead head;
+    head.refusal = true;
+    head.reason = action.refusal.reason;
+    head.verdict = action.refusal.verdict;
+    head.retryAfter = action.refusal.retryAfter;
+    this->later(oneWay, [this, to = *sender, head] {
+        this->progress(to.host, to.exchange, to.attempt, Progress::Answering, head);
+    });
+}
+
+auto VirtualFleet::senderOf(ExchangeId exchange) const -> const Sender *
+{
+    const auto found = this->senders.find(exchange);
+    return found == this->senders.end() ? nullptr : &found->second;
+}
+
+} // namespace flamingograde
