--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -285,6 +285,7 @@
     nlohmann::json options = record.plan.options;
     options["name"] = record.plan.name;
     options["listen"] = record.ip + ":0";
+    options["ledger_file"] = this->temporary.file("ledger-" + record.plan.name).string();
     const bool again = record.process != nullptr;
     record.process = std::make_unique<Standin>(
             this->loop, "upstream", options,
--- a/tests/scenarios/scenariofile.cpp
+++ b/tests/scenarios/scenariofile.cpp
@@ -20,7 +20,7 @@
     nlohmann::json plan = this->content.at("deployment");
     if (plan.is_string()) {
         const auto name = plan.get<std::string>();
-        plan = harness::readToml(this->folder / "deployments" / (name + ".toml"));
+        plan = harness::readToml(FLAMINGOGRADE_DEPLOYMENTS "/" + name + ".toml");
     }
     plan.merge_patch(this->content.value("change", nlohmann::json::object()));
     return harness::Deployment::fromJson(plan);
--- a/tests/scenarios/steprunner.cpp
+++ b/tests/scenarios/steprunner.cpp
@@ -257,10 +257,12 @@
     const std::string row = step.at("row");
     const auto &record = this->fleet.table().find("row", row);
     const bool idempotent = record.value("idempotent", true);
-    Step command = {
-        { "cmd", "load" },        { "kind", record.at("kind") }, { "idempotent", idempotent },
-        { "keyed", idempotent ? 0.0 : 1.0 }, { "source", callersIp },       { "name", row }
-    };
+    Step command = { { "cmd", "load" },
+                     { "kind", record.at("kind") },
+                     { "idempotent", idempotent },
+                     { "keyed", idempotent ? 0.0 : 1.0 },
+                     { "source", callersIp },
+                     { "name", row } };
     command.update(withoutOwnFields(step));
     command["address"] = this->fleet.rowAddress(row, step.value("via", ""));
     this->loads.push_back(command.at("name"));
--- a/tests/standins/upstream/ledger.cpp
+++ b/tests/standins/upstream/ledger.cpp
@@ -4,8 +4,36 @@
 
 namespace standins {
 
+Ledger::Ledger(const std::string &file)
+{
+    if (!file.empty()) {
+        this->load(file);
+        this->lines.open(file, std::ios::app);
+    }
+}
+
 auto Ledger::record(const std::string &key, const std::string &path, const std::string &row,
                     const std::string &service) -> std::uint32_t
+{
+    if (this->lines.is_open()) {
+        this->lines << Json::array({ key, path, row, service }).dump() << std::endl;
+    }
+    return this->count(key, path, row, service);
+}
+
+auto Ledger::load(const std::string &file) -> void
+{
+    std::ifstream in(file);
+    for (std::string line; std::getline(in, line);) {
+        const Json run = Json::parse(line, nullptr, false);
+        if (run.is_array()) {
+            this->count(run.at(0), run.at(1), run.at(2), run.at(3));
+        }
+    }
+}
+
+auto Ledger::count(const std::string &key, const std::string &path, const std::string &row,
+                   const std::string &service) -> std::uint32_t
 {
     const std::uint32_t timesOfPath = ++this->byPath[path];
     if (key.empty()) {
--- a/tests/standins/upstream/ledger.h
+++ b/tests/standins/upstream/ledger.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <fstream>
 #include <string>
 #include <unordered_map>
 
@@ -16,6 +17,10 @@
 class Ledger
 {
 public:
+    /// @param file takes each run as a line, and what it holds already counts, so that the ledger
+    /// outlives the process; empty for none.
+    explicit Ledger(const std::string &file);
+
     /// Counts a run that begins now. @returns how often the request has run.
     auto record(const std::string &key, const std::string &path, const std::string &row,
                 const std::string &service) -> std::uint32_t;
@@ -40,6 +45,11 @@
         std::uint32_t times = 0;
     };
 
+    auto count(const std::string &key, const std::string &path, const std::string &row,
+               const std::string &service) -> std::uint32_t;
+    auto load(const std::string &file) -> void;
+
+    std::ofstream lines;
     std::unordered_map<std::string, Run> byKey;
     std::unordered_map<std::string, std::uint32_t> byPath;
     std::size_t doubles = 0;
--- a/tests/standins/upstream/upstreamprogram.cpp
+++ b/tests/standins/upstream/upstreamprogram.cpp
@@ -15,6 +15,7 @@
 } // namespace
 
 UpstreamProgram::UpstreamProgram(asio::io_context &loop, Control &control, const Json &options)
+    : ledger(options.value("ledger_file", ""))
 {
     const Json list = options.value("upstreams", Json::array({ options }));
     for (const Json &each : list) {
