Keep the files of a test on request

Cause: a failed run over processes needs its logs afterwards. Ruled out: always keeping them. Change: FLAMINGOGRADE_KEEP leaves the temporary folder.

--- a/tests/harness/tempfolder.cpp
+++ b/tests/harness/tempfolder.cpp
@@ -17,6 +17,9 @@
 
 TempFolder::~TempFolder()
 {
+    if (std::getenv("FLAMINGOGRADE_KEEP") != nullptr) {
+        return;
+    }
     std::error_code ignored;
     std::filesystem::remove_all(this->path, ignored);
 }
--- a/tests/harness/tempfolder.h
+++ b/tests/harness/tempfolder.h
@@ -6,7 +6,8 @@
 
 namespace harness {
 
-/// Made under the system's temporary folder; removed with its content by the destructor.
+/// Made under the system's temporary folder; removed with its content by the destructor,
+/// unless the environment variable FLAMINGOGRADE_KEEP is set.
 class TempFolder
 {
 public:
