--- a/tests/unit/sampletable.h
+++ b/tests/unit/sampletable.h
@@ -24,7 +24,8 @@
 }
 
 /// Returns the text of the rows and of one token key with each id; the last one signs.
-inline auto rowsText(const std::string &keyIds = "1") -> std::string
+inline auto rowsText(const std::string &keyIds = "1", const std::string &voteMore = {})
+        -> std::string
 {
     std::string text;
     for (const auto id : keyIds) {
@@ -39,7 +40,7 @@
     };
     row("feed", "packs", feedAddress, "kind = \"feed\"\n");
     row("reads", "packs", readAddress, "kind = \"request\"\n");
-    row("votes", "packs", voteAddress, "kind = \"request\"\nidempotent = false\n");
+    row("votes", "packs", voteAddress, "kind = \"request\"\nidempotent = false\n" + voteMore);
     row("papers", "intake", uploadAddress, "kind = \"upload\"\n");
     return text;
 }
@@ -67,4 +68,21 @@
     return text;
 }
 
+/// Returns a table with three upstreams of "packs" and one of "intake" in zone a.
+inline auto oneZoneTable() -> std::string
+{
+    auto text = rowsText();
+    for (int i = 1; i <= 3; ++i) {
+        text += upstreamText("pa" + std::to_string(i), "packs", "a", i);
+    }
+    return text + upstreamText("ia1", "intake", "a", 21);
+}
+
+/// Returns a table whose votes have a deadline longer than a stop may take.
+inline auto longDeadlineTable() -> std::string
+{
+    return rowsText("1", "deadline_ms = 300000\n") + upstreamText("pa1", "packs", "a", 1)
+           + upstreamText("ia1", "intake", "a", 2);
+}
+
 } // namespace flamingograde
--- a/tests/unit/virtualfleet.cpp
+++ b/tests/unit/virtualfleet.cpp
@@ -112,6 +112,12 @@
     }
 }
 
+auto VirtualFleet::cutFeed(ExchangeId feed) -> void
+{
+    const auto host = this->feeds.at(feed).host;
+    this->progress(host, feed, this->attempts.at(feed), Progress::Cut);
+}
+
 auto VirtualFleet::result(ExchangeId exchange) const -> CallerResult
 {
     const auto found = this->results.find(exchange);
--- a/tests/unit/virtualfleet.h
+++ b/tests/unit/virtualfleet.h
@@ -65,6 +65,8 @@
     /// Has a caller send a request or open a feed. @returns the exchange.
     auto call(std::size_t host, const std::string &address, const std::string &token = {},
               const std::string &key = {}, Duration timeout = Duration { 0 }) -> ExchangeId;
+    /// Breaks the upstream connection of an open feed.
+    auto cutFeed(ExchangeId feed) -> void;
     /// Stops a host at once: its connections are refused from now on.
     auto kill(std::size_t host) -> void;
 
