--- a/tests/unit/virtualfleet.cpp
+++ b/tests/unit/virtualfleet.cpp
@@ -83,6 +83,10 @@
     if (this->hosts[host].dead) {
         return;
     }
+    if (this->hosts[host].paused) {
+        this->hosts[host].backlog.push_back([this, host, event] { this->give(host, event); });
+        return;
+    }
     const auto actions = this->hosts[host].balancer->handle(this->clock, std::move(event));
     for (const auto &action : actions) {
         this->perform(host, action);
@@ -110,6 +114,21 @@
     for (std::size_t i = 0; i < this->hosts.size(); ++i) {
         this->give(i, PeerDown { this->hosts[host].member.id, PeerLoss::Closed });
     }
+    for (const auto &[exchange, sender] : this->senders) {
+        if (sender.home == host) {
+            this->later(oneWay, [this, to = sender] {
+                this->progress(to.host, to.exchange, to.attempt, Progress::Lost);
+            });
+        }
+    }
+}
+
+auto VirtualFleet::resume(std::size_t host) -> void
+{
+    this->hosts[host].paused = false;
+    for (const auto &run : std::exchange(this->hosts[host].backlog, {})) {
+        run();
+    }
 }
 
 auto VirtualFleet::cutFeed(ExchangeId feed) -> void
@@ -157,6 +176,11 @@
 auto VirtualFleet::progress(std::size_t host, ExchangeId exchange, std::uint32_t attempt,
                             Progress progress, std::optional<AnswerHead> head, bool keep) -> void
 {
+    if (this->hosts[host].paused) {
+        this->hosts[host].backlog.push_back(
+                [=] { this->progress(host, exchange, attempt, progress, head, keep); });
+        return;
+    }
     ExchangeProgress event;
     event.exchange = exchange;
     event.attempt = attempt;
@@ -166,64 +190,82 @@
         event.whole = std::make_shared<const std::string>("kept");
     }
     this->give(host, event);
-    const auto *sender = this->senderOf(exchange);
-    if (sender != nullptr && (progress == Progress::Answered || progress == Progress::Cut)) {
-        this->progress(sender->host, sender->exchange, sender->attempt, progress);
+    const auto isOver = progress == Progress::Answered || progress == Progress::Cut;
+    if (!isOver || this->hosts[host].dead || this->tellSender(exchange, progress)) {
         return;
     }
-    const auto found = this->results.find(exchange);
-    if (found != this->results.end() && progress == Progress::Answered) {
-        found->second.answered = found->second.headed;
-        found->second.at = this->clock.mono;
+    const auto &result = this->results[exchange];
+    if (progress == Progress::Answered && result.headed && result.ends == 0) {
+        this->end(exchange).answered = true;
         this->feeds.erase(exchange);
     }
 }
 
+auto VirtualFleet::tellSender(ExchangeId exchange, Progress progress,
+                              std::optional<AnswerHead> head) -> bool
+{
+    const auto *sender = this->senderOf(exchange);
+    if (sender == nullptr) {
+        return false;
+    }
+    if (!this->isCut(sender->home, sender->host)) {
+        this->progress(sender->host, sender->exchange, sender->attempt, progress, head);
+    }
+    return true;
+}
+
+auto VirtualFleet::end(ExchangeId exchange) -> CallerResult &
+{
+    auto &result = this->results[exchange];
+    ++result.ends;
+    result.at = this->clock.mono;
+    return result;
+}
+
 auto VirtualFleet::perform(std::size_t host, const Action &action) -> void
 {
-    std::visit(Overloaded {
-                       [&](const Dispatch &it) { this->on(host, it); },
-                       [&](const Relay &it) { this->on(host, it); },
-                       [&](const OpenFeed &it) { this->on(host, it); },
-                       [&](const ConnectPeer &it) { this->on(host, it); },
-                       [&](const SendPeer &it) { this->on(host, it); },
-                       [&](const ReadTable &it) { this->on(host, it); },
-                       [&](const PassAnswer &it) { this->passAnswer(host, it); },
-                       [&](const Refuse &it) { this->refused(host, it); },
-                       [&](const ReplayAnswer &it) {
-                           const auto *sender = this->senderOf(it.exchange);
-                           if (sender != nullptr) {
-                               const auto to = *sender;
-                               this->progress(to.host, to.exchange, to.attempt, Progress::Answering,
-                                              statusHead(200));
-                               this->progress(to.host, to.exchange, to.attempt, Progress::Answered);
-                               return;
-                           }
-                           this->results[it.exchange].answered = true;
-                           this->results[it.exchange].replayed = true;
-                       },
-                       [&](const AbortAnswer &it) { this->results[it.exchange].aborted = true; },
-                       [&](const EndFeed &it) {
-                           this->later(oneWay, [this, host, id = it.exchange] {
-                               this->progress(host, id, this->attempts[id], Progress::Answered);
-                           });
-                       },
-                       [&](const ReadHosts &) {
-                           if (this->blind.count(host) > 0) {
-                               return;
-                           }
-                           HostsFetched fetched;
-                           for (const auto &other : this->hosts) {
-                               fetched.hosts.push_back(other.member);
-                           }
-                           this->later(oneWay,
-                                       [this, host, fetched] { this->give(host, fetched); });
-                       },
-                       [&](const Unlisten &it) { this->unlistened.emplace_back(host, it.address); },
-                       [&](const StopReady &it) { this->stopped[host] = it.left; },
-                       [](const auto &) {},
-               },
-               action);
+    std::visit(
+            Overloaded {
+                    [&](const Dispatch &it) { this->on(host, it); },
+                    [&](const Relay &it) { this->on(host, it); },
+                    [&](const OpenFeed &it) { this->on(host, it); },
+                    [&](const ConnectPeer &it) { this->on(host, it); },
+                    [&](const SendPeer &it) { this->on(host, it); },
+                    [&](const ReadTable &it) { this->on(host, it); },
+                    [&](const PassAnswer &it) { this->passAnswer(host, it); },
+                    [&](const Refuse &it) { this->refused(host, it); },
+                    [&](const ReplayAnswer &it) {
+                        if (this->tellSender(it.exchange, Progress::Answering, statusHead(200))) {
+                            this->tellSender(it.exchange, Progress::Answered);
+                            return;
+                        }
+                        this->end(it.exchange).replayed = true;
+                    },
+                    [&](const AbortAnswer &it) {
+                        if (!this->tellSender(it.exchange, Progress::Cut)) {
+                            this->end(it.exchange).aborted = true;
+                        }
+                    },
+                    [&](const EndFeed &it) {
+                        this->later(oneWay, [this, host, id = it.exchange] {
+                            this->progress(host, id, this->attempts[id], Progress::Answered);
+                        });
+                    },
+                    [&](const ReadHosts &) {
+                        if (this->blind.count(host) > 0) {
+                            return;
+                        }
+                        HostsFetched fetched;
+                        for (const auto &other : this->hosts) {
+                            fetched.hosts.push_back(other.member);
+                        }
+                        this->later(oneWay, [this, host, fetched] { this->give(host, fetched); });
+                    },
+                    [&](const Unlisten &it) { this->unlistened.emplace_back(host, it.address); },
+                    [&](const StopReady &it) { this->stopped[host] = it.left; },
+                    [](const auto &) {},
+            },
+            action);
 }
 
 auto VirtualFleet::on(std::size_t host, const Dispatch &action) -> void
@@ -266,7 +308,7 @@
         });
     }
     const ExchangeId id(++this->lastExchange);
-    this->senders[id] = { host, action.exchange, action.attempt };
+    this->senders[id] = { host, action.exchange, action.attempt, to };
     RelayArrived arrived;
     arrived.exchange = id;
     arrived.from = this->hosts[host].member.id;
@@ -351,19 +393,16 @@
         }
         return;
     }
-    const auto to = *sender;
     if (!action.setToken.empty()) {
-        this->results[to.exchange].token = action.setToken;
+        this->results[sender->exchange].token = action.setToken;
     }
-    this->progress(to.host, to.exchange, to.attempt, Progress::Answering, statusHead(200));
+    this->tellSender(action.exchange, Progress::Answering, statusHead(200));
 }
 
 auto VirtualFleet::refused(std::size_t, const Refuse &action) -> void
 {
-    const auto *sender = this->senderOf(action.exchange);
-    if (sender == nullptr) {
-        this->results[action.exchange].refusal = action.refusal;
-        this->results[action.exchange].at = this->clock.mono;
+    if (this->senderOf(action.exchange) == nullptr) {
+        this->end(action.exchange).refusal = action.refusal;
         return;
     }
     AnswerHead head;
@@ -371,8 +410,8 @@
     head.reason = action.refusal.reason;
     head.verdict = action.refusal.verdict;
     head.retryAfter = action.refusal.retryAfter;
-    this->later(oneWay, [this, to = *sender, head] {
-        this->progress(to.host, to.exchange, to.attempt, Progress::Answering, head);
+    this->later(oneWay, [this, id = action.exchange, head] {
+        this->tellSender(id, Progress::Answering, head);
     });
 }
 
--- a/tests/unit/virtualfleet.h
+++ b/tests/unit/virtualfleet.h
@@ -35,7 +35,8 @@
     bool answered = false; ///< It came whole.
     bool replayed = false; ///< It was a kept answer.
     bool aborted = false;  ///< It broke off.
-    MonoTime at;           ///< When it ended.
+    int ends = 0;          ///< How often it ended; 1 but for callers of a killed host.
+    MonoTime at;           ///< When it last ended.
 };
 
 /// A request that came to an upstream.
@@ -69,6 +70,10 @@
     auto cutFeed(ExchangeId feed) -> void;
     /// Stops a host at once: its connections are refused from now on.
     auto kill(std::size_t host) -> void;
+    /// Freezes a host: its events wait for `resume`.
+    auto pause(std::size_t host) -> void { this->hosts[host].paused = true; }
+    /// Lets a frozen host go on, with all that has come meanwhile.
+    auto resume(std::size_t host) -> void;
 
     [[nodiscard]] auto result(ExchangeId exchange) const -> CallerResult;
     [[nodiscard]] auto host(std::size_t index) const -> const Balancer &
@@ -96,7 +101,9 @@
         Member member;
         std::unique_ptr<Balancer> balancer;
         bool dead = false;
+        bool paused = false;
         std::optional<Revision> watch;
+        std::vector<std::function<void()>> backlog;
     };
     struct Pending
     {
@@ -114,6 +121,7 @@
         std::size_t host = 0;
         ExchangeId exchange;
         std::uint32_t attempt = 0;
+        std::size_t home = 0;
     };
 
     auto later(Duration delay, std::function<void()> run) -> void;
@@ -130,6 +138,9 @@
     auto on(std::size_t host, const ReadTable &action) -> void;
     auto passAnswer(std::size_t host, const PassAnswer &action) -> void;
     auto refused(std::size_t host, const Refuse &action) -> void;
+    auto tellSender(ExchangeId exchange, Progress progress, std::optional<AnswerHead> head = {})
+            -> bool;
+    auto end(ExchangeId exchange) -> CallerResult &;
     [[nodiscard]] auto senderOf(ExchangeId exchange) const -> const Sender *;
 
     std::vector<Host> hosts;
