--- /dev/null
+++ b/tests/net/main.cpp
@@ -0,0 +1,11 @@
+/// The tests of the transport, over loopback with free ports.
+#define CATCH_CONFIG_RUNNER
+#include <catch2/catch.hpp>
+
+#include <csignal>
+
+auto main(int count, char **arguments) -> int
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    return Catch::Session().run(count, arguments);
+}
--- /dev/null
+++ b/tests/net/peerhubtests.cpp
@@ -0,0 +1,207 @@
+/// Tests of the connections between hosts.
+#include "looprun.h"
+
+#include "net/connector.h"
+#include "net/listener.h"
+#include "net/peerhub.h"
+
+#include <flamingograde/config.h>
+
+#include <h2o.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+using namespace flamingograde;
+using namespace flamingograde::net;
+
+namespace {
+
+/// A host with its listener and what it was told.
+class Side
+{
+public:
+    Side(Loop &loop, const std::string &name, std::uint64_t incarnation = 1)
+    {
+        auto opened = Listener::open(
+                loop, *Address::parse("127.0.0.1:0"),
+                [this](st_h2o_socket_t *connection) { this->hub->accept(connection); });
+        REQUIRE(opened);
+        this->listener = std::move(*opened);
+        this->self.name = name;
+        this->self.id = HostId::ofName(name);
+        this->self.zoneName = "z1";
+        this->self.zone = ZoneId::ofName("z1");
+        this->self.peer = this->listener->bound();
+        this->self.relay = *Address::parse("127.0.0.1:1");
+        this->self.incarnation = incarnation;
+        this->hub = std::make_unique<PeerHub>(
+                loop, this->self, Address(),
+                [this](Event event) { this->events.push_back(std::move(event)); },
+                [](LogEvent, const std::string &text) { UNSCOPED_INFO(text); });
+    }
+
+    template<typename E>
+    [[nodiscard]] auto count() const -> std::size_t
+    {
+        return static_cast<std::size_t>(
+                std::count_if(this->events.begin(), this->events.end(),
+                              [](const Event &event) { return std::holds_alternative<E>(event); }));
+    }
+
+    template<typename E>
+    [[nodiscard]] auto last() const -> const E &
+    {
+        const auto found =
+                std::find_if(this->events.rbegin(), this->events.rend(),
+                             [](const Event &event) { return std::holds_alternative<E>(event); });
+        REQUIRE(found != this->events.rend());
+        return std::get<E>(*found);
+    }
+
+    Member self;
+    std::vector<Event> events;
+    std::unique_ptr<Listener> listener;
+    std::unique_ptr<PeerHub> hub;
+};
+
+auto isPing(const Side &side, std::uint64_t sequence) -> bool
+{
+    return side.count<PeerMessage>() > 0
+           && std::get<Ping>(side.last<PeerMessage>().message).sequence == sequence;
+}
+
+} // namespace
+
+TEST_CASE("two hosts say hello and talk", "[peerhub]")
+{
+    Loop loop;
+    Side a(loop, "a");
+    Side b(loop, "b");
+    a.hub->connect(b.self.id, b.self.peer);
+    REQUIRE(runUntil(loop, [&] { return a.count<PeerUp>() == 1 && b.count<PeerUp>() == 1; }));
+    CHECK(a.last<PeerUp>().member.name == "b");
+    CHECK(b.last<PeerUp>().member.name == "a");
+    CHECK(b.last<PeerUp>().member.peer == a.self.peer);
+
+    a.hub->send(b.self.id, Ping { 7, {} });
+    REQUIRE(runUntil(loop, [&] { return isPing(b, 7); }));
+    CHECK(b.last<PeerMessage>().from == a.self.id);
+    b.hub->send(a.self.id, Ping { 8, {} });
+    REQUIRE(runUntil(loop, [&] { return isPing(a, 8); }));
+
+    const std::string text(config::tableBytesMax, 'x');
+    a.hub->send(b.self.id, TableBody { Revision { 3 }, text });
+    REQUIRE(runUntil(loop, [&] { return b.count<PeerMessage>() == 2; }));
+    CHECK(std::get<TableBody>(b.last<PeerMessage>().message).text == text);
+    CHECK(a.hub->traffic().bytesSent > text.size());
+    CHECK(b.hub->traffic().messagesReceived == 3);
+}
+
+TEST_CASE("two hosts that dial each other keep one connection", "[peerhub]")
+{
+    Loop loop;
+    Side a(loop, "a");
+    Side b(loop, "b");
+    a.hub->connect(b.self.id, b.self.peer);
+    b.hub->connect(a.self.id, a.self.peer);
+    REQUIRE(runUntil(loop, [&] { return a.count<PeerUp>() == 1 && b.count<PeerUp>() == 1; }));
+    runUntil(
+            loop, [] { return false; }, std::chrono::milliseconds(200));
+    CHECK(a.count<PeerDown>() == 0);
+    CHECK(b.count<PeerDown>() == 0);
+    a.hub->send(b.self.id, Ping { 1, {} });
+    b.hub->send(a.self.id, Ping { 2, {} });
+    CHECK(runUntil(loop, [&] { return isPing(b, 1) && isPing(a, 2); }));
+}
+
+TEST_CASE("a host whose process is gone refuses", "[peerhub]")
+{
+    Loop loop;
+    Side a(loop, "a");
+    auto gone = std::make_unique<Side>(loop, "gone");
+    const auto address = gone->self.peer;
+    gone.reset();
+    a.hub->connect(HostId::ofName("gone"), address);
+    REQUIRE(runUntil(loop, [&] { return a.count<PeerDown>() == 1; }));
+    CHECK(a.last<PeerDown>().loss == PeerLoss::Refused);
+    CHECK(a.last<PeerDown>().host == HostId::ofName("gone"));
+}
+
+TEST_CASE("a connection that the other host closes is down", "[peerhub]")
+{
+    Loop loop;
+    Side a(loop, "a");
+    Side b(loop, "b");
+    a.hub->connect(b.self.id, b.self.peer);
+    REQUIRE(runUntil(loop, [&] { return a.count<PeerUp>() == 1 && b.count<PeerUp>() == 1; }));
+    b.hub->drop(a.self.id);
+    REQUIRE(runUntil(loop, [&] { return a.count<PeerDown>() == 1; }));
+    CHECK(a.last<PeerDown>().loss == PeerLoss::Closed);
+    CHECK(b.count<PeerDown>() == 0);
+}
+
+TEST_CASE("a machine that accepts and says nothing is silent", "[peerhub]")
+{
+    Loop loop;
+    Side a(loop, "a");
+    std::vector<st_h2o_socket_t *> held;
+    const auto mute =
+            Listener::open(loop, *Address::parse("127.0.0.1:0"),
+                           [&](st_h2o_socket_t *connection) { held.push_back(connection); });
+    REQUIRE(mute);
+    a.hub->connect(HostId::ofName("mute"), (*mute)->bound());
+    REQUIRE(runUntil(loop, [&] { return a.count<PeerDown>() == 1; }));
+    CHECK(a.last<PeerDown>().loss == PeerLoss::Silent);
+    for (auto *connection : held) {
+        h2o_socket_close(connection);
+    }
+}
+
+TEST_CASE("nonsense from a connection harms nothing", "[peerhub]")
+{
+    Loop loop;
+    Side a(loop, "a");
+    Side b(loop, "b");
+    for (const std::string nonsense :
+         { "GET / HTTP/1.1\r\n\r\n", "\0\0\0\0\0\0", "\xff\xfe\r\n\r\n\r\n\r\n",
+           "GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+           "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n" }) {
+        auto closed = false;
+        st_h2o_socket_t *sender = nullptr;
+        const Connector connector(loop, Address(), a.self.peer, std::chrono::seconds(1),
+                                  [&](st_h2o_socket_t *socket, int) { sender = socket; });
+        REQUIRE(runUntil(loop, [&] { return sender != nullptr; }));
+        sender->data = &closed;
+        auto buffer = h2o_iovec_init(nonsense.data(), nonsense.size());
+        h2o_socket_write(sender, &buffer, 1, [](h2o_socket_t *, const char *) {});
+        h2o_socket_read_start(sender, [](h2o_socket_t *socket, const char *error) {
+            *static_cast<bool *>(socket->data) |= error != nullptr;
+        });
+        CHECK(runUntil(loop, [&] { return closed; }));
+        h2o_socket_close(sender);
+    }
+    CHECK(a.events.empty());
+    b.hub->connect(a.self.id, a.self.peer);
+    CHECK(runUntil(loop, [&] { return a.count<PeerUp>() == 1 && b.count<PeerUp>() == 1; }));
+}
+
+TEST_CASE("a restarted host takes the place of its former process", "[peerhub]")
+{
+    Loop loop;
+    Side a(loop, "a");
+    Side before(loop, "b", 1);
+    before.hub->connect(a.self.id, a.self.peer);
+    REQUIRE(runUntil(loop, [&] { return a.count<PeerUp>() == 1 && before.count<PeerUp>() == 1; }));
+    Side after(loop, "b", 2);
+    after.hub->connect(a.self.id, a.self.peer);
+    REQUIRE(runUntil(loop, [&] { return a.count<PeerUp>() == 2 && after.count<PeerUp>() == 1; }));
+    CHECK(a.last<PeerUp>().member.incarnation == 2);
+    a.hub->send(after.self.id, Ping { 5, {} });
+    CHECK(runUntil(loop, [&] { return isPing(after, 5); }));
+}
