--- a/src/net/calleranswer.cpp
+++ b/src/net/calleranswer.cpp
@@ -99,12 +99,6 @@
     h2o_start_response(this->request, &this->link->generator);
 }
 
-auto CallerAnswer::flush() -> void
-{
-    this->flushing = true;
-    this->pump();
-}
-
 auto CallerAnswer::write(std::string_view bytes) -> void
 {
     if (this->request == nullptr || this->ended || this->aborted) {
@@ -172,10 +166,9 @@
         h2o_send(this->request, nullptr, 0, H2O_SEND_STATE_ERROR);
         return;
     }
-    if (this->pending.empty() && !this->ended && !this->flushing) {
+    if (this->pending.empty() && !this->ended) {
         return;
     }
-    this->flushing = false;
     this->inFlight = true;
     this->finalSent = this->ended;
     this->flight.swap(this->pending);
--- a/src/net/calleranswer.h
+++ b/src/net/calleranswer.h
@@ -34,13 +34,10 @@
 
     CallerAnswer(st_h2o_req_t *taken, Callbacks told);
 
-    /// Sets the answer's head, which leaves with the next `flush`, `write` or `end`.
+    /// Sets the answer's head, which leaves with the first `write` or `end`.
     /// Precondition: called once.
     auto start(const HttpHead &head) -> void;
 
-    /// Sends the head without waiting for a body. Precondition: started.
-    auto flush() -> void;
-
     /// Appends to the body. Precondition: started, not ended.
     auto write(std::string_view bytes) -> void;
 
@@ -80,7 +77,6 @@
     std::string flight;  ///< Given to h2o; must stay until it asks for more.
     bool started = false;
     bool inFlight = false;  ///< h2o has not asked for more yet.
-    bool flushing = false;  ///< The head is to leave now.
     bool ended = false;     ///< No more will be written.
     bool aborted = false;   ///< To be cut.
     bool finalSent = false; ///< h2o was given the last part.
--- a/src/net/httpcall.cpp
+++ b/src/net/httpcall.cpp
@@ -118,6 +118,7 @@
 {
     this->deadline =
             this->client.eventLoop().after(this->request.timeout, [this] { this->timeOut(); });
+    this->watchSilence();
     auto *pool = this->request.fresh ? nullptr : this->client.poolOf(this->request.target);
     if (pool == nullptr || isEmpty(pool)) {
         this->connect();
@@ -189,7 +190,6 @@
     }
     this->stage = Stage::Reading;
     this->lastByte = Loop::now().mono;
-    this->watchSilence();
     this->handlers.onHead(std::move(head));
 }
 
--- a/src/net/httpexchange.cpp
+++ b/src/net/httpexchange.cpp
@@ -216,7 +216,9 @@
         this->answer->end(came);
         return;
     }
-    this->answer->flush();
+    if (this->splitting) {
+        this->answer->write(keepAliveComment); // h2o sends no head before the first byte.
+    }
     this->passBytes(came);
 }
 
@@ -266,6 +268,7 @@
 
 auto HttpExchange::sendWhole(const HttpHead &whole, std::string_view body) -> void
 {
+    this->closed = true;
     if (this->answer != nullptr) {
         auto sized = whole;
         sized.contentLength = body.size();
@@ -285,6 +288,7 @@
 
 auto HttpExchange::act(const AbortAnswer & /*action*/) -> void
 {
+    this->closed = true; // So that the caller's end is not told as its leaving.
     if (this->answer != nullptr) {
         this->answer->abort();
     }
