--- a/src/net/peerendpoints.h
+++ b/src/net/peerendpoints.h
@@ -11,6 +11,8 @@
 
 namespace flamingograde::net {
 
+// NOLINTBEGIN(readability-identifier-naming): websocketpp gives the names.
+
 /// The configuration of websocketpp: one thread, no log of its own, bounded messages.
 struct PeerConfig : websocketpp::config::core_client
 {
@@ -35,6 +37,8 @@
     static const std::size_t max_http_body_size = 0;
 };
 
+// NOLINTEND(readability-identifier-naming)
+
 /// Makes the ends of websockets.
 /// @remarks Not thread safe. Must outlive them.
 struct PeerEndpoints
--- a/tests/net/exchangetests.cpp
+++ b/tests/net/exchangetests.cpp
@@ -511,7 +511,8 @@
 TEST_CASE("a caller that reads nothing holds its upstream back", "[exchange]")
 {
     Host host;
-    const std::string answer(20000000, 'a');
+    std::string answer;
+    answer.resize(20000000, 'a');
     const ScriptServer upstream(host.loop,
                                 "HTTP/1.1 200 OK\r\nContent-Length: 20000000\r\n\r\n" + answer,
                                 Afterwards::Keep);
