--- a/src/table/findinglist.cpp
+++ b/src/table/findinglist.cpp
@@ -1,6 +1,8 @@
 /// Collects the findings of one text.
 #include "table/findinglist.h"
 
+#include <flamingograde/config.h>
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -9,6 +11,10 @@
 
 auto FindingList::add(Place place, std::string what, std::string mend) -> void
 {
+    if (this->list.size() == config::findingsMax) {
+        ++this->untold;
+        return;
+    }
     this->list.push_back(
             { this->file, place.line, place.column, std::move(what), std::move(mend) });
 }
@@ -19,6 +25,11 @@
         return std::tie(a.line, a.column) < std::tie(b.line, b.column);
     };
     std::stable_sort(this->list.begin(), this->list.end(), isBefore);
+    if (this->untold > 0) {
+        this->list.push_back({ this->file, this->list.back().line, this->list.back().column,
+                               "there are " + std::to_string(this->untold) + " more findings",
+                               "mend these first" });
+    }
     return std::exchange(this->list, {});
 }
 
--- a/src/table/findinglist.h
+++ b/src/table/findinglist.h
@@ -5,6 +5,7 @@
 
 #include "table/place.h"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -18,7 +19,7 @@
     /// @param name the file that the findings carry. Precondition: none.
     explicit FindingList(std::string_view name) : file(name) {}
 
-    /// Adds a finding.
+    /// Adds a finding; above `config::findingsMax` it is only counted.
     /// @param place where the fault is.
     /// @param what what is wrong.
     /// @param mend how to mend it.
@@ -34,6 +35,7 @@
 private:
     std::string file;
     Findings list;
+    std::size_t untold = 0;
 };
 
 } // namespace flamingograde
--- a/src/table/tablereader.cpp
+++ b/src/table/tablereader.cpp
@@ -3,6 +3,7 @@
 
 #include "table/fieldreader.h"
 #include "table/nearest.h"
+#include "table/tomldraft.h"
 #include "table/words.h"
 
 #include <flamingograde/config.h>
@@ -58,7 +59,8 @@
     for (const auto &[key, node] : this->text.root) {
         const auto word = key.str();
         const auto isKnown = std::find(sections.begin(), sections.end(), word) != sections.end();
-        if (isKnown || word == TomlText::lostSection) {
+        const auto isLost = !this->text.isWhole && word == TomlDraft::lostSection;
+        if (isKnown || isLost) {
             continue;
         }
         const auto meant = nearestWord(word, sections);
--- a/src/table/tomltext.cpp
+++ b/src/table/tomltext.cpp
@@ -1,7 +1,11 @@
 /// Reads TOML on past its syntax errors.
+///
+/// A faulty text is read section by section, so that the time does not grow with the number of
+/// its errors; then once more as a whole, for what sections do to each other.
 #include "table/tomltext.h"
 
 #include "table/fieldreader.h"
+#include "table/tomldraft.h"
 
 #include <flamingograde/config.h>
 
@@ -13,70 +17,79 @@
 
 namespace {
 
-constexpr std::string_view blanks = " \t\r";
+constexpr std::size_t wholeBytesMax = 4 * config::tableBytesMax; // Bounds the time to refuse.
 
-/// The text of a table from which faulty lines are struck out.
-class Draft
+/// Finds the syntax errors of a text.
+class ErrorSearch
 {
 public:
-    explicit Draft(std::string_view whole) : text(whole) {}
+    ErrorSearch(std::string_view text, TomlText &result, FindingList &list)
+        : draft(text), read(result), findings(list)
+    {}
 
-    [[nodiscard]] auto view() const -> std::string_view { return this->text; }
-
-    /// Returns whether line `number` has anything to strike out.
-    [[nodiscard]] auto hasContent(std::uint32_t number) const -> bool
+    auto run() -> void
     {
-        const auto content = this->line(number);
-        return content.find_first_not_of(blanks) != std::string_view::npos
-               && content != Draft::lostHeader();
-    }
-
-    /// Returns whether line `number` is a section's header.
-    [[nodiscard]] auto isHeader(std::uint32_t number) const -> bool
-    {
-        const auto content = this->line(number);
-        const auto first = content.find_first_not_of(blanks);
-        return first != std::string_view::npos && content[first] == '[';
-    }
-
-    /// Returns the line of the header above `number`, or 0.
-    [[nodiscard]] auto headerOf(std::uint32_t number) const -> std::uint32_t
-    {
-        while (number > 0 && !this->isHeader(number)) {
-            --number;
+        for (const auto section : this->draft.sections()) {
+            if (!this->readSection(section)) {
+                this->draft.strikeOutContent(section);
+            }
+            if (this->errors == config::syntaxFindingsMax) {
+                return;
+            }
         }
-        return number;
+        this->readWhole();
     }
 
-    /// Empties line `number`; a header is replaced by that of the lost section.
-    auto strikeOut(std::uint32_t number) -> void
+private:
+    auto readWhole() -> void
     {
-        const auto old = this->line(number);
-        const auto begin = static_cast<std::size_t>(old.data() - this->text.data());
-        const auto length = old.size();
-        this->text.replace(begin, length, this->isHeader(number) ? Draft::lostHeader() : "");
+        std::size_t bytes = 0;
+        while (bytes < wholeBytesMax && this->errors < config::syntaxFindingsMax) {
+            const auto text = this->draft.textOf(this->draft.all());
+            bytes += text.size();
+            auto whole = toml::parse(text);
+            if (whole) {
+                this->read.root = std::move(whole).table();
+                return;
+            }
+            if (!this->strikeOut(whole.error(), 0)) {
+                return;
+            }
+        }
     }
 
-private:
-    static auto lostHeader() -> std::string
+    /// Returns whether the section is readable, if need be without some of its lines.
+    auto readSection(LineRange section) -> bool
     {
-        return "[[" + std::string(TomlText::lostSection) + "]]";
+        auto part = toml::parse(this->draft.textOf(section));
+        while (!part) {
+            if (this->errors == config::syntaxFindingsMax
+                || !this->strikeOut(part.error(), section.begin)) {
+                return false;
+            }
+            part = toml::parse(this->draft.textOf(section));
+        }
+        return true;
     }
 
-    [[nodiscard]] auto line(std::uint32_t number) const -> std::string_view
+    /// Reports an error and strikes its line out.
+    /// @returns whether there was anything to strike out.
+    auto strikeOut(const toml::parse_error &error, std::size_t firstLine) -> bool
     {
-        std::size_t begin = 0;
-        for (std::uint32_t i = 1; i < number && begin != std::string::npos; ++i) {
-            const auto end = this->text.find('\n', begin);
-            begin = end == std::string::npos ? end : end + 1;
-        }
-        if (number == 0 || begin == std::string::npos) {
-            return {};
-        }
-        return this->view().substr(begin, this->text.find('\n', begin) - begin);
+        auto place = placeOf(error.source());
+        place.line += static_cast<std::uint32_t>(firstLine);
+        this->findings.add(place, std::string(error.description()), "mend the TOML here");
+        ++this->errors;
+        const auto line = std::min<std::size_t>(place.line, this->draft.all().end) - 1;
+        const auto header = this->draft.headerOf(line) + 1;
+        this->read.brokenSections.insert(static_cast<std::uint32_t>(header));
+        return this->draft.strikeOut(line);
     }
 
-    std::string text;
+    TomlDraft draft;
+    TomlText &read;
+    FindingList &findings;
+    std::size_t errors = 0;
 };
 
 } // namespace
@@ -90,22 +103,7 @@
         return read;
     }
     read.isWhole = false;
-    Draft draft(text);
-    std::size_t bytes = 0;
-    for (std::size_t errors = 0; !result && errors < config::syntaxFindingsMax; ++errors) {
-        const auto place = placeOf(result.error().source());
-        findings.add(place, std::string(result.error().description()), "mend the TOML here");
-        bytes += draft.view().size();
-        if (!draft.hasContent(place.line) || bytes > config::syntaxBytesMax) {
-            return read;
-        }
-        read.brokenSections.insert(draft.headerOf(place.line));
-        draft.strikeOut(place.line);
-        result = toml::parse(draft.view());
-    }
-    if (result) {
-        read.root = std::move(result).table();
-    }
+    ErrorSearch(text, read, findings).run();
     return read;
 }
 
--- a/src/table/tomltext.h
+++ b/src/table/tomltext.h
@@ -14,9 +14,6 @@
 /// What could be read of a TOML text.
 struct TomlText
 {
-    /// The table under which the contents of unreadable headers are gathered.
-    static constexpr std::string_view lostSection = "unreadable-section";
-
     toml::table root;
     bool isWhole = true;                              ///< The text has no syntax error.
     std::unordered_set<std::uint32_t> brokenSections; ///< Lines of headers of sections with one.
--- a/tests/unit/tableparsertest.cpp
+++ b/tests/unit/tableparsertest.cpp
@@ -241,6 +241,19 @@
     CHECK(table.error()[1].what == "zone is not a text");
 }
 
+TEST_CASE("single brackets are told for each section", "[table]")
+{
+    auto text = goodText;
+    for (int i = 0; i < 2; ++i) {
+        text = replaced(replaced(text, "[[row]]", "[row]"), "[[upstream]]", "[upstream]");
+    }
+    const auto table = parseTable(text, "bad.toml");
+    REQUIRE_FALSE(table);
+    REQUIRE(table.error().size() == 4);
+    CHECK(table.error()[0].mend == "begin each entry with [[row]]");
+    CHECK(table.error()[3].what.find("redefine") != std::string::npos);
+}
+
 TEST_CASE("a table without rows, and one that is too large, are faults", "[table]")
 {
     const auto empty = parseTable("", "empty");
@@ -255,6 +268,23 @@
     CHECK(single.error().size() == 5);
 }
 
+TEST_CASE("a large text of nothing but faults is refused with a bounded list", "[table]")
+{
+    std::string headers;
+    while (headers.size() + 8 < config::tableBytesMax) {
+        headers += "[[row]]\n";
+    }
+    const auto table = parseTable(headers, "headers");
+    REQUIRE_FALSE(table);
+    CHECK(table.error().size() == config::findingsMax + 1);
+    CHECK(table.error().back().mend == "mend these first");
+    const auto broken = parseTable(std::string(config::tableBytesMax, '['), "broken");
+    REQUIRE_FALSE(broken);
+    const auto lines = parseTable(replaced(headers, "[[row]]", "x") + "=", "lines");
+    REQUIRE_FALSE(lines);
+    CHECK(lines.error().front().line == 1);
+}
+
 TEST_CASE("names with one id are told", "[table]")
 {
     IdNames<RowId> names;
