--- a/tests/standins/upstream/upstream.h
+++ b/tests/standins/upstream/upstream.h
@@ -29,6 +29,8 @@
 
     /// Changes faults, service time and service by the fields of the command `set`.
     auto set(const Json &json) -> void;
+    /// Ends every feed in order.
+    auto endFeeds() -> void { this->feeds.endAll(); }
     [[nodiscard]] auto totals() const -> Totals;
     [[nodiscard]] auto address() const -> std::string { return this->server.address(); }
     [[nodiscard]] auto name() const -> const std::string & { return this->options.name; }
--- a/tests/standins/upstream/upstreamprogram.cpp
+++ b/tests/standins/upstream/upstreamprogram.cpp
@@ -22,6 +22,12 @@
         this->upstreams.push_back(std::make_unique<Upstream>(loop, parsed, this->ledger));
     }
     control.on("set", [this](const Json &command) { return this->set(command); });
+    control.on("end_feeds", [this](const Json &command) {
+        for (Upstream *upstream : this->selected(command)) {
+            upstream->endFeeds();
+        }
+        return Json::object();
+    });
     control.on("ledger", [this](const Json &command) { return this->report(command); });
     control.on("ledger_of", [this](const Json &command) -> Json {
         return { { "times", this->ledger.timesOf(command.at("key").get<std::string>()) } };
