--- a/tests/standins/caller/clientconnection.cpp
+++ b/tests/standins/caller/clientconnection.cpp
@@ -5,6 +5,8 @@
 #include <boost/beast/http/read.hpp>
 #include <sys/socket.h>
 
+#include <cstdint>
+#include <limits>
 #include <utility>
 
 namespace standins {
@@ -85,7 +87,7 @@
 auto ClientConnection::read() -> void
 {
     this->parser.emplace();
-    this->parser->body_limit(boost::none);
+    this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     http::async_read(this->socket, this->buffer, *this->parser,
                      [self = this->shared_from_this()](ErrorCode error, std::size_t) {
                          self->finish(error);
--- a/tests/standins/caller/feedflow.cpp
+++ b/tests/standins/caller/feedflow.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/read.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace standins {
@@ -107,7 +108,7 @@
 auto FeedFlow::readHead() -> void
 {
     this->parser.emplace();
-    this->parser->body_limit(boost::none);
+    this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     http::async_read_header(this->socket, this->buffer, *this->parser,
                             [self = this->shared_from_this(),
                              number = this->connection](ErrorCode error, std::size_t) {
