--- a/tests/standins/common/listener.cpp
+++ b/tests/standins/common/listener.cpp
@@ -32,10 +32,10 @@
             return;
         }
         if (error) {
-            std::cerr << "accept: " << error.message() << std::endl;
-            this->acceptLater();
+            this->acceptLater(error);
             return;
         }
+        this->failing = false;
         ErrorCode ignored;
         socket.set_option(Tcp::no_delay(true), ignored);
         this->handler(std::move(socket));
@@ -43,11 +43,14 @@
     });
 }
 
-auto Listener::acceptLater() -> void
+auto Listener::acceptLater(const ErrorCode &error) -> void
 {
+    if (!std::exchange(this->failing, true)) {
+        std::cerr << "accept: " << error.message() << std::endl;
+    }
     this->pause.expires_after(acceptPause);
-    this->pause.async_wait([this](ErrorCode error) {
-        if (!error) {
+    this->pause.async_wait([this](ErrorCode failed) {
+        if (!failed) {
             this->accept();
         }
     });
--- a/tests/standins/common/listener.h
+++ b/tests/standins/common/listener.h
@@ -23,11 +23,12 @@
 
 private:
     auto accept() -> void;
-    auto acceptLater() -> void;
+    auto acceptLater(const ErrorCode &error) -> void;
 
     Tcp::acceptor acceptor;
     asio::steady_timer pause;
     Handler handler;
+    bool failing = false; ///< The last accept failed; told once.
 };
 
 } // namespace standins
--- a/tests/standins/upstream/feedsource.cpp
+++ b/tests/standins/upstream/feedsource.cpp
@@ -1,6 +1,7 @@
 #include "standins/upstream/feedsource.h"
 
 #include <algorithm>
+#include <functional>
 #include <sstream>
 #include <utility>
 #include <vector>
@@ -10,6 +11,7 @@
 namespace {
 
 constexpr std::uint64_t batchMax = 512; ///< Events in one write.
+constexpr std::size_t phases = 1000;    ///< Steps by which the first event's time differs.
 
 const std::string feedHead = "HTTP/1.1 200 OK\r\n"
                              "Content-Type: text/event-stream\r\n"
@@ -24,7 +26,11 @@
     : timer(loop), period(eventMs), name(std::move(name)), service(std::move(service))
 {
     if (eventMs > 0) {
-        this->timer.expires_after(std::chrono::nanoseconds(0));
+        // Upstreams of one process must not all write at the same moment.
+        const double share = static_cast<double>(std::hash<std::string>()(this->name) % phases)
+                             / static_cast<double>(phases);
+        this->timer.expires_after(
+                std::chrono::duration_cast<std::chrono::nanoseconds>(this->period * -share));
         this->scheduleEvent();
     }
 }
