Test admission, keys and upstreams in virtual time

Cause: slots, shares, deadlines and keys had no proof. Ruled out: refusing by the mean service time alone; half of the last admitted would come too late. Change: tests over a scripted home; deadlines weigh mean and deviation; a lag bound for ties.

--- a/include/flamingograde/config.h
+++ b/include/flamingograde/config.h
@@ -82,6 +82,8 @@
 inline constexpr auto serviceTimeFresh      = 5000ms; ///< A measured service time refuses nothing after this without a new measure.
 inline constexpr auto serviceTimeGuess      = 50ms;   ///< Service time of a row that was never measured, for the fair order.
 inline constexpr double serviceTimeGain     = 0.1;    ///< Weight of a new measure in the mean.
+inline constexpr double serviceTimeDeviations = 2.0;  ///< Deviations above the mean that an answer is given when its deadline is weighed.
+inline constexpr auto deadlineMargin        = 5ms;    ///< An answer expected later than this before its deadline is taken to be too late.
 inline constexpr auto loadFresh             = 2000ms; ///< A load told by another host is used for this long.
 inline constexpr std::size_t cellQueueMax   = 20000;  ///< Requests waiting in a cell, over all rows.
 
--- a/src/core/admissioncontroller.cpp
+++ b/src/core/admissioncontroller.cpp
@@ -30,7 +30,7 @@
     const auto timedOut = request.deadline <= board.now.mono;
     const auto served = request.answered && !request.shed && !request.failed;
     if (served || timedOut) {
-        row.serviceTime.sample(used, board.now.mono);
+        row.serviceTime.sample(std::min(used, request.deadline - request.since), board.now.mono);
     }
 }
 
@@ -63,14 +63,14 @@
 /// Refuses the newest request of `row` if it cannot be served in time.
 auto refuseIfLate(Blackboard &board, Cell &cell, RowQueue &row, Exchange &exchange) -> void
 {
-    const auto service = row.serviceTime.mean(board.now.mono);
+    const auto service = row.serviceTime.likely(board.now.mono);
     if (!service.has_value()) {
         return;
     }
     const auto offers = slotOffers(board, cell);
     const auto ahead = row.waiting.size() - 1;
     const auto needed = expectedWait(cell, row, ahead, offers, board.now.mono) + *service;
-    if (needed <= exchange.deadline - board.now.mono) {
+    if (needed + config::deadlineMargin < exchange.deadline - board.now.mono) {
         return;
     }
     refuse(board, exchange, RefusalReason::DeadlineUnmet, boundedPause(needed - row.deadline));
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -81,8 +81,8 @@
 auto canBeMet(const Blackboard &board, const Exchange &exchange, const RowQueue &row) -> bool
 {
     const auto remaining = exchange.deadline - board.now.mono;
-    const auto expected = row.serviceTime.mean(board.now.mono).value_or(Duration { 0 });
-    return remaining > Duration { 0 } && remaining >= expected;
+    const auto expected = row.serviceTime.likely(board.now.mono).value_or(Duration { 0 });
+    return remaining > expected + config::deadlineMargin;
 }
 
 auto dispatchOf(const Blackboard &board, const Exchange &exchange, const RowQueue &row,
--- a/src/core/upstreamchoice.cpp
+++ b/src/core/upstreamchoice.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-/// An upstream that was away catches up on no more than this many dispatches by slot.
-constexpr double servedLagMax = 4.0;
+/// An upstream that was away catches up on no more than this many dispatches of the smallest one.
+constexpr double servedLagMax = 2.0;
 
 auto isLess(const SlotOffer &a, const SlotOffer &b) -> bool
 {
@@ -97,13 +97,15 @@
 auto countServed(Cell &cell, const std::vector<SlotOffer> &offers, const SlotOffer &offer) -> void
 {
     auto least = std::numeric_limits<double>::max();
+    auto fewest = offer.slots;
     for (const auto &other : offers) {
         least = std::min(least, &other == &offer ? least : other.served);
+        fewest = std::min(fewest, std::max<std::uint32_t>(other.slots, 1));
     }
     const auto step = 1.0 / offer.slots;
     auto &served = cell.upstreams[offer.upstream->id].served;
     if (offers.size() > 1) {
-        served = std::max(served, least - servedLagMax * step);
+        served = std::max(served, least - servedLagMax / fewest);
     }
     served += step;
 }
--- a/src/core/waitestimate.cpp
+++ b/src/core/waitestimate.cpp
@@ -72,8 +72,8 @@
     const auto over = left.size() - slots; // Slots were taken back while requests ran.
     const auto count = static_cast<std::size_t>(work.count);
     const auto mean = work.count > 0 ? work.seconds / work.count : 0.0;
-    const auto rounds = static_cast<double>(count / slots);
-    return left[over + count % slots] + rounds * mean;
+    const auto round = count / slots;
+    return left[over + count % slots] + static_cast<double>(round) * mean;
 }
 
 } // namespace
--- /dev/null
+++ b/tests/unit/keytest.cpp
@@ -0,0 +1,269 @@
+/// Keys: each is run at most once, and what is said of it is true.
+#include "cellhome.h"
+
+#include <catch2/catch.hpp>
+
+using namespace flamingograde;
+
+namespace {
+
+/// A home with one row that is not idempotent and room for everything.
+struct KeyHome : CellHome
+{
+    Row row;
+
+    explicit KeyHome(Duration tenure = 1h)
+    {
+        auto &made = this->addRow("votes");
+        made.idempotent = false;
+        made.deadline = 30s;
+        this->row = made;
+        this->addUpstream("a", 20);
+        this->beginTenure(tenure);
+        this->publish();
+    }
+
+    auto knows(const std::string &text) const -> KeyState
+    {
+        return this->board.keys.stateOf(this->cell, text);
+    }
+
+    auto isUnknown(ExchangeId exchange) const -> bool
+    {
+        return this->isRefused(exchange, RefusalReason::KeyUnknown, Verdict::Unknown);
+    }
+
+    /// The former home answers the last question put to it.
+    auto tell(KeyState state, Duration tenureAge) -> void
+    {
+        const auto &question = std::get<KeyLookup>(this->messages.back().message);
+        const auto since = this->board.now.wall - tenureAge;
+        this->run(PeerMessage { this->former, KeyReport { question.sequence, state,
+                                                          since.time_since_epoch().count() } });
+    }
+};
+
+} // namespace
+
+TEST_CASE("a repeat waits for the running request and gets its answer")
+{
+    KeyHome home;
+    const auto key = home.keyBorn(10ms);
+    const auto first = home.arrive(home.row, key);
+    const auto repeat = home.arrive(home.row, key);
+    REQUIRE(home.isSent(first));
+    CHECK(home.sent.at(first).freshConnection);
+    CHECK(home.sent.at(first).keepAnswer);
+    CHECK(!home.isSent(repeat));
+    CHECK(home.knows(key) == KeyState::Running);
+    home.answer(first, "whole");
+    REQUIRE(home.replayed.count(repeat) == 1);
+    CHECK(*home.replayed.at(repeat) == "whole");
+    const auto later = home.arrive(home.row, key);
+    CHECK(*home.replayed.at(later) == "whole");
+    CHECK(home.order.size() == 1);
+    CHECK(home.board.exchanges.size() == 0);
+}
+
+TEST_CASE("a repeat of a key whose answer was not kept learns that it was run")
+{
+    KeyHome home;
+    const auto key = home.keyBorn(10ms);
+    const auto first = home.arrive(home.row, key);
+    const auto attached = home.arrive(home.row, key);
+    home.answer(first);
+    const auto later = home.arrive(home.row, key);
+    CHECK(home.isRefused(attached, RefusalReason::KeyUnknown, Verdict::Run));
+    CHECK(home.isRefused(later, RefusalReason::KeyUnknown, Verdict::Run));
+}
+
+TEST_CASE("a key is free again after its request was provably not run")
+{
+    KeyHome home;
+    const auto key = home.keyBorn(10ms);
+    const auto first = home.arrive(home.row, key);
+    const auto repeat = home.arrive(home.row, key);
+    home.board.retryBudget = RetryBudget();
+    while (home.board.retryBudget.spend()) {
+    }
+    if (GENERATE(true, false)) {
+        home.head(first, 503, true, 0s);
+    } else {
+        home.report(first, Progress::NotSent);
+    }
+    CHECK(home.refused.at(first).verdict == Verdict::NotRun);
+    REQUIRE(home.isSent(repeat)); // The repeat runs in its place.
+    home.answer(repeat, "whole");
+    CHECK(home.knows(key) == KeyState::Done);
+}
+
+TEST_CASE("a key whose request was lost or cut is never run again")
+{
+    KeyHome home;
+    const auto key = home.keyBorn(10ms);
+    const auto first = home.arrive(home.row, key);
+    const auto repeat = home.arrive(home.row, key);
+    SECTION("lost")
+    {
+        home.report(first, Progress::Lost);
+    }
+    SECTION("cut")
+    {
+        home.head(first, 200);
+        home.report(first, Progress::Cut);
+    }
+    SECTION("deadline passed")
+    {
+        home.pass(31s);
+        CHECK(home.isRefused(first, RefusalReason::DeadlineUnmet, Verdict::Unknown));
+        CHECK(home.refused.at(repeat).verdict == Verdict::Unknown);
+    }
+    CHECK(home.refused.at(repeat).verdict == Verdict::Unknown);
+    CHECK(home.isUnknown(home.arrive(home.row, key)));
+    CHECK(home.order.size() == 1);
+}
+
+TEST_CASE("a repeat takes the place of a first request that left its queue")
+{
+    KeyHome home;
+    home.upstreams[0].slots = 1;
+    home.publish();
+    const auto running = home.arrive(home.row, home.keyBorn(10ms));
+    const auto key = home.keyBorn(10ms);
+    const auto first = home.arrive(home.row, key);
+    const auto repeat = home.arrive(home.row, key);
+    CHECK(home.knows(key) == KeyState::Unseen);
+    home.run(CallerLeft { first });
+    home.answer(running);
+    CHECK(!home.isSent(first));
+    CHECK(home.isSent(repeat));
+}
+
+TEST_CASE("a caller's leaving does not cancel a running key")
+{
+    KeyHome home;
+    const auto key = home.keyBorn(10ms);
+    const auto first = home.arrive(home.row, key);
+    home.run(CallerLeft { first });
+    const auto repeat = home.arrive(home.row, key);
+    home.answer(first, "whole");
+    CHECK(home.replayed.count(repeat) == 1);
+}
+
+TEST_CASE("a new home runs what is provably fresh, and nothing else")
+{
+    KeyHome home(3s);
+    home.board.tenure.forgetFormer(home.former);
+    CHECK(home.isSent(home.arrive(home.row, home.keyBorn(1900ms))));
+    CHECK(home.isUnknown(home.arrive(home.row, home.keyBorn(2100ms))));
+    CHECK(home.isUnknown(home.arrive(home.row, "no-birth")));
+    const auto early = home.arrive(home.row, home.keyBorn(-2s));
+    CHECK(home.isRefused(early, RefusalReason::BadKey, Verdict::NotRun));
+    const auto id = home.add(home.row, home.keyBorn(2100ms));
+    home.board.exchanges.find(id)->ownKey = true;
+    home.board.toAdmit.push_back(id);
+    home.run(Tick {});
+    CHECK(home.isSent(id));
+}
+
+TEST_CASE("a key without a birth is run once every earlier run is past its lifetime")
+{
+    KeyHome home(config::keyLifetime + 2s);
+    const auto first = home.arrive(home.row, "no-birth");
+    REQUIRE(home.isSent(first));
+    home.answer(first, "whole");
+    CHECK(home.replayed.count(home.arrive(home.row, "no-birth")) == 1);
+}
+
+TEST_CASE("the former home's word decides on a key older than the tenure")
+{
+    KeyHome home(1s);
+    const auto key = home.keyBorn(5s);
+    const auto asked = home.arrive(home.row, key);
+    REQUIRE(home.messages.size() == 1);
+    CHECK(home.messages[0].host == home.former);
+    CHECK(!home.isSent(asked));
+    SECTION("never seen in a tenure that began before the key")
+    {
+        home.tell(KeyState::Unseen, 1h);
+        CHECK(home.isSent(asked));
+    }
+    SECTION("never seen, but the former home is too new itself")
+    {
+        home.tell(KeyState::Unseen, 5500ms);
+        CHECK(home.isUnknown(asked));
+    }
+    SECTION("run there")
+    {
+        home.tell(KeyState::Done, 1h);
+        CHECK(home.isRefused(asked, RefusalReason::KeyUnknown, Verdict::Run));
+        home.arrive(home.row, key);
+        CHECK(home.messages.size() == 1); // Remembered.
+    }
+    SECTION("running there")
+    {
+        home.tell(KeyState::Running, 1h);
+        CHECK(home.isRefused(asked, RefusalReason::KeyRunning, Verdict::Unknown));
+    }
+    SECTION("no word")
+    {
+        home.pass(config::keyLookupTimeout + 100ms);
+        CHECK(home.isUnknown(asked));
+    }
+    SECTION("the former home is lost")
+    {
+        home.run(PeerDown { home.former, PeerLoss::Closed });
+        CHECK(home.isUnknown(asked));
+    }
+}
+
+TEST_CASE("a host tells what it knows of a key only once it can no longer run it")
+{
+    KeyHome home;
+    const auto key = home.keyBorn(10ms);
+    home.arrive(home.row, key);
+    const auto ask = [&](const std::string &text) {
+        home.run(PeerMessage { home.former, KeyLookup { 7, home.cell, text } });
+        return std::get<KeyReport>(home.messages.back().message);
+    };
+    CHECK(ask(key).state == KeyState::Running);
+    CHECK(ask("other").state == KeyState::Unknown);
+    const auto since = *home.board.tenure.since(home.cell);
+    home.board.tenure.end(home.cell);
+    CHECK(ask("other").state == KeyState::Unseen);
+    CHECK(ask("other").tenureSinceUs == since.time_since_epoch().count());
+    home.run(PeerMessage { home.former, KeyLookup { 8, CellId(5), "other" } });
+    CHECK(std::get<KeyReport>(home.messages.back().message).state == KeyState::Unknown);
+}
+
+TEST_CASE("a forgotten key is not run again")
+{
+    KeyHome home;
+    const auto key = home.keyBorn(10ms);
+    home.answer(home.arrive(home.row, key), "whole");
+    home.pass(config::keyLifetime + 1s);
+    CHECK(home.board.keys.size() == 0);
+    home.board.tenure.forgetFormer(home.former);
+    CHECK(home.isUnknown(home.arrive(home.row, key)));
+    CHECK(home.isSent(home.arrive(home.row, home.keyBorn(10ms))));
+}
+
+TEST_CASE("the registry bounds its keys and its answers")
+{
+    KeyRegistry keys(3, 100);
+    const CellId cell(1);
+    Now now { MonoTime(1s), WallTime(1000s) };
+    for (std::uint64_t i = 1; i <= 10; ++i) {
+        const ExchangeId id(i);
+        now.wall += 1s;
+        keys.reserve({ cell, std::to_string(i) }, id);
+        keys.dispatched(id, 1, now);
+        keys.finish(id, KeyState::Done, std::make_shared<const std::string>(60, 'x'));
+        CHECK(keys.size() <= 3);
+        CHECK(keys.answerBytes() <= 100);
+    }
+    CHECK(keys.stateOf(cell, "10") == KeyState::Done);
+    CHECK(keys.stateOf(cell, "7") == KeyState::Unseen);
+    CHECK(keys.evictedUntil(cell) == WallTime(1007s));
+    CHECK(keys.forgottenUntil(cell) == WallTime(1007s));
+}
--- /dev/null
+++ b/tests/unit/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
