Hold slots of cancelled requests, keys of claimed cells, and a failing upstream

Cause: a cancelled request still ran when the next came to its slot; keys bounced while a cell was claimed; an upstream back from ejection cost five more requests. Ruled out: waiting for the upstream to confirm a cancellation; HTTP has no such word. Change: slots linger for cancelGrace, keys wait for the claim, one failure on trial ejects again, queues follow the table.

--- a/include/flamingograde/config.h
+++ b/include/flamingograde/config.h
@@ -70,6 +70,7 @@
 inline constexpr std::size_t keyBytesMax    = 128;    ///< Longest key.
 inline constexpr std::size_t storedAnswerMax = 65536; ///< Largest answer kept for a repeat of its request.
 inline constexpr std::size_t storedAnswersBytesMax = 16U << 20U; ///< All kept answers of a host.
+inline constexpr std::size_t keysParkedMax  = 1000;   ///< Requests with a key that wait for this host to become their home.
 inline constexpr auto keyLookupTimeout      = 500ms;  ///< Longest wait for a former home's word on a key.
 
 // Upstreams.
@@ -79,6 +80,7 @@
 inline constexpr auto ejectTime             = 5000ms; ///< First time out of rotation.
 inline constexpr double ejectShareMax       = 0.5;    ///< Largest share of a cell's upstreams ejected at once.
 
+inline constexpr auto cancelGrace           = 20ms;   ///< A slot stays taken this long after its request was cancelled or lost.
 inline constexpr auto ejectTimeMax          = 60s;    ///< Longest time out of rotation.
 inline constexpr auto serviceTimeFresh      = 5000ms; ///< A measured service time refuses nothing after this without a new measure.
 inline constexpr auto serviceTimeGuess      = 50ms;   ///< Service time of a row that was never measured, for the fair order.
--- a/src/core/admissioncontroller.cpp
+++ b/src/core/admissioncontroller.cpp
@@ -21,6 +21,12 @@
     return std::clamp<Duration>(pause, config::retryAfterMin, config::retryAfterMax);
 }
 
+/// Returns whether the upstream of an ended request is surely done with it.
+auto isOver(const RunningRequest &request) -> bool
+{
+    return request.answered || request.notSent || request.shed;
+}
+
 /// Corrects the charge of a request that ended, and learns from it how long its row takes.
 auto account(Blackboard &board, const RunningRequest &request) -> void
 {
@@ -68,6 +74,9 @@
         return;
     }
     const auto offers = slotOffers(board, cell);
+    if (offeredSlots(offers) == 0) {
+        return; // All are paused; nothing can be told.
+    }
     const auto ahead = row.waiting.size() - 1;
     const auto needed = expectedWait(cell, row, ahead, offers, board.now.mono) + *service;
     if (needed + config::deadlineMargin < exchange.deadline - board.now.mono) {
@@ -114,6 +123,10 @@
 auto AdmissionController::settle(Blackboard &board) -> void
 {
     this->settleEnded(board);
+    if (board.cells.revision != board.config.revision) {
+        board.cells.revision = board.config.revision;
+        board.cells.follow(board.table());
+    }
     for (const auto id : std::exchange(board.toQueue, {})) {
         auto *exchange = board.exchanges.find(id);
         if (exchange != nullptr) {
@@ -141,6 +154,9 @@
 {
     for (const auto &request : board.cells.takeEnded()) {
         account(board, request);
+        if (!isOver(request)) {
+            board.cells.linger(request, board.now.mono + config::cancelGrace);
+        }
     }
 }
 
@@ -181,6 +197,7 @@
 
 auto AdmissionController::settleCell(Blackboard &board, Cell &cell) -> void
 {
+    board.cells.freeLingering(cell, board.now.mono);
     cell.homed = board.tenure.since(cell.id).has_value();
     if (cell.homed) {
         cell.slots = offeredSlots(slotOffers(board, cell));
--- a/src/core/cell.h
+++ b/src/core/cell.h
@@ -4,10 +4,12 @@
 #include "core/rowqueue.h"
 #include "core/runningrequest.h"
 
+#include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <unordered_map>
 
@@ -16,10 +18,17 @@
 /// What one upstream carries on this host's word.
 struct UpstreamLoad
 {
-    std::uint32_t running = 0; ///< Slots taken.
+    std::uint32_t running = 0; ///< Slots taken, those that linger included.
     double served = 0;         ///< Dispatches by slot; the lowest goes first among equals.
 };
 
+/// A slot of a request that was given up here and that its upstream may not have dropped yet.
+struct LingeringSlot
+{
+    UpstreamId upstream;
+    MonoTime until;
+};
+
 /// The queues and slots of a cell.
 struct Cell
 {
@@ -31,6 +40,7 @@
     std::map<RowId, RowQueue> rows;
     std::unordered_map<ExchangeId, RunningRequest> running;
     std::unordered_map<UpstreamId, UpstreamLoad> upstreams;
+    std::deque<LingeringSlot> lingering; ///< Soonest first.
 };
 
 } // namespace flamingograde
--- a/src/core/cellstore.cpp
+++ b/src/core/cellstore.cpp
@@ -2,6 +2,7 @@
 #include "core/cellstore.h"
 
 #include <flamingograde/config.h>
+#include <flamingograde/table.h>
 
 #include <algorithm>
 #include <numeric>
@@ -17,6 +18,26 @@
              static_cast<std::uint32_t>(cell.waiting) };
 }
 
+auto copyRow(RowQueue &queue, const Row &row) -> void
+{
+    queue.row = row.id;
+    queue.name = row.name;
+    queue.weight = std::max<std::uint32_t>(row.weight, 1);
+    queue.urgency = row.urgency;
+    queue.concurrent = row.concurrent;
+    queue.capacity = row.queue;
+    queue.deadline = row.deadline;
+}
+
+/// Erases the entries of `map` for which `isGone` holds.
+template<typename Map, typename Predicate>
+auto eraseIf(Map &map, Predicate isGone) -> void
+{
+    for (auto entry = map.begin(); entry != map.end();) {
+        entry = isGone(*entry) ? map.erase(entry) : std::next(entry);
+    }
+}
+
 } // namespace
 
 auto CellStore::remove(ExchangeId exchange) -> void
@@ -121,13 +142,7 @@
 {
     auto &cell = this->cell(cellId);
     auto &queue = cell.rows[row.id];
-    queue.row = row.id;
-    queue.name = row.name;
-    queue.weight = std::max<std::uint32_t>(row.weight, 1);
-    queue.urgency = row.urgency;
-    queue.concurrent = row.concurrent;
-    queue.capacity = row.queue;
-    queue.deadline = row.deadline;
+    copyRow(queue, row);
     if (queue.waiting.empty()) {
         queue.startTag = std::max(queue.startTag, cell.virtualTime);
     }
@@ -163,6 +178,39 @@
     return found != this->places.end() && !found->second.running;
 }
 
+auto CellStore::linger(const RunningRequest &request, MonoTime until) -> void
+{
+    auto &cell = this->cell(request.cell);
+    ++cell.upstreams[request.upstream].running;
+    cell.lingering.push_back({ request.upstream, until });
+}
+
+auto CellStore::freeLingering(Cell &cell, MonoTime now) -> void
+{
+    while (!cell.lingering.empty() && cell.lingering.front().until <= now) {
+        --cell.upstreams[cell.lingering.front().upstream].running;
+        cell.lingering.pop_front();
+    }
+}
+
+auto CellStore::follow(const Table &table) -> void
+{
+    for (auto &[id, cell] : this->cells) {
+        for (auto &[rowId, queue] : cell.rows) {
+            if (const auto *row = table.row(rowId)) {
+                copyRow(queue, *row);
+            }
+        }
+        eraseIf(cell.rows, [&](const auto &entry) {
+            const auto &queue = entry.second;
+            return queue.waiting.empty() && queue.running == 0 && table.row(entry.first) == nullptr;
+        });
+        eraseIf(cell.upstreams, [&](const auto &entry) {
+            return entry.second.running == 0 && table.upstream(entry.first) == nullptr;
+        });
+    }
+}
+
 auto CellStore::takeEnded() -> std::vector<RunningRequest>
 {
     return std::exchange(this->ended, {});
--- a/src/core/cellstore.h
+++ b/src/core/cellstore.h
@@ -7,6 +7,7 @@
 #include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
 #include <flamingograde/message.h>
+#include <flamingograde/revision.h>
 #include <flamingograde/row.h>
 
 #include <cstddef>
@@ -18,6 +19,8 @@
 
 namespace flamingograde {
 
+class Table;
+
 /// Queues, running counts and loads by cell.
 /// @remarks Written by the admission controller, but for `noteRemoteLoad` and `remove`. Not thread
 /// safe.
@@ -60,9 +63,17 @@
     [[nodiscard]] auto findRunning(ExchangeId exchange) -> RunningRequest *;
     /// Returns whether `exchange` waits in a queue here.
     [[nodiscard]] auto isWaiting(ExchangeId exchange) const -> bool;
+    /// Keeps the slot of an ended request taken until `until`. Precondition: `until` does not fall.
+    auto linger(const RunningRequest &request, MonoTime until) -> void;
+    /// Frees the slots that lingered until `now`.
+    auto freeLingering(Cell &cell, MonoTime now) -> void;
+    /// Follows the rows of `table` and drops what it no longer names and nothing uses.
+    auto follow(const Table &table) -> void;
     /// Returns the running requests that `remove` took away, and forgets the list.
     [[nodiscard]] auto takeEnded() -> std::vector<RunningRequest>;
 
+    Revision revision; ///< Of the table last followed.
+
 private:
     /// Where an exchange is.
     struct Place
--- a/src/core/keycontroller.cpp
+++ b/src/core/keycontroller.cpp
@@ -78,6 +78,20 @@
     return mayRunIt || !wasHome ? KeyState::Unknown : KeyState::Unseen;
 }
 
+/// Has a request wait while this host claims its cell; gives it back otherwise.
+auto parkOrGiveBack(Blackboard &board, Exchange &exchange) -> void
+{
+    if (!board.tenure.isClaiming(exchange.cell)) {
+        giveBack(board, exchange);
+        return;
+    }
+    if (board.keys.parkedCount() >= config::keysParkedMax) {
+        refuse(board, exchange, RefusalReason::NoHome, config::retryAfterMin);
+        return;
+    }
+    board.keys.park(exchange.id);
+}
+
 /// Takes a former home's failure to answer.
 auto onNoWord(Blackboard &board, const PendingLookup &lookup) -> void
 {
@@ -133,10 +147,11 @@
             finishKey(board, id, KeyState::Unknown, nullptr);
         }
     }
-    auto list = std::exchange(board.toAdmit, {});
-    for (const auto id : board.keys.takeReleased()) {
-        list.push_back(id);
-    }
+    auto list = board.keys.takeParked();
+    const auto released = board.keys.takeReleased();
+    list.insert(list.end(), released.begin(), released.end());
+    const auto arrived = std::exchange(board.toAdmit, {});
+    list.insert(list.end(), arrived.begin(), arrived.end());
     for (const auto id : list) {
         auto *exchange = board.exchanges.find(id);
         if (exchange != nullptr) {
@@ -266,7 +281,7 @@
 {
     const auto since = board.tenure.since(exchange.cell);
     if (!since.has_value()) {
-        giveBack(board, exchange);
+        parkOrGiveBack(board, exchange);
         return;
     }
     board.keys.noteTenure(exchange.cell, *since);
--- a/src/core/keyregistry.cpp
+++ b/src/core/keyregistry.cpp
@@ -149,6 +149,11 @@
     return std::exchange(this->released, {});
 }
 
+auto KeyRegistry::takeParked() -> std::vector<ExchangeId>
+{
+    return std::exchange(this->parked, {});
+}
+
 auto KeyRegistry::expire(MonoTime now) -> void
 {
     while (!this->aged.empty() && this->aged.front().expires <= now) {
--- a/src/core/keyregistry.h
+++ b/src/core/keyregistry.h
@@ -72,6 +72,13 @@
     /// Returns the repeats whose first request was not run, and forgets the list.
     [[nodiscard]] auto takeReleased() -> std::vector<ExchangeId>;
 
+    /// Sets `exchange` aside until it is known whether this host becomes home of its cell.
+    auto park(ExchangeId exchange) -> void { this->parked.push_back(exchange); }
+    /// Returns the exchanges set aside, some of which may be gone, and forgets the list.
+    [[nodiscard]] auto takeParked() -> std::vector<ExchangeId>;
+    /// Returns how many are set aside.
+    [[nodiscard]] auto parkedCount() const -> std::size_t { return this->parked.size(); }
+
     /// Forgets what is past its lifetime.
     auto expire(MonoTime now) -> void;
     /// Returns the wall time after which every dispatch of `cell` is still remembered; the epoch
@@ -118,6 +125,7 @@
     std::size_t keptBytes = 0;
     std::vector<ExchangeId> orphans;
     std::vector<ExchangeId> released;
+    std::vector<ExchangeId> parked;
     std::unordered_map<CellId, WallTime> forgotten;
     std::unordered_map<CellId, WallTime> evicted;
     std::unordered_map<CellId, WallTime> tenures;
--- a/src/core/runningrequest.h
+++ b/src/core/runningrequest.h
@@ -20,6 +20,7 @@
     MonoTime deadline;      ///< When it is given up.
     Duration charged { 0 }; ///< Slot time already charged to its row.
     bool answered = false;  ///< The whole answer came.
+    bool notSent = false;   ///< No byte of it left.
     bool failed = false;    ///< Its upstream was already blamed for it.
     bool shed = false;      ///< Its upstream sent it back unrun.
 };
--- a/src/core/upstreamchoice.cpp
+++ b/src/core/upstreamchoice.cpp
@@ -16,6 +16,9 @@
 
 auto isLess(const SlotOffer &a, const SlotOffer &b) -> bool
 {
+    if (a.lastResort != b.lastResort) {
+        return b.lastResort;
+    }
     const auto left = std::uint64_t { a.running } * b.slots;
     const auto right = std::uint64_t { b.running } * a.slots;
     return left != right ? left < right : a.served < b.served;
@@ -66,6 +69,7 @@
         SlotOffer offer;
         offer.upstream = &upstream;
         offer.slots = board.upstreams.effectiveSlots(upstream, board.now.mono);
+        offer.lastResort = board.upstreams.isLastResort(upstream.id);
         const auto load = cell.upstreams.find(upstream.id);
         if (load != cell.upstreams.end()) {
             offer.running = load->second.running;
--- a/src/core/upstreamchoice.h
+++ b/src/core/upstreamchoice.h
@@ -19,6 +19,7 @@
     std::uint32_t slots = 0;            ///< It may run this many at once.
     std::uint32_t running = 0;          ///< It runs this many.
     double served = 0;                  ///< As `UpstreamLoad::served`.
+    bool lastResort = false; ///< Traffic failed there lately and probes still speak against it.
 
     [[nodiscard]] auto isFree() const -> bool { return this->running < this->slots; }
 };
--- a/src/core/upstreamcontroller.cpp
+++ b/src/core/upstreamcontroller.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr auto serverError = 500;
-constexpr auto failuresToRecover = 2.0; ///< Divides the slot limit of an upstream that sheds.
+constexpr auto shedDivisor = 2.0; ///< Divides the slot limit of an upstream that sheds.
 
 /// Returns how many upstreams of a cell are ejected, and how many there are.
 auto ejectedShareIfOneMore(const Blackboard &board, CellId cell) -> double
@@ -55,7 +55,9 @@
     }
     auto &health = board.upstreams.health(id);
     ++health.failures;
-    if (health.failures < config::ejectFailures || health.ejected) {
+    const auto onTrial = health.ejections > 0 && health.rampSince.has_value();
+    const auto enough = onTrial ? std::size_t { 1 } : config::ejectFailures;
+    if (health.failures < enough || health.ejected) {
         return;
     }
     if (ejectedShareIfOneMore(board, upstream->cell()) <= config::ejectShareMax) {
@@ -91,7 +93,7 @@
     }
     auto &health = board.upstreams.health(id);
     const auto limit = health.slotLimit.value_or(upstream->slots);
-    health.slotLimit = std::max(limit / failuresToRecover, 1.0);
+    health.slotLimit = std::max(limit / shedDivisor, 1.0);
     health.pausedUntil = board.now.mono + std::min<Duration>(retryAfter, config::retryAfterMax);
     board.log(LogEvent::UpstreamShed, upstream->name);
 }
@@ -128,6 +130,7 @@
     case Progress::NotSent:
     case Progress::Lost:
     case Progress::Cut:
+        request.notSent = event.progress == Progress::NotSent;
         if (!request.failed) {
             request.failed = true;
             noteFailure(board, request.upstream);
--- a/src/core/upstreamstore.cpp
+++ b/src/core/upstreamstore.cpp
@@ -42,6 +42,12 @@
     return health == nullptr || !health->ejected || health->ejectedUntil <= now;
 }
 
+auto UpstreamStore::isLastResort(UpstreamId upstream) const -> bool
+{
+    const auto *health = this->find(upstream);
+    return health != nullptr && health->ejections > 0 && isDoubted(*health);
+}
+
 auto UpstreamStore::effectiveSlots(const Upstream &upstream, MonoTime now) const -> std::uint32_t
 {
     const auto *health = this->find(upstream.id);
--- a/src/core/upstreamstore.h
+++ b/src/core/upstreamstore.h
@@ -27,6 +27,9 @@
     [[nodiscard]] auto effectiveSlots(const Upstream &upstream, MonoTime now) const
             -> std::uint32_t;
 
+    /// Returns whether traffic failed at `upstream` lately and its probes still speak against it.
+    [[nodiscard]] auto isLastResort(UpstreamId upstream) const -> bool;
+
     /// Returns what is known of `upstream`, made where nothing was.
     auto health(UpstreamId upstream) -> UpstreamHealth & { return this->byId[upstream]; }
     [[nodiscard]] auto find(UpstreamId upstream) const -> const UpstreamHealth *;
--- a/tests/unit/keytest.cpp
+++ b/tests/unit/keytest.cpp
@@ -166,6 +166,29 @@
     CHECK(home.isSent(id));
 }
 
+TEST_CASE("a key waits while its home claims the cell")
+{
+    KeyHome home;
+    home.board.tenure.end(home.cell);
+    home.board.tenure.setClaiming(home.cell, true);
+    const auto first = home.arrive(home.row, home.keyBorn(10ms));
+    const auto second = home.arrive(home.row, home.keyBorn(-500ms));
+    home.pass(500ms);
+    CHECK(home.order.empty());
+    SECTION("tenure begins")
+    {
+        home.beginTenure(0s);
+        home.run(Tick {});
+        CHECK(home.messages.size() == 2); // Neither is provably newer than the tenure.
+    }
+    SECTION("another host becomes home")
+    {
+        home.board.tenure.setClaiming(home.cell, false);
+        home.run(Tick {});
+        CHECK(home.placed == std::vector<ExchangeId> { first, second });
+    }
+}
+
 TEST_CASE("a key without a birth is run once every earlier run is past its lifetime")
 {
     KeyHome home(config::keyLifetime + 2s);
--- a/tests/unit/upstreamtest.cpp
+++ b/tests/unit/upstreamtest.cpp
@@ -73,6 +73,22 @@
     CHECK(home.slotsOf(0) == 4);
 }
 
+TEST_CASE("an upstream that fails again on its return is ejected at once, for longer")
+{
+    UpstreamHome home(4);
+    home.breakFirst(1, Progress::Lost);
+    home.load(100);
+    REQUIRE(home.slotsOf(0) == 0);
+    home.pass(config::ejectTime);
+    const auto before = home.dispatched[home.ids[0]];
+    home.load(200);
+    CHECK(home.dispatched[home.ids[0]] == before + 1);
+    home.pass(config::ejectTime);
+    CHECK(home.slotsOf(0) == 0);
+    home.pass(config::ejectTime);
+    CHECK(home.slotsOf(0) == 1);
+}
+
 TEST_CASE("never more than half of a cell is ejected")
 {
     UpstreamHome home(4);
