Prove one home a cell under joins, leaves, kills, pauses and cuts

Cause: seeded faults found two homes: after isolation old evidence of deaths was believed, and a leaving host was taken for gone. Ruled out: easing the check; the one case left out (a refusing cut between the last two hosts of a zone that is cut off) is named at FailureDetector. Change: evidence of a host that was cut off does not count, a death told by others needs own silence, a false death told by a host of another zone ends no tenure while the zone answers.

--- a/src/core/failuredetector.cpp
+++ b/src/core/failuredetector.cpp
@@ -61,7 +61,8 @@
 /// Returns whether anything beside this host's own failure speaks for the death of a silent host.
 auto isDeathCredible(const Blackboard &board, const MemberRecord &record) -> bool
 {
-    if (record.confirmed) {
+    const auto sinceIsolated = board.now.mono - board.membership.isolatedAt;
+    if (record.confirmed && sinceIsolated >= config::refusedTimeout) {
         return true;
     }
     const auto refused = record.refusals >= refusalsOfDead;
@@ -89,6 +90,9 @@
 auto FailureDetector::tick(Blackboard &board, const Dialer &dialer) -> void
 {
     this->expireProbes(board);
+    if (board.membership.isIsolated(board.now.mono)) {
+        this->noteIsolation(board);
+    }
     if (board.now.mono >= this->nextProbe) {
         this->nextProbe = board.now.mono + config::probePeriod;
         this->probeNext(board, dialer);
@@ -114,6 +118,9 @@
     const auto probe = found->second;
     this->probes.erase(found);
     board.membership.contactAt = std::max(board.membership.contactAt, probe.sentAt);
+    if (auto *record = board.membership.record(probe.target)) {
+        record->acked = std::max(record->acked, probe.sentAt);
+    }
     if (probe.requester && !probe.expired) {
         sendPeer(board, probe.requester->host,
                  PingReport { probe.requester->sequence, probe.target, true });
@@ -176,6 +183,14 @@
     }
 }
 
+auto FailureDetector::noteIsolation(Blackboard &board) -> void
+{
+    board.membership.isolatedAt = board.now.mono;
+    for (auto &[id, record] : board.membership.records()) {
+        record.confirmed = false;
+    }
+}
+
 auto FailureDetector::probeNext(Blackboard &board, const Dialer &dialer) -> void
 {
     const auto isProbed = [&](const MemberRecord &record) {
--- a/src/core/membermerge.cpp
+++ b/src/core/membermerge.cpp
@@ -63,7 +63,8 @@
 auto mayBeDead(const Blackboard &board, const MemberRecord &record) -> bool
 {
     const auto now = board.now.mono;
-    if (now - record.heard < config::refusedTimeout) {
+    const auto since = std::max(record.heard, board.membership.isolatedAt);
+    if (now - since < config::refusedTimeout) {
         return false;
     }
     if (record.member.zone != board.init.self.zone) {
@@ -72,6 +73,18 @@
     return record.unanswered && now - record.unansweredSince >= config::refusedTimeout;
 }
 
+/// Returns whether every known host of the zone answered this host lately, so that none of them
+/// can hold it to be dead.
+auto isHeardInZone(const Blackboard &board) -> bool
+{
+    const auto &records = board.membership.records();
+    return std::all_of(records.begin(), records.end(), [&](const auto &entry) {
+        const auto &record = entry.second;
+        return entry.first == board.membership.self || record.member.zone != board.init.self.zone
+               || board.now.mono - record.acked < config::pauseThreshold;
+    });
+}
+
 /// Answers what others say of this host.
 auto refute(Blackboard &board, MemberRecord &self, const Member &update) -> void
 {
@@ -80,7 +93,7 @@
         || (update.incarnation == own && update.state <= self.member.state)) {
         return;
     }
-    if (update.state == MemberState::Dead) {
+    if (update.state == MemberState::Dead && !isHeardInZone(board)) {
         ++board.membership.deaths;
     }
     board.log(LogEvent::MemberRefuted, "incarnation " + std::to_string(update.incarnation));
--- a/src/core/memberrecord.h
+++ b/src/core/memberrecord.h
@@ -15,6 +15,7 @@
     Member member;
     MonoTime changed;           ///< When its state or incarnation last changed.
     MonoTime heard;             ///< When it last sent anything; when it was added, before that.
+    MonoTime acked;             ///< When the newest probe that it answered was sent.
     MonoTime vouched;           ///< When another host last said that it reaches it.
     MonoTime unansweredSince;   ///< Since when it does not answer this host, if `unanswered`.
     MonoTime nextDial;          ///< Not dialled before this.
@@ -25,7 +26,7 @@
     std::uint32_t tellings = 0; ///< How often its last change is still to be gossiped.
     bool everHeard = false;
     bool connected = false;
-    bool listed = false;     ///< In the platform's last host list, and not as leaving.
+    bool listed = false;     ///< In the platform's last host list.
     bool everListed = false; ///< In any host list of the platform.
     bool leaving = false;    ///< Announced a stop; holds until a new life of it is heard of.
     bool unanswered = false; ///< A probe or dial of this host failed.
--- a/src/core/membershipcontroller.cpp
+++ b/src/core/membershipcontroller.cpp
@@ -21,7 +21,7 @@
 {
     auto &record = addMember(board, listed);
     record.everListed = true;
-    record.listed = listed.state == MemberState::Alive;
+    record.listed = true;
     if (record.member.id == board.membership.self) {
         return;
     }
@@ -30,7 +30,8 @@
         record.member.peer = listed.peer;
         record.member.relay = listed.relay;
     }
-    if (unproven && !record.listed && record.member.state == MemberState::Alive) {
+    if (unproven && listed.state == MemberState::Leaving
+        && record.member.state == MemberState::Alive) {
         changeMember(board, record, MemberState::Leaving);
     }
 }
--- a/src/core/membershipstate.h
+++ b/src/core/membershipstate.h
@@ -69,11 +69,12 @@
     /// Makes the look-ups anew where they are out of date.
     auto refresh() -> void;
 
-    HostId self;              ///< This host; invalid before the first event.
-    MonoTime contactAt;       ///< When the newest question that another host answered was sent.
-    MonoTime pausedAt;        ///< When this process last woke from a pause.
+    HostId self;         ///< This host; invalid before the first event.
+    MonoTime contactAt;  ///< When the newest question that another host answered was sent.
+    MonoTime isolatedAt; ///< When this host was last cut off: it can tell nothing of others then.
+    MonoTime pausedAt;   ///< When this process last woke from a pause.
     std::uint64_t pauses = 0; ///< Pauses of this process.
-    std::uint64_t deaths = 0; ///< How often this host heard that it was held to be dead.
+    std::uint64_t deaths = 0; ///< How often hosts of the zone may have held this host to be dead.
     bool listedSelf = false;  ///< The platform's last host list had this host.
     bool listRead = false;    ///< The platform's host list was read since the start.
     MonoTime listedAt;        ///< When it was last read.
--- /dev/null
+++ b/tests/unit/tenuretest.cpp
@@ -0,0 +1,223 @@
+/// One home a cell, whatever happens to the hosts and links.
+#include "peerfleet.h"
+
+#include <catch2/catch.hpp>
+
+namespace flamingograde {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Starts hosts `a1`, `a2`, `b1`, ... and waits until every cell has a home.
+auto startFleet(PeerFleet &fleet, int hostsPerZone) -> void
+{
+    fleet.publish(1, "first");
+    for (const auto &zone : fleet.zones) {
+        for (int i = 1; i <= hostsPerZone; ++i) {
+            fleet.add(zone + std::to_string(i), zone);
+        }
+    }
+    const auto took = fleet.runUntil([&] { return fleet.isHomed(); }, 6s);
+    REQUIRE(took);
+    INFO("homed after " << took->count() << " us");
+    fleet.run(1s);
+    REQUIRE(fleet.isHomed());
+}
+
+auto others(const PeerFleet &fleet, const std::string &zone) -> std::set<std::string>
+{
+    std::set<std::string> result;
+    for (const auto &name : fleet.names()) {
+        if (name.substr(0, 1) != zone) {
+            result.insert(name);
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("a fleet finds its homes at the start", "[fleet]")
+{
+    PeerFleet fleet(1);
+    startFleet(fleet, 3);
+    CHECK(fleet.faults.empty());
+    CHECK(fleet.board("a1").membership.aliveCount() == 9);
+}
+
+TEST_CASE("a killed home is replaced", "[fleet]")
+{
+    PeerFleet fleet(2);
+    startFleet(fleet, 2);
+    const auto home = fleet.homes("a").front();
+    fleet.kill(home);
+    const auto took = fleet.runUntil([&] { return fleet.homes("a").size() == 1; }, 5s);
+    REQUIRE(took);
+    CHECK(*took <= 2s);
+    fleet.start(home);
+    REQUIRE(fleet.runUntil([&] { return fleet.homes("a") == std::vector { home }; }, 5s));
+    fleet.run(5s);
+    CHECK(fleet.isHomed());
+    CHECK(fleet.faults.empty());
+}
+
+TEST_CASE("a frozen home is replaced and does not act when it wakes", "[fleet]")
+{
+    PeerFleet fleet(3);
+    startFleet(fleet, 2);
+    const auto home = fleet.homes("b").front();
+    fleet.freeze(home);
+    const auto took = fleet.runUntil([&] { return fleet.homes("b").size() == 1; }, 8s);
+    REQUIRE(took);
+    CHECK(*took <= 4s);
+    fleet.run(1s);
+    fleet.wake(home);
+    REQUIRE(fleet.runUntil([&] { return fleet.homes("b") == std::vector { home }; }, 6s));
+    CHECK(fleet.faults.empty());
+}
+
+TEST_CASE("a cut-off zone goes on as home of its own cells", "[fleet]")
+{
+    const auto kind = GENERATE(LinkFault::Silent, LinkFault::Refuse);
+    PeerFleet fleet(4);
+    startFleet(fleet, 2);
+    fleet.platformDown = { "a1", "a2" };
+    fleet.fault({ "a1", "a2" }, others(fleet, "a"), kind);
+    for (int i = 0; i < 100; ++i) {
+        fleet.run(100ms);
+        REQUIRE(fleet.isHomed());
+    }
+    CHECK(fleet.stateAt("a1", "b1") == MemberState::Dead);
+    CHECK(fleet.stateAt("b1", "a1") == MemberState::Dead);
+    const auto home = fleet.homes("a").front();
+    fleet.kill(home);
+    CHECK(fleet.runUntil([&] { return fleet.homes("a").size() == 1; }, 3s));
+    fleet.heal();
+    fleet.platformDown.clear();
+    fleet.start(home);
+    fleet.run(6s);
+    CHECK(fleet.isHomed());
+    CHECK(fleet.stateAt("b1", "a1") == MemberState::Alive);
+    CHECK(fleet.faults.empty());
+}
+
+TEST_CASE("an isolated host gives up its cells before others take them", "[fleet]")
+{
+    const auto kind = GENERATE(LinkFault::Silent, LinkFault::Refuse);
+    const auto seed = GENERATE(range<std::uint64_t>(10, 20));
+    PeerFleet fleet(seed);
+    startFleet(fleet, 2);
+    const auto home = fleet.homes("c").front();
+    const auto names = fleet.names();
+    fleet.fault({ home }, { names.begin(), names.end() }, kind);
+    REQUIRE(fleet.runUntil([&] { return fleet.homes("c").empty(); }, 2s));
+    REQUIRE(fleet.runUntil([&] { return fleet.homes("c").size() == 1; }, 4s));
+    fleet.heal();
+    REQUIRE(fleet.runUntil([&] { return fleet.homes("c") == std::vector { home }; }, 6s));
+    CHECK(fleet.faults.empty());
+}
+
+TEST_CASE("a broken link between two hosts of a zone changes nothing", "[fleet]")
+{
+    const auto kind = GENERATE(LinkFault::Silent, LinkFault::Refuse);
+    PeerFleet fleet(5);
+    startFleet(fleet, 2);
+    const auto home = fleet.homes("a");
+    fleet.fault({ "a1" }, { "a2" }, kind);
+    fleet.run(20s);
+    CHECK(fleet.homes("a") == home);
+    CHECK(fleet.stateAt("a1", "a2") != MemberState::Dead);
+    CHECK(fleet.stateAt("b1", "a2") != MemberState::Dead);
+    CHECK(fleet.faults.empty());
+}
+
+TEST_CASE("a leaving host hands its cells over and is forgotten", "[fleet]")
+{
+    PeerFleet fleet(6);
+    startFleet(fleet, 2);
+    const auto home = fleet.homes("a").front();
+    fleet.leave(home);
+    REQUIRE(fleet.runUntil([&] { return fleet.homes("a") != std::vector { home }; }, 500ms));
+    CHECK(fleet.runUntil([&] { return fleet.homes("a").size() == 1; }, 500ms));
+    fleet.kill(home);
+    fleet.run(5s);
+    CHECK(fleet.isHomed());
+    CHECK(fleet.faults.empty());
+}
+
+TEST_CASE("no two hosts are home of a cell under random faults", "[fleet]")
+{
+    const auto seed = GENERATE(range<std::uint64_t>(100, 160));
+    PeerFleet fleet(seed);
+    startFleet(fleet, 2 + static_cast<int>(seed % 2));
+    std::mt19937_64 random(seed);
+    const auto names = fleet.names();
+    std::set<std::string> killed;
+    std::set<std::string> frozen;
+    auto zoneCut = false; // Then only silent cuts in the zone: see FailureDetector.
+    for (int step = 0; step < 60; ++step) {
+        const auto &name = names[random() % names.size()];
+        const auto kind = random() % 2 == 0 || zoneCut ? LinkFault::Silent : LinkFault::Refuse;
+        switch (random() % 8) {
+        case 0:
+            if (frozen.count(name) == 0 && killed.insert(name).second) {
+                fleet.kill(name);
+            }
+            break;
+        case 1:
+            if (killed.count(name) == 0 && frozen.insert(name).second) {
+                fleet.freeze(name);
+            }
+            break;
+        case 2: {
+            zoneCut = true;
+            const auto zone = name.substr(0, 1);
+            const auto outside = others(fleet, zone);
+            for (const auto &inside : names) {
+                if (outside.count(inside) == 0) {
+                    fleet.fault({ inside }, outside, kind);
+                }
+            }
+            break;
+        }
+        case 3:
+            fleet.fault({ name }, { names.begin(), names.end() }, kind);
+            break;
+        case 4:
+            fleet.fault({ name }, { names[random() % names.size()] }, kind);
+            break;
+        case 5:
+            if (killed.count(name) == 0 && frozen.count(name) == 0) {
+                fleet.leave(name);
+            }
+            break;
+        default:
+            zoneCut = false;
+            fleet.heal();
+            for (const auto &down : std::exchange(killed, {})) {
+                fleet.start(down);
+            }
+            for (const auto &still : std::exchange(frozen, {})) {
+                fleet.wake(still);
+            }
+        }
+        fleet.run(std::chrono::milliseconds(random() % 3000));
+        INFO("seed " << seed << " step " << step
+                     << (fleet.faults.empty() ? "" : fleet.faults.front()));
+        REQUIRE(fleet.faults.empty());
+    }
+    fleet.heal();
+    for (const auto &name : names) {
+        if (frozen.count(name) != 0) {
+            fleet.wake(name);
+        }
+        fleet.kill(name);
+        fleet.start(name);
+    }
+    fleet.run(15s);
+    CHECK(fleet.isHomed());
+    CHECK(fleet.faults.empty());
+}
+
+} // namespace flamingograde
