--- a/include/flamingograde/config.h
+++ b/include/flamingograde/config.h
@@ -37,7 +37,7 @@
 inline constexpr auto platformRetryMax      = 2000ms; ///< Longest pause after failed reads of the platform.
 inline constexpr std::size_t tableBytesMax  = 1000000;///< Largest table text; the platform holds values up to a megabyte.
 inline constexpr std::size_t syntaxFindingsMax = 100; ///< Syntax errors told of one table text.
-inline constexpr std::size_t syntaxBytesMax = 4000000;///< Most bytes read again to find further syntax errors.
+inline constexpr std::size_t findingsMax    = 10000;  ///< Findings told of one table text.
 inline constexpr std::size_t nameBytesMax   = 64;     ///< Longest name in the table.
 inline constexpr std::uint32_t weightMax    = 1000;   ///< Largest weight of a row.
 inline constexpr std::uint32_t urgencyMax   = 9;      ///< Largest urgency of a row.
@@ -70,6 +70,7 @@
 inline constexpr std::size_t keyBytesMax    = 128;    ///< Longest key.
 inline constexpr std::size_t storedAnswerMax = 65536; ///< Largest answer kept for a repeat of its request.
 inline constexpr std::size_t storedAnswersBytesMax = 16U << 20U; ///< All kept answers of a host.
+inline constexpr std::size_t keysParkedMax  = 1000;   ///< Requests with a key that wait for this host to become their home.
 inline constexpr auto keyLookupTimeout      = 500ms;  ///< Longest wait for a former home's word on a key.
 
 // Upstreams.
@@ -79,10 +80,13 @@
 inline constexpr auto ejectTime             = 5000ms; ///< First time out of rotation.
 inline constexpr double ejectShareMax       = 0.5;    ///< Largest share of a cell's upstreams ejected at once.
 
+inline constexpr auto cancelGrace           = 20ms;   ///< A slot stays taken this long after its request was cancelled or lost.
 inline constexpr auto ejectTimeMax          = 60s;    ///< Longest time out of rotation.
 inline constexpr auto serviceTimeFresh      = 5000ms; ///< A measured service time refuses nothing after this without a new measure.
 inline constexpr auto serviceTimeGuess      = 50ms;   ///< Service time of a row that was never measured, for the fair order.
 inline constexpr double serviceTimeGain     = 0.1;    ///< Weight of a new measure in the mean.
+inline constexpr double serviceTimeDeviations = 2.0;  ///< Deviations above the mean that an answer is given when its deadline is weighed.
+inline constexpr auto deadlineMargin        = 5ms;    ///< An answer expected later than this before its deadline is taken to be too late.
 inline constexpr auto loadFresh             = 2000ms; ///< A load told by another host is used for this long.
 inline constexpr std::size_t cellQueueMax   = 20000;  ///< Requests waiting in a cell, over all rows.
 
--- a/src/core/admissioncontroller.cpp
+++ b/src/core/admissioncontroller.cpp
@@ -21,6 +21,12 @@
     return std::clamp<Duration>(pause, config::retryAfterMin, config::retryAfterMax);
 }
 
+/// Returns whether the upstream of an ended request is surely done with it.
+auto isOver(const RunningRequest &request) -> bool
+{
+    return request.answered || request.notSent || request.shed;
+}
+
 /// Corrects the charge of a request that ended, and learns from it how long its row takes.
 auto account(Blackboard &board, const RunningRequest &request) -> void
 {
@@ -30,7 +36,7 @@
     const auto timedOut = request.deadline <= board.now.mono;
     const auto served = request.answered && !request.shed && !request.failed;
     if (served || timedOut) {
-        row.serviceTime.sample(used, board.now.mono);
+        row.serviceTime.sample(std::min(used, request.deadline - request.since), board.now.mono);
     }
 }
 
@@ -63,14 +69,17 @@
 /// Refuses the newest request of `row` if it cannot be served in time.
 auto refuseIfLate(Blackboard &board, Cell &cell, RowQueue &row, Exchange &exchange) -> void
 {
-    const auto service = row.serviceTime.mean(board.now.mono);
+    const auto service = row.serviceTime.likely(board.now.mono);
     if (!service.has_value()) {
         return;
     }
     const auto offers = slotOffers(board, cell);
+    if (offeredSlots(offers) == 0) {
+        return; // All are paused; nothing can be told.
+    }
     const auto ahead = row.waiting.size() - 1;
     const auto needed = expectedWait(cell, row, ahead, offers, board.now.mono) + *service;
-    if (needed <= exchange.deadline - board.now.mono) {
+    if (needed + config::deadlineMargin < exchange.deadline - board.now.mono) {
         return;
     }
     refuse(board, exchange, RefusalReason::DeadlineUnmet, boundedPause(needed - row.deadline));
@@ -114,6 +123,10 @@
 auto AdmissionController::settle(Blackboard &board) -> void
 {
     this->settleEnded(board);
+    if (board.cells.revision != board.config.revision) {
+        board.cells.revision = board.config.revision;
+        board.cells.follow(board.table());
+    }
     for (const auto id : std::exchange(board.toQueue, {})) {
         auto *exchange = board.exchanges.find(id);
         if (exchange != nullptr) {
@@ -141,6 +154,9 @@
 {
     for (const auto &request : board.cells.takeEnded()) {
         account(board, request);
+        if (!isOver(request)) {
+            board.cells.linger(request, board.now.mono + config::cancelGrace);
+        }
     }
 }
 
@@ -181,6 +197,7 @@
 
 auto AdmissionController::settleCell(Blackboard &board, Cell &cell) -> void
 {
+    board.cells.freeLingering(cell, board.now.mono);
     cell.homed = board.tenure.since(cell.id).has_value();
     if (cell.homed) {
         cell.slots = offeredSlots(slotOffers(board, cell));
