Let an upstream that changes its service answer and feed as before it

Cause: a request begun before the change was answered in the new service's name, which a caller must take for misdelivery. Ruled out: leaving feeds open across the change; a reused address is another process. Change: a job keeps the service it began with; feeds end at the change. Conclusion: none left open here.

--- a/tests/standins/upstream/job.h
+++ b/tests/standins/upstream/job.h
@@ -4,6 +4,8 @@
 #include "standins/common/httpconnection.h"
 
 #include <cstdint>
+#include <string>
+#include <utility>
 
 namespace standins {
 
@@ -17,6 +19,7 @@
     HttpConnection::Ptr connection;
     HttpRequest request;
     asio::steady_timer timer; ///< Fires at the end of the service time.
+    std::string service;      ///< The upstream's when it began.
     std::uint32_t times = 0;  ///< How often its key has run.
     bool running = false;
 };
--- a/tests/standins/upstream/upstream.cpp
+++ b/tests/standins/upstream/upstream.cpp
@@ -58,8 +58,12 @@
 {
     this->faults.update(json);
     this->options.serviceMs = json.value("service_ms", this->options.serviceMs);
-    this->options.service = json.value("service", this->options.service);
-    this->feeds.setService(this->options.service);
+    const std::string service = json.value("service", this->options.service);
+    if (service != this->options.service) {
+        this->options.service = service;
+        this->feeds.setService(service);
+        this->feeds.endAll();
+    }
     this->feeds.setSilent(this->faults.silent);
     this->releaseHeld();
 }
@@ -143,6 +147,7 @@
         return;
     }
     job->running = true;
+    job->service = this->options.service;
     ++this->running;
     ++this->counters.runs;
     this->counters.runningMax = std::max<std::uint64_t>(this->counters.runningMax, this->running);
@@ -267,7 +272,7 @@
 {
     const HttpRequest &request = job.request;
     Json body = { { "upstream", this->options.name },
-                  { "service", this->options.service },
+                  { "service", job.service },
                   { "row", headerOf(request, "Flamingograde-Row") },
                   { "key", headerOf(request, "Idempotency-Key") },
                   { "path", std::string(request.target()) },
