--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -81,12 +81,12 @@
 auto canBeMet(const Blackboard &board, const Exchange &exchange, const RowQueue &row) -> bool
 {
     const auto remaining = exchange.deadline - board.now.mono;
-    const auto expected = row.serviceTime.mean(board.now.mono).value_or(Duration { 0 });
-    return remaining > Duration { 0 } && remaining >= expected;
+    const auto expected = row.serviceTime.likely(board.now.mono).value_or(Duration { 0 });
+    return remaining > expected + config::deadlineMargin;
 }
 
-auto dispatchOf(const Blackboard &board, const Exchange &exchange, const Upstream &upstream)
-        -> Dispatch
+auto dispatchOf(const Blackboard &board, const Exchange &exchange, const RowQueue &row,
+                const Upstream &upstream) -> Dispatch
 {
     Dispatch action;
     action.exchange = exchange.id;
@@ -94,6 +94,7 @@
     action.upstream = upstream.id;
     action.address = upstream.address;
     action.service = upstream.serviceName;
+    action.rowName = row.name;
     action.key = exchange.key;
     action.freshConnection = !exchange.idempotent;
     action.keepAnswer = !exchange.idempotent && !exchange.ownKey;
@@ -134,7 +135,7 @@
     exchange.stage = Stage::Dispatched;
     exchange.maybeSent = true;
     ++board.stats.dispatched;
-    board.act(dispatchOf(board, exchange, upstream));
+    board.act(dispatchOf(board, exchange, *candidate.row, upstream));
 }
 
 } // namespace
