--- a/include/flamingograde/clock.h
+++ b/include/flamingograde/clock.h
@@ -14,7 +14,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<MonoClock>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): as in std.
 };
 
 /// Tag of the clock that all parties share, up to `config::clockBound`. Counts from 1970.
@@ -24,7 +24,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<WallClock>;
-    static constexpr bool is_steady = false;
+    static constexpr bool is_steady = false; // NOLINT(readability-identifier-naming): as in std.
 };
 
 using MonoTime = MonoClock::time_point;
