--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -6,6 +6,8 @@
 
 #include <h2o.h>
 
+#include <netinet/tcp.h>
+
 #include <array>
 #include <utility>
 
@@ -15,6 +17,8 @@
 
 constexpr std::uint64_t requestTimeoutMs = 120000; ///< For a whole request to come in.
 constexpr std::uint16_t anyPort = 65535;
+constexpr auto keepAliveSeconds = 5;
+constexpr auto unansweredMs = 20000; ///< Longest time for bytes or probes to stay unanswered.
 
 /// A handler of h2o with a pointer to its server.
 struct HandlerSlot
@@ -50,6 +54,18 @@
     h2o_setup_next_ostream(request, slot);
 }
 
+/// Has the system end a connection whose other end says nothing any more.
+auto boundSilence(int descriptor) -> void
+{
+    const auto set = [descriptor](int level, int option, int value) {
+        setsockopt(descriptor, level, option, &value, sizeof(value));
+    };
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, keepAliveSeconds);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, keepAliveSeconds);
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, unansweredMs);
+}
+
 } // namespace
 
 /// An address that is or was listened on. Connections refer to it, so it is never destroyed.
@@ -119,6 +135,7 @@
     }
     auto opened = Listener::open(this->loop, address,
                                  [accept = &entrance->accept](st_h2o_socket_t *connection) {
+                                     boundSilence(h2o_socket_get_fd(connection));
                                      h2o_accept(accept, connection);
                                  });
     if (!opened) {
