Tell the wait for paused upstreams, and recover slowly from shedding

Cause: with all upstreams paused the wait was unknown; one success undid a shed answer. Ruled out: an estimate by the table's slots; they are not there. Change: the wait until the first upstream opens; slots come back a tenth at a time; slots are counted on ticks.

--- a/include/flamingograde/config.h
+++ b/include/flamingograde/config.h
@@ -80,6 +80,7 @@
 inline constexpr auto ejectTime             = 5000ms; ///< First time out of rotation.
 inline constexpr double ejectShareMax       = 0.5;    ///< Largest share of a cell's upstreams ejected at once.
 
+inline constexpr double shedRecovery        = 0.1;    ///< Slots that an upstream that shed gains back while each of its slots serves one request.
 inline constexpr auto cancelGrace           = 20ms;   ///< A slot stays taken this long after its request was cancelled or lost.
 inline constexpr auto ejectTimeMax          = 60s;    ///< Longest time out of rotation.
 inline constexpr auto serviceTimeFresh      = 5000ms; ///< A measured service time refuses nothing after this without a new measure.
--- a/src/core/admissioncontroller.cpp
+++ b/src/core/admissioncontroller.cpp
@@ -66,23 +66,40 @@
     return least;
 }
 
-/// Refuses the newest request of `row` if it cannot be served in time.
-auto refuseIfLate(Blackboard &board, Cell &cell, RowQueue &row, Exchange &exchange) -> void
+/// Returns how long it takes until the first of the upstreams offers a slot again.
+auto timeToOpen(const Blackboard &board, const std::vector<SlotOffer> &offers) -> Duration
 {
-    const auto service = row.serviceTime.likely(board.now.mono);
-    if (!service.has_value()) {
-        return;
+    auto opens = MonoTime::max();
+    for (const auto &offer : offers) {
+        opens = std::min(opens, board.upstreams.opensAt(offer.upstream->id));
     }
+    return offers.empty() ? Duration { 0 } : opens - board.now.mono;
+}
+
+/// Returns how long the newest request of `row` needs until its answer, as far as that is known.
+auto timeNeeded(const Blackboard &board, const Cell &cell, const RowQueue &row)
+        -> std::optional<Duration>
+{
     const auto offers = slotOffers(board, cell);
     if (offeredSlots(offers) == 0) {
-        return; // All are paused; nothing can be told.
+        return timeToOpen(board, offers);
     }
-    const auto ahead = row.waiting.size() - 1;
-    const auto needed = expectedWait(cell, row, ahead, offers, board.now.mono) + *service;
-    if (needed + config::deadlineMargin < exchange.deadline - board.now.mono) {
-        return;
+    const auto service = row.serviceTime.likely(board.now.mono);
+    if (!service.has_value()) {
+        return std::nullopt;
+    }
+    return expectedWait(cell, row, row.waiting.size() - 1, offers, board.now.mono) + *service;
+}
+
+/// Refuses the newest request of `row` if it cannot be served in time.
+auto refuseIfLate(Blackboard &board, const Cell &cell, const RowQueue &row, Exchange &exchange)
+        -> void
+{
+    const auto needed = timeNeeded(board, cell, row);
+    const auto remaining = exchange.deadline - board.now.mono;
+    if (needed.has_value() && *needed + config::deadlineMargin >= remaining) {
+        refuse(board, exchange, RefusalReason::DeadlineUnmet, boundedPause(*needed - row.deadline));
     }
-    refuse(board, exchange, RefusalReason::DeadlineUnmet, boundedPause(needed - row.deadline));
 }
 
 /// Enforces the bounds of the queues after one request more.
@@ -103,6 +120,15 @@
     }
 }
 
+/// Counts what the homed cells offer, for gossip.
+auto countSlots(Blackboard &board) -> void
+{
+    for (auto &[id, cell] : board.cells.all()) {
+        cell.homed = board.tenure.since(id).has_value();
+        cell.slots = offeredSlots(slotOffers(board, cell));
+    }
+}
+
 auto releaseRepeats(Blackboard &board) -> void
 {
     for (const auto id : board.keys.takeReleased()) {
@@ -118,6 +144,9 @@
     if (progress != nullptr) {
         this->onProgress(board, *progress);
     }
+    if (std::holds_alternative<Tick>(event)) {
+        countSlots(board);
+    }
 }
 
 auto AdmissionController::settle(Blackboard &board) -> void
@@ -200,11 +229,8 @@
     board.cells.freeLingering(cell, board.now.mono);
     cell.homed = board.tenure.since(cell.id).has_value();
     if (cell.homed) {
-        cell.slots = offeredSlots(slotOffers(board, cell));
         dispatchWaiting(board, cell);
-        return;
-    }
-    if (cell.waiting > 0 && !board.tenure.isClaiming(cell.id)) {
+    } else if (cell.waiting > 0 && !board.tenure.isClaiming(cell.id)) {
         giveBackWaiting(board, cell);
     }
 }
--- a/src/core/keycontroller.cpp
+++ b/src/core/keycontroller.cpp
@@ -110,7 +110,7 @@
     }
     const auto id = exchange.id;
     const auto verdict = state == KeyState::Done ? Verdict::Run : Verdict::Unknown;
-    const auto repeats = board.keys.dispatched(id, 0, board.now);
+    board.keys.dispatched(id, 0, board.now);
     finishKey(board, id, state, nullptr);
     refuseKey(board, exchange, RefusalReason::KeyUnknown, verdict);
 }
--- a/src/core/upstreamcontroller.cpp
+++ b/src/core/upstreamcontroller.cpp
@@ -78,7 +78,7 @@
         health.ejections = 0;
     }
     if (health.slotLimit.has_value()) {
-        *health.slotLimit += 1.0 / *health.slotLimit;
+        *health.slotLimit += config::shedRecovery / *health.slotLimit;
         if (*health.slotLimit >= upstream->slots) {
             health.slotLimit.reset();
         }
--- a/src/core/upstreamstore.cpp
+++ b/src/core/upstreamstore.cpp
@@ -42,6 +42,16 @@
     return health == nullptr || !health->ejected || health->ejectedUntil <= now;
 }
 
+auto UpstreamStore::opensAt(UpstreamId upstream) const -> MonoTime
+{
+    const auto *health = this->find(upstream);
+    if (health == nullptr) {
+        return {};
+    }
+    return health->ejected ? std::max(health->ejectedUntil, health->pausedUntil)
+                           : health->pausedUntil;
+}
+
 auto UpstreamStore::isLastResort(UpstreamId upstream) const -> bool
 {
     const auto *health = this->find(upstream);
--- a/src/core/upstreamstore.h
+++ b/src/core/upstreamstore.h
@@ -27,6 +27,9 @@
     [[nodiscard]] auto effectiveSlots(const Upstream &upstream, MonoTime now) const
             -> std::uint32_t;
 
+    /// Returns when `upstream` takes requests again; a time in the past where it does.
+    [[nodiscard]] auto opensAt(UpstreamId upstream) const -> MonoTime;
+
     /// Returns whether traffic failed at `upstream` lately and its probes still speak against it.
     [[nodiscard]] auto isLastResort(UpstreamId upstream) const -> bool;
 
