Show queues and upstreams in the dump; count places that came free

Cause: the dump told nothing of fair order, service times and ejections; refused callers were told ever longer pauses. Ruled out: one Retry-After for all; they would come back at the same moment. Change: cell and upstream parts of the dump; a dispatch makes up for one refusal. Conclusion: queues and health can be seen from outside.

--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -114,6 +114,13 @@
     }
 }
 
+/// Counts a place of the row's queue that became free.
+auto makeUpPlace(RowQueue &row) -> void
+{
+    const auto owed = row.waiting.empty() ? 0 : row.turnedAway;
+    row.turnedAway = owed > 0 ? owed - 1 : 0;
+}
+
 auto send(Blackboard &board, Cell &cell, const Candidate &candidate,
           const std::vector<SlotOffer> &offers) -> void
 {
@@ -129,6 +136,7 @@
     request.deadline = exchange.deadline;
     request.charged = chargeRow(*candidate.row);
     board.cells.start(request);
+    makeUpPlace(*candidate.row);
     countServed(cell, offers, *candidate.offer);
     markRepeats(board, exchange);
     exchange.upstream = upstream.id;
--- a/src/core/dump.cpp
+++ b/src/core/dump.cpp
@@ -2,6 +2,7 @@
 #include "core/dump.h"
 
 #include "core/blackboard.h"
+#include "core/celldump.h"
 #include "core/hexid.h"
 #include "core/keyplacement.h"
 
@@ -79,7 +80,8 @@
                          { "claiming", board.tenure.isClaiming(cell) },
                          { "former_home", hostName(board, board.tenure.formerHome(cell)) },
                          { "running", board.cells.runningIn(cell) },
-                         { "queued", board.cells.queuedIn(cell) } });
+                         { "queued", board.cells.queuedIn(cell) },
+                         { "rows", cellRowsJson(board, cell) } });
     }
     return list;
 }
@@ -92,6 +94,7 @@
         list.push_back({ { "name", upstream.name },
                          { "service", upstream.serviceName },
                          { "state", active ? "active" : "draining" },
+                         { "health", upstreamHealthJson(board, upstream) },
                          { "usable", board.upstreams.isUsable(upstream.id, board.now.mono) },
                          { "quarantined", board.config.isQuarantined(upstream.id, board.now.mono) },
                          { "feeds", board.feeds.countAt(upstream.id) } });
--- a/tests/unit/admissiontest.cpp
+++ b/tests/unit/admissiontest.cpp
@@ -198,6 +198,12 @@
     CHECK(home.refused.size() == 18);
     home.pass(home.refused.at(last).retryAfter);
     CHECK(home.refused.count(home.arrive(home.row)) == 0);
+    home.pass(5s);
+    for (int i = 0; i < 200; ++i) {
+        last = home.arrive(home.row);
+    }
+    const auto pause = home.refused.at(last).retryAfter; // 158 are told to come one by one.
+    CHECK(std::chrono::duration<double>(pause).count() == Approx(7.9).margin(0.2));
 }
 
 TEST_CASE("a row runs no more than its concurrency limit")
--- a/tests/unit/upstreamtest.cpp
+++ b/tests/unit/upstreamtest.cpp
@@ -157,10 +157,28 @@
     home.pass(2s);
     CHECK(home.slotsOf(shedder) == 2);
     home.serveIn(10ms);
-    home.load(100);
+    home.load(20);
+    CHECK(home.slotsOf(shedder) == 2); // A few successes do not undo it.
+    home.load(300);
     CHECK(home.slotsOf(shedder) == 4);
 }
 
+TEST_CASE("while all upstreams are paused only what can wait for them is queued")
+{
+    UpstreamHome home(1);
+    home.onDispatch = nullptr;
+    const auto first = home.arrive(home.row);
+    home.head(first, 503, true, 3s);
+    CHECK(home.refused.count(home.arrive(home.row)) == 0);
+    auto hasty = home.row;
+    hasty.deadline = 2s;
+    home.rows[0] = hasty;
+    home.publish();
+    const auto refused = home.arrive(hasty);
+    REQUIRE(home.isRefused(refused, RefusalReason::DeadlineUnmet, Verdict::NotRun));
+    CHECK(home.refused.at(refused).retryAfter == 1s);
+}
+
 TEST_CASE("a draining upstream gets nothing new and finishes what it has")
 {
     UpstreamHome home(2);
