Tell late from lost, and pass the home's token to the caller

Cause: the transport gave up a relay when the home's earlier deadline passed, before the home's own refusal could come; 504 of an upstream was told as run; a home's token was dropped on the way. Ruled out: a longer timeout in the transport, as the caller's deadline is the bound. Change: the home takes the margin off the time it is given; 504 is refused with verdict unknown; a loss at the deadline is told as deadline-unmet; the transport passes a token of a home; a flow of a draining upstream that is gone is told to start anew. One place says what an answer's head means.

--- a/src/core/arrivalcontroller.cpp
+++ b/src/core/arrivalcontroller.cpp
@@ -170,6 +170,13 @@
     addExchange(board, arrived, *row, *token);
 }
 
+/// Returns the time that a relayed request is given here; a little less than its sender gives it,
+/// so that what this home says of the deadline comes back in time.
+auto timeAtHome(Duration remaining) -> Duration
+{
+    return remaining - std::min<Duration>(config::relayMargin, remaining / 4);
+}
+
 /// Returns whether the sender's view of the request fits this host's table.
 auto fitsTable(const Blackboard &board, const RelayArrived &arrived, const Row *row) -> bool
 {
@@ -207,7 +214,7 @@
     if (arrived.remaining <= Duration::zero()) {
         return refuseFor(RefusalReason::DeadlineUnmet);
     }
-    auto exchange = newExchange(board, arrived.exchange, *row, arrived.remaining);
+    auto exchange = newExchange(board, arrived.exchange, *row, timeAtHome(arrived.remaining));
     exchange.origin = Origin::Relay;
     exchange.from = arrived.from;
     exchange.bodyBytes = arrived.bodyBytes;
--- a/src/core/feedcontroller.cpp
+++ b/src/core/feedcontroller.cpp
@@ -102,6 +102,15 @@
     openAt(board, id, feed, *row, *upstream);
 }
 
+/// Returns why a feed that cannot be opened is refused: a draining upstream does not come back, so
+/// its flow has to start anew.
+auto giveUpReason(const Blackboard &board, const Feed &feed) -> RefusalReason
+{
+    const auto *upstream = board.table().upstream(feed.upstream);
+    const auto drains = upstream != nullptr && upstream->state == UpstreamState::Draining;
+    return drains ? RefusalReason::StaleToken : RefusalReason::NoUpstream;
+}
+
 /// Opens a feed again after a failed opening or a loss: an established one at its upstream after
 /// a pause, a new one at the next upstream.
 auto openAgain(Blackboard &board, ExchangeId id, Feed &feed) -> void
@@ -109,7 +118,7 @@
     ++feed.failures;
     const auto most = feed.headPassed ? config::feedReopenAttempts : config::feedOpenAttempts;
     if (feed.failures > most) {
-        return endOrRefuse(board, id, feed, RefusalReason::NoUpstream);
+        return endOrRefuse(board, id, feed, giveUpReason(board, feed));
     }
     if (isEstablished(feed)) {
         return board.feeds.wait(id, feed, board.now.mono + backoff(feed.failures - 1));
--- a/src/core/keycontroller.cpp
+++ b/src/core/keycontroller.cpp
@@ -1,6 +1,7 @@
 /// Runs each idempotency key at most once.
 #include "core/keycontroller.h"
 
+#include "core/answermeaning.h"
 #include "core/blackboard.h"
 #include "core/giveback.h"
 #include "core/keyfreshness.h"
@@ -58,13 +59,6 @@
     }
 }
 
-/// Returns whether an answer's head says that the upstream ran nothing.
-auto saysUnrun(const AnswerHead &head) -> bool
-{
-    constexpr auto misdirected = 421;
-    return head.shed || head.status == misdirected;
-}
-
 /// Returns what this host can tell another of a key.
 auto stateToTell(Blackboard &board, const KeyLookup &lookup) -> KeyState
 {
--- a/src/core/outcomecontroller.cpp
+++ b/src/core/outcomecontroller.cpp
@@ -1,6 +1,7 @@
 /// Outcomes of requests.
 #include "core/outcomecontroller.h"
 
+#include "core/answermeaning.h"
 #include "core/blackboard.h"
 #include "core/overloaded.h"
 #include "core/refuse.h"
@@ -92,8 +93,9 @@
     if (exchange.callerGone) {
         return forget(board, exchange.id);
     }
-    const Refusal lost { RefusalReason::Lost, Verdict::Unknown,
-                         exchange.idempotent ? config::retryAfterMin : noRetry };
+    const auto isLate = board.now.mono >= exchange.deadline; // The transport gave up on time.
+    const Refusal lost { isLate ? RefusalReason::DeadlineUnmet : RefusalReason::Lost,
+                         Verdict::Unknown, exchange.idempotent ? config::retryAfterMin : noRetry };
     if (!exchange.idempotent) {
         return refuse(board, exchange, lost);
     }
@@ -152,13 +154,6 @@
     refuse(board, exchange, refusal);
 }
 
-/// Returns whether an upstream's answer says that it ran nothing: shed, or not its service.
-auto saysUnrun(const AnswerHead &head) -> bool
-{
-    constexpr int misdirected = 421;
-    return head.shed || head.status == misdirected;
-}
-
 auto onUnrun(Blackboard &board, Exchange &exchange, const AnswerHead &head) -> void
 {
     noteNotRun(exchange);
@@ -189,6 +184,9 @@
     if (exchange.stage == Stage::Relayed && head.refusal) {
         return onHomeRefusal(board, exchange, head);
     }
+    if (exchange.stage == Stage::Dispatched && saysTooLate(head)) {
+        return refuse(board, exchange, RefusalReason::DeadlineUnmet, config::retryAfterMin);
+    }
     if (exchange.stage == Stage::Dispatched && saysUnrun(head)) {
         return onUnrun(board, exchange, head);
     }
--- a/src/core/steeringcontroller.cpp
+++ b/src/core/steeringcontroller.cpp
@@ -11,14 +11,6 @@
 
 namespace {
 
-/// Returns the time that a home is given; a little less than is left, so that what it says of a
-/// deadline comes back in time.
-auto remainingAtHome(const Blackboard &board, const Exchange &exchange) -> Duration
-{
-    const auto left = exchange.deadline - board.now.mono;
-    return left - std::min<Duration>(config::relayMargin, left / 4);
-}
-
 auto admitHere(Blackboard &board, Exchange &exchange, CellId cell) -> void
 {
     exchange.cell = cell;
@@ -64,7 +56,7 @@
     action.rowAddress = row.address;
     action.upstream = exchange.bound ? exchange.upstream : UpstreamId();
     action.key = exchange.key;
-    action.remaining = remainingAtHome(board, exchange);
+    action.remaining = exchange.deadline - board.now.mono;
     board.act(std::move(action));
 }
 
--- a/src/net/answerhead.cpp
+++ b/src/net/answerhead.cpp
@@ -52,7 +52,7 @@
         return false;
     }
     if (name == "set-cookie" && startsWith(value, headers::tokenCookie)) {
-        return false;
+        return source == AnswerSource::Home; // The home knows which upstream answered.
     }
     return source == AnswerSource::Home || !startsWith(name, headers::ownPrefix);
 }
--- a/src/wire/settings.cpp
+++ b/src/wire/settings.cpp
@@ -4,6 +4,7 @@
 #include "table/fieldreader.h"
 #include "table/findinglist.h"
 #include "table/nearest.h"
+#include "table/tomldraft.h"
 #include "table/tomltext.h"
 
 #include <flamingograde/config.h>
@@ -95,7 +96,7 @@
     for (const auto &[key, node] : this->text.root) {
         const auto word = key.str();
         const auto isKnown = std::find(sections.begin(), sections.end(), word) != sections.end();
-        if (isKnown || word == TomlText::lostSection) {
+        if (isKnown || word == TomlDraft::lostSection) {
             continue;
         }
         const auto meant = nearestWord(word, sections);
--- a/tests/unit/chaostest.cpp
+++ b/tests/unit/chaostest.cpp
@@ -69,7 +69,7 @@
         if (roll < 80) {
             return Behaviour::Answer;
         }
-        return static_cast<Behaviour>(1 + this->draw(6));
+        return static_cast<Behaviour>(1 + this->draw(7));
     }
 
     auto drawHost() -> std::size_t
--- a/tests/unit/outcometest.cpp
+++ b/tests/unit/outcometest.cpp
@@ -41,6 +41,7 @@
         Case { voteAddress, Behaviour::Refuse, RefusalReason::NoUpstream, Verdict::NotRun, 0 },
         Case { voteAddress, Behaviour::Shed, RefusalReason::NoUpstream, Verdict::NotRun, 0 },
         Case { voteAddress, Behaviour::Mistake, RefusalReason::NoUpstream, Verdict::NotRun, 0 },
+        Case { voteAddress, Behaviour::Late, RefusalReason::DeadlineUnmet, Verdict::Unknown, 0 },
         Case { voteAddress, Behaviour::Lose, RefusalReason::Lost, Verdict::Unknown, 1 },
         Case { voteAddress, Behaviour::Hold, RefusalReason::DeadlineUnmet, Verdict::Unknown, 1 },
         Case { readAddress, Behaviour::Refuse, RefusalReason::NoUpstream, Verdict::NotRun, 0 },
--- a/tests/unit/virtualfleet.cpp
+++ b/tests/unit/virtualfleet.cpp
@@ -287,6 +287,9 @@
     if (behaviour == Behaviour::Mistake) {
         return report(oneWay, Progress::Answering, statusHead(421));
     }
+    if (behaviour == Behaviour::Late) {
+        return report(oneWay, Progress::Answering, statusHead(504));
+    }
     this->runs.push_back({ action.upstream, action.key, action.service, action.exchange, host });
     if (behaviour == Behaviour::Lose) {
         return report(oneWay, Progress::Lost);
--- a/tests/unit/virtualfleet.h
+++ b/tests/unit/virtualfleet.h
@@ -23,6 +23,7 @@
     Lose,    ///< Runs it and loses the connection.
     Shed,    ///< Says 503 with Retry-After.
     Mistake, ///< Says 421: not its service.
+    Late,    ///< Says 504: the deadline has passed.
     Break,   ///< Begins the answer and breaks it off.
 };
 
