Add the baseline placements

Ruled out: tenures by upstream for the upstream-home baseline: a queue for each upstream at the cell's home measures the same loss of the joint queue. Change: placements by queue of each upstream, own least loaded, two choices and hash, as visitors' alternatives of the steering controller; a relay's upstream is checked for keyed requests too. Conclusion: every policy of the settings places requests.

--- a/include/flamingograde/policy.h
+++ b/include/flamingograde/policy.h
@@ -8,7 +8,7 @@
 /// The placement policies. The first is the product's; the others are baselines of the bench.
 enum class Policy : std::uint8_t {
     CellHome,         ///< One home host per service and zone admits to all its upstreams.
-    UpstreamHome,     ///< One home host per upstream.
+    UpstreamHome,     ///< A queue of its own for each upstream, at its cell's home.
     LocalLeastLoaded, ///< Each host picks the upstream with its own fewest requests.
     TwoChoices,       ///< Each host picks the better of two by its own count.
     StaticHash,       ///< The upstream is a hash of the exchange.
--- a/src/core/arrivalcontroller.cpp
+++ b/src/core/arrivalcontroller.cpp
@@ -185,14 +185,16 @@
     if (row == nullptr || row->address != arrived.address || row->kind == RequestKind::Feed) {
         return false;
     }
-    if (!row->idempotent) {
-        return !arrived.key.empty() && zoneOfKey(table, row->service, arrived.key) == zone;
+    if (arrived.upstream.isValid()) {
+        const auto *upstream = table.upstream(arrived.upstream);
+        if (upstream == nullptr || upstream->cell() != cellOf(row->service, zone)) {
+            return false;
+        }
     }
-    if (!arrived.upstream.isValid()) {
+    if (row->idempotent) {
         return true;
     }
-    const auto *upstream = table.upstream(arrived.upstream);
-    return upstream != nullptr && upstream->cell() == cellOf(row->service, zone);
+    return !arrived.key.empty() && zoneOfKey(table, row->service, arrived.key) == zone;
 }
 
 auto takeRelay(Blackboard &board, const RelayArrived &arrived) -> void
--- a/src/core/balancer.cpp
+++ b/src/core/balancer.cpp
@@ -11,7 +11,7 @@
 
 Balancer::Balancer(Init init)
     : blackboard(std::make_unique<Blackboard>(std::move(init))),
-      controllers(std::make_unique<Controllers>())
+      controllers(std::make_unique<Controllers>(this->blackboard->init.policy))
 {}
 
 Balancer::~Balancer() = default;
--- a/src/core/controllers.h
+++ b/src/core/controllers.h
@@ -24,6 +24,9 @@
 class Controllers
 {
 public:
+    /// Precondition: none.
+    explicit Controllers(Policy policy) : steering(policy) {}
+
     /// Has each controller take the event, then settles what they handed on. Precondition: none.
     auto run(Blackboard &board, const Event &event) -> void;
 
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -85,24 +85,6 @@
     return remaining > expected + config::deadlineMargin;
 }
 
-auto dispatchOf(const Blackboard &board, const Exchange &exchange, const RowQueue &row,
-                const Upstream &upstream) -> Dispatch
-{
-    Dispatch action;
-    action.exchange = exchange.id;
-    action.attempt = exchange.attempt;
-    action.upstream = upstream.id;
-    action.address = upstream.address;
-    action.service = upstream.serviceName;
-    action.rowName = row.name;
-    action.key = exchange.key;
-    action.freshConnection = !exchange.idempotent;
-    action.keepAnswer = !exchange.idempotent && !exchange.ownKey;
-    action.remaining = exchange.deadline - board.now.mono;
-    action.expires = board.now.wall + action.remaining;
-    return action;
-}
-
 /// Notes on all repeats that their key is on its way.
 auto markRepeats(Blackboard &board, const Exchange &exchange) -> void
 {
@@ -135,11 +117,29 @@
     exchange.stage = Stage::Dispatched;
     exchange.maybeSent = true;
     ++board.stats.dispatched;
-    board.act(dispatchOf(board, exchange, *candidate.row, upstream));
+    board.act(dispatchOf(board, exchange, candidate.row->name, upstream));
 }
 
 } // namespace
 
+auto dispatchOf(const Blackboard &board, const Exchange &exchange, const std::string &rowName,
+                const Upstream &upstream) -> Dispatch
+{
+    Dispatch action;
+    action.exchange = exchange.id;
+    action.attempt = exchange.attempt;
+    action.upstream = upstream.id;
+    action.address = upstream.address;
+    action.service = upstream.serviceName;
+    action.rowName = rowName;
+    action.key = exchange.key;
+    action.freshConnection = !exchange.idempotent;
+    action.keepAnswer = !exchange.idempotent && !exchange.ownKey;
+    action.remaining = exchange.deadline - board.now.mono;
+    action.expires = board.now.wall + action.remaining;
+    return action;
+}
+
 auto dispatchWaiting(Blackboard &board, Cell &cell) -> void
 {
     while (cell.waiting > 0) {
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -4,6 +4,8 @@
 #include "core/blackboard.h"
 #include "core/keyplacement.h"
 
+#include <algorithm>
+
 namespace flamingograde {
 
 namespace {
@@ -63,4 +65,27 @@
            && !board.config.isQuarantined(upstream, board.now.mono);
 }
 
+auto openUpstreams(const Blackboard &board, ServiceId service) -> std::vector<const Upstream *>
+{
+    std::vector<const Upstream *> open;
+    for (const auto index : board.table().upstreamsOf(service)) {
+        const auto &upstream = board.table().upstreams()[index];
+        if (isOpenFor(board, upstream.id, service)) {
+            open.push_back(&upstream);
+        }
+    }
+    return open;
+}
+
+auto ownRunningAt(const Blackboard &board, UpstreamId upstream) -> std::size_t
+{
+    const auto &all = board.exchanges.all();
+    const auto runs = [&](const auto &entry) {
+        const auto stage = entry.second.stage;
+        return entry.second.upstream == upstream
+               && (stage == Stage::Dispatched || stage == Stage::Answering);
+    };
+    return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), runs));
+}
+
 } // namespace flamingograde
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -4,6 +4,7 @@
 #include <flamingograde/ids.h>
 #include <flamingograde/refusal.h>
 
+#include <cstddef>
 #include <variant>
 #include <vector>
 
@@ -11,6 +12,7 @@
 
 class Blackboard;
 struct Exchange;
+struct Upstream;
 
 /// This host is the home of the exchange's cell.
 struct PlaceHere
@@ -33,7 +35,14 @@
     bool mayChange = false; ///< Whether trying again soon may help.
 };
 
-using Placed = std::variant<PlaceHere, PlaceAt, PlaceNowhere>;
+/// An upstream that takes it from this host without a home. Only baselines do so: nothing keeps two
+/// hosts from sending one key to two upstreams then, nor more than its slots to one upstream.
+struct PlaceDirect
+{
+    UpstreamId upstream;
+};
+
+using Placed = std::variant<PlaceHere, PlaceAt, PlaceNowhere, PlaceDirect>;
 
 /// A cell that may take an exchange of a service.
 struct CellChoice
@@ -56,4 +65,12 @@
 [[nodiscard]] auto isOpenFor(const Blackboard &board, UpstreamId upstream, ServiceId service)
         -> bool;
 
+/// Returns the upstreams of `service` that may take new work now.
+[[nodiscard]] auto openUpstreams(const Blackboard &board, ServiceId service)
+        -> std::vector<const Upstream *>;
+
+/// Returns how many requests of this host's own run at `upstream`.
+/// @remarks Looks at all exchanges: for baselines only.
+[[nodiscard]] auto ownRunningAt(const Blackboard &board, UpstreamId upstream) -> std::size_t;
+
 } // namespace flamingograde
--- a/src/core/steeringcontroller.cpp
+++ b/src/core/steeringcontroller.cpp
@@ -2,6 +2,7 @@
 #include "core/steeringcontroller.h"
 
 #include "core/blackboard.h"
+#include "core/dispatch.h"
 #include "core/overloaded.h"
 #include "core/refuse.h"
 
@@ -60,6 +61,21 @@
     board.act(std::move(action));
 }
 
+/// Sends the exchange to an upstream without a home, for a baseline.
+auto dispatchDirect(Blackboard &board, Exchange &exchange, const Row &row, UpstreamId upstream)
+        -> void
+{
+    const auto *entry = board.table().upstream(upstream);
+    exchange.upstream = upstream;
+    exchange.cell = entry->cell();
+    exchange.home = board.init.self.id;
+    exchange.stage = Stage::Dispatched;
+    exchange.maybeSent = true;
+    ++exchange.attempt;
+    ++board.stats.dispatched;
+    board.act(dispatchOf(board, exchange, row.name, *entry));
+}
+
 /// Has the exchange wait for a pause, or refuses it after too many placements.
 auto waitOrRefuse(Blackboard &board, Exchange &exchange, const PlaceNowhere &nowhere) -> void
 {
@@ -106,12 +122,34 @@
                            relay(board, exchange, *row, at);
                        },
                        [&](const PlaceNowhere &nowhere) { waitOrRefuse(board, exchange, nowhere); },
+                       [&](const PlaceDirect &direct) {
+                           dispatchDirect(board, exchange, *row, direct.upstream);
+                       },
                },
                placed);
 }
 
+auto placementOf(Policy policy) -> Placement
+{
+    switch (policy) {
+    case Policy::CellHome:
+        return CellHomePlacement {};
+    case Policy::UpstreamHome:
+        return UpstreamHomePlacement {};
+    case Policy::LocalLeastLoaded:
+        return LeastLoadedPlacement {};
+    case Policy::TwoChoices:
+        return TwoChoicesPlacement {};
+    case Policy::StaticHash:
+        break;
+    }
+    return StaticHashPlacement {};
+}
+
 } // namespace
 
+SteeringController::SteeringController(Policy policy) : placement(placementOf(policy)) {}
+
 auto SteeringController::handle(Blackboard &board, const Event &) -> void
 {
     for (const auto id : board.exchanges.takeToPlace(board.now.mono)) {
--- a/src/core/steeringcontroller.h
+++ b/src/core/steeringcontroller.h
@@ -2,8 +2,13 @@
 #pragma once
 
 #include "core/cellhomeplacement.h"
+#include "core/leastloadedplacement.h"
+#include "core/statichashplacement.h"
+#include "core/twochoicesplacement.h"
+#include "core/upstreamhomeplacement.h"
 
 #include <flamingograde/event.h>
+#include <flamingograde/policy.h>
 
 #include <variant>
 
@@ -11,7 +16,8 @@
 
 class Blackboard;
 
-using Placement = std::variant<CellHomePlacement>;
+using Placement = std::variant<CellHomePlacement, UpstreamHomePlacement, LeastLoadedPlacement,
+                               TwoChoicesPlacement, StaticHashPlacement>;
 
 /// Places the exchanges of `toPlace`: hands them to admission here, relays them to their home,
 /// has them wait, or refuses them.
@@ -19,6 +25,9 @@
 class SteeringController
 {
 public:
+    /// Precondition: none.
+    explicit SteeringController(Policy policy = Policy::CellHome);
+
     /// Takes the exchanges whose pause has ended. Precondition: none.
     auto handle(Blackboard &board, const Event &event) -> void;
 
@@ -26,7 +35,7 @@
     auto settle(Blackboard &board) -> void;
 
 private:
-    Placement placement;
+    Placement placement; ///< By the policy of the settings.
 };
 
 } // namespace flamingograde
--- a/tests/unit/pathtest.cpp
+++ b/tests/unit/pathtest.cpp
@@ -37,6 +37,25 @@
     CHECK(fleet.host(0).stats().relayed + fleet.host(1).stats().relayed > 0);
 }
 
+TEST_CASE("each baseline answers requests")
+{
+    for (const auto policy : { Policy::UpstreamHome, Policy::LocalLeastLoaded, Policy::TwoChoices,
+                               Policy::StaticHash }) {
+        VirtualFleet fleet({ { "a1", "a" }, { "b1", "b" } }, sampleTable(), policy);
+        fleet.settle();
+        std::vector<ExchangeId> ids;
+        for (std::size_t i = 0; i < 20; ++i) {
+            ids.push_back(fleet.call(i % 2, readAddress));
+            ids.push_back(fleet.call(i % 2, voteAddress, {}, fleet.newKey()));
+            fleet.advance(100ms);
+        }
+        for (const auto id : ids) {
+            CHECK(fleet.result(id).answered);
+        }
+        CHECK(fleet.runs.size() == ids.size());
+    }
+}
+
 TEST_CASE("a feed opens at an upstream of its service and gets a token")
 {
     VirtualFleet fleet({ { "a1", "a" }, { "b1", "b" } }, sampleTable());
--- a/tests/unit/virtualfleet.cpp
+++ b/tests/unit/virtualfleet.cpp
@@ -28,7 +28,7 @@
 } // namespace
 
 VirtualFleet::VirtualFleet(const std::vector<std::pair<std::string, std::string>> &names,
-                           std::string text)
+                           std::string text, Policy policy)
     : table(std::move(text))
 {
     this->clock = { MonoTime(Duration(100s)), startOfTime };
@@ -42,6 +42,7 @@
         init.self.peer = { 0x0a000001, port };
         init.self.relay = { 0x0a000002, port };
         init.seed = port++;
+        init.policy = policy;
         this->hosts.push_back({ init.self, std::make_unique<Balancer>(init), false, {} });
     }
 }
--- a/tests/unit/virtualfleet.h
+++ b/tests/unit/virtualfleet.h
@@ -55,7 +55,8 @@
 {
 public:
     /// @param hosts name and zone of each.
-    VirtualFleet(const std::vector<std::pair<std::string, std::string>> &hosts, std::string table);
+    VirtualFleet(const std::vector<std::pair<std::string, std::string>> &hosts, std::string table,
+                 Policy policy = Policy::CellHome);
 
     /// Lets time pass, with ticks, until everything is connected.
     auto settle() -> void { this->advance(std::chrono::seconds(4)); }
