--- a/tests/unit/virtualfleet.h
+++ b/tests/unit/virtualfleet.h
@@ -23,6 +23,7 @@
     Lose,    ///< Runs it and loses the connection.
     Shed,    ///< Says 503 with Retry-After.
     Mistake, ///< Says 421: not its service.
+    Late,    ///< Says 504: the deadline has passed.
     Break,   ///< Begins the answer and breaks it off.
 };
 
@@ -54,7 +55,8 @@
 {
 public:
     /// @param hosts name and zone of each.
-    VirtualFleet(const std::vector<std::pair<std::string, std::string>> &hosts, std::string table);
+    VirtualFleet(const std::vector<std::pair<std::string, std::string>> &hosts, std::string table,
+                 Policy policy = Policy::CellHome);
 
     /// Lets time pass, with ticks, until everything is connected.
     auto settle() -> void { this->advance(std::chrono::seconds(4)); }
