--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -15,6 +15,9 @@
 constexpr const char *platformIp = "127.3.0.1";
 constexpr const char *callersIp = "127.4.0.1";
 constexpr Millis startLimit { 30000 };
+constexpr Millis pollPeriod { 50 };
+constexpr Millis clockBound { 1100 }; ///< A little above the product's.
+constexpr Millis homeLimit { 300 };   ///< Longest wait for a host that is asked for its cells.
 constexpr int httpOk = 200;
 
 /// Writes `sections` as TOML tables of scalars.
@@ -69,6 +72,20 @@
     }
 }
 
+auto Fleet::waitSettled() -> void
+{
+    for (const auto &upstream : this->draft.all("upstream")) {
+        const auto deadline = std::chrono::steady_clock::now() + startLimit;
+        while (this->homeOf(upstream.at("service"), upstream.at("zone")).empty()) {
+            if (std::chrono::steady_clock::now() > deadline) {
+                throw std::runtime_error("no home for " + upstream.at("name").dump());
+            }
+            this->loop.runFor(pollPeriod);
+        }
+    }
+    this->loop.runFor(clockBound);
+}
+
 auto Fleet::startHost(const std::string &name, const std::string &zone, bool wait) -> void
 {
     HostRecord &host = this->prepareHost(name, zone);
@@ -77,6 +94,7 @@
                                                  this->logOf(name),
                                                  [this, name] { this->onHostEvent(name); });
     host.running = true;
+    host.revision = 0;
     this->network.watch(*host.process);
     if (wait && !this->loop.waitUntil([&] { return this->network.isTarget(name); }, startLimit)) {
         throw std::runtime_error("host " + name + " did not become healthy");
@@ -153,7 +171,12 @@
 auto Fleet::homeOf(const std::string &service, const std::string &zone) -> std::string
 {
     for (const std::string &name : this->runningHosts(zone)) {
-        for (const auto &cell : this->adminPage(name, "dump").at("cells")) {
+        const HttpResult dump = httpGet(this->loop, this->host(name).admin(), "/dump", homeLimit);
+        if (!dump) {
+            continue; // Frozen hosts do not answer.
+        }
+        const auto content = nlohmann::json::parse(dump->body);
+        for (const auto &cell : content.at("cells")) {
             if (cell.at("service") == service && cell.at("zone") == zone && cell.at("tenure")) {
                 return name;
             }
@@ -195,7 +218,24 @@
     if (!result || result->status != httpOk) {
         throw std::runtime_error("host " + name + ": no " + page);
     }
-    return page == "metrics" ? parseMetrics(result->body) : nlohmann::json::parse(result->body);
+    if (page == "metrics") {
+        return parseMetrics(result->body);
+    }
+    auto content = nlohmann::json::parse(result->body);
+    if (page == "dump") {
+        this->noteRevision(name, content.at("config").at("revision"));
+    }
+    return content;
+}
+
+auto Fleet::noteRevision(const std::string &name, std::uint64_t revision) -> void
+{
+    std::uint64_t &highest = this->hosts.at(name).revision;
+    if (revision < highest) {
+        throw std::runtime_error("host " + name + " went back from revision "
+                                 + std::to_string(highest) + " to " + std::to_string(revision));
+    }
+    highest = revision;
 }
 
 auto Fleet::rowAddress(const std::string &row, const std::string &viaHost) -> std::string
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -36,6 +36,10 @@
     /// Starts every host of the deployment and waits until all are in the fabric.
     auto startHosts() -> void;
 
+    /// Waits until every cell of the table has a home that can prove new keys fresh: a clock bound
+    /// after its tenure began.
+    auto waitSettled() -> void;
+
     /// Starts a host, new or of the deployment, and lists it as live.
     /// @param wait whether to wait until it is in the fabric.
     auto startHost(const std::string &name, const std::string &zone, bool wait) -> void;
@@ -68,6 +72,7 @@
     auto listHost(const std::string &name, const std::string &state) -> void;
 
     /// Returns a page of a host's admin address as JSON: "dump", or "metrics" by name and labels.
+    /// Throws too if the dump shows an older table than an earlier dump of the process.
     [[nodiscard]] auto adminPage(const std::string &host, const std::string &page)
             -> nlohmann::json;
 
@@ -103,6 +108,7 @@
         std::string relayLink;
         std::string listed; ///< Its state on the host list; empty: not on it.
         bool running = false;
+        std::uint64_t revision = 0; ///< Highest seen in dumps of the running process.
         std::unique_ptr<HostProcess> process; ///< Kept after a kill: the fabric still checks it.
     };
 
@@ -119,6 +125,8 @@
     auto prepareHost(const std::string &name, const std::string &zone) -> HostRecord &;
     auto writeSettings(const std::string &name, const HostRecord &host) -> std::filesystem::path;
     auto publishHosts() -> void;
+    /// Throws if a process goes back to an older table.
+    auto noteRevision(const std::string &name, std::uint64_t revision) -> void;
     auto applyEdit(const std::string &edit) -> void;
     [[nodiscard]] auto zoneNumber(const std::string &zone) const -> std::size_t;
     auto onHostEvent(const std::string &name) -> void;
--- a/tests/scenarios/steprunner.cpp
+++ b/tests/scenarios/steprunner.cpp
@@ -36,7 +36,7 @@
 /// Returns the fields of `step` that a stand-in takes.
 auto withoutOwnFields(nlohmann::json step) -> nlohmann::json
 {
-    for (const char *field : { "do", "row", "via", "eq", "ne", "ge", "le", "as", "wait" }) {
+    for (const char *field : { "do", "row", "via", "eq", "ne", "ge", "le", "as", "wait", "one_way" }) {
         step.erase(field);
     }
     return step;
@@ -140,6 +140,9 @@
     }
     if (!step.contains("host")) {
         this->fleet.startHosts();
+        if (step.value("settled", true)) {
+            this->fleet.waitSettled();
+        }
         return;
     }
     const std::string host = step.at("host");
@@ -199,12 +202,9 @@
     command["kind"] = step.at("do");
     command["from"] = expand("from");
     command["to"] = expand("to");
-    auto &numbers = this->faults[step.value("as", "")];
-    numbers.push_back(this->fleet.fabric().proxy().call(command).at("fault"));
-    if (!step.value("one_way", false) && command["from"] != command["to"]) {
-        std::swap(command["from"], command["to"]);
-        numbers.push_back(this->fleet.fabric().proxy().call(command).at("fault"));
-    }
+    command["both_ways"] = !step.value("one_way", false);
+    const auto answer = this->fleet.fabric().proxy().call(command);
+    this->faults[step.value("as", "")].push_back(answer.at("fault"));
 }
 
 auto StepRunner::doHeal(const Step &step) -> void
