Take an answer that ends without a head for lost

Ruled out: mending only the fake that lost the head; the library should answer every caller whatever its transport does. Change: Answered before Answering is handled as Lost. Conclusion: every caller hears something.

--- a/src/core/outcomecontroller.cpp
+++ b/src/core/outcomecontroller.cpp
@@ -196,6 +196,9 @@
 
 auto onAnswered(Blackboard &board, Exchange &exchange) -> void
 {
+    if (exchange.stage != Stage::Answering) {
+        return onLost(board, exchange);
+    }
     ++board.stats.answered;
     board.retryBudget.earn();
     forget(board, exchange.id);
