Blame upstreams for misdirected requests, not for late ones

Cause: 421 is an upstream of another service; 504 says only that the request came too late. Ruled out: ejecting on the first 421; an address in change would take half a cell out. Change: 421 counts as a failure and frees its slot at once; 504 counts as nothing. Conclusion: ejection follows what upstreams do wrong.

--- a/src/core/admissioncontroller.cpp
+++ b/src/core/admissioncontroller.cpp
@@ -24,7 +24,7 @@
 /// Returns whether the upstream of an ended request is surely done with it.
 auto isOver(const RunningRequest &request) -> bool
 {
-    return request.answered || request.notSent || request.shed;
+    return request.answered || request.notSent || request.unrun;
 }
 
 /// Corrects the charge of a request that ended, and learns from it how long its row takes.
@@ -34,7 +34,7 @@
     const auto used = board.now.mono - request.since;
     correctCharge(row, request.charged, used);
     const auto timedOut = request.deadline <= board.now.mono;
-    const auto served = request.answered && !request.shed && !request.failed;
+    const auto served = request.answered && !request.unrun && !request.failed;
     if (served || timedOut) {
         row.serviceTime.sample(std::min(used, request.deadline - request.since), board.now.mono);
     }
--- a/src/core/runningrequest.h
+++ b/src/core/runningrequest.h
@@ -22,7 +22,7 @@
     bool answered = false;  ///< The whole answer came.
     bool notSent = false;   ///< No byte of it left.
     bool failed = false;    ///< Its upstream was already blamed for it.
-    bool shed = false;      ///< Its upstream sent it back unrun.
+    bool unrun = false;     ///< Its upstream sent it back unrun.
 };
 
 } // namespace flamingograde
--- a/src/core/upstreamcontroller.cpp
+++ b/src/core/upstreamcontroller.cpp
@@ -1,6 +1,7 @@
 /// Learns from traffic and probes how upstreams are.
 #include "core/upstreamcontroller.h"
 
+#include "core/answermeaning.h"
 #include "core/blackboard.h"
 #include "core/overloaded.h"
 
@@ -101,12 +102,13 @@
 /// Takes the head of a request's answer.
 auto noteHead(Blackboard &board, RunningRequest &request, const AnswerHead &head) -> void
 {
+    request.unrun = saysUnrun(head);
     if (head.shed) {
-        request.shed = true;
         noteShed(board, request.upstream, head.retryAfter);
         return;
     }
-    if (head.status >= serverError) {
+    const auto isFault = head.status >= serverError && !saysTooLate(head);
+    if (request.unrun || isFault) {
         request.failed = true;
         noteFailure(board, request.upstream);
     }
@@ -123,7 +125,7 @@
         return;
     case Progress::Answered:
         request.answered = true;
-        if (!request.failed && !request.shed) {
+        if (!request.failed && !request.unrun) {
             noteSuccess(board, request.upstream);
         }
         return;
--- a/tests/unit/upstreamtest.cpp
+++ b/tests/unit/upstreamtest.cpp
@@ -73,6 +73,20 @@
     CHECK(home.slotsOf(0) == 4);
 }
 
+TEST_CASE("an upstream at which requests are misdirected is ejected")
+{
+    UpstreamHome home(2);
+    home.onDispatch = [&](const Dispatch &dispatch) {
+        const auto wrong = dispatch.upstream == home.ids[0];
+        home.after(10ms, [&home, wrong, id = dispatch.exchange] {
+            wrong ? home.head(id, 421) : home.answer(id);
+        });
+    };
+    home.load(100);
+    CHECK(home.slotsOf(0) == 0);
+    CHECK(home.dispatched[home.ids[0]] <= config::ejectFailures + 4);
+}
+
 TEST_CASE("an upstream that fails again on its return is ejected at once, for longer")
 {
     UpstreamHome home(4);
