--- a/src/core/dump.cpp
+++ b/src/core/dump.cpp
@@ -3,7 +3,6 @@
 
 #include "core/blackboard.h"
 #include "core/hexid.h"
-#include "core/keyplacement.h"
 
 #include <nlohmann/json.hpp>
 
@@ -54,14 +53,58 @@
              { "closed", board.stop.closed } };
 }
 
+/// Returns how long ago the platform was last heard, or null for never.
+auto platformAgeJson(const Blackboard &board) -> json
+{
+    if (!board.config.platformKnown) {
+        return nullptr;
+    }
+    return milliseconds(board.config.platformAge(board.now.mono));
+}
+
 auto configJson(const Blackboard &board) -> json
 {
     return { { "revision", board.config.revision.number },
              { "digest", hexOf(StrongId<struct DigestTag>(board.config.digest)) },
+             { "platform_age_ms", platformAgeJson(board) },
+             { "past_tables", board.config.past.size() },
              { "rows", board.table().rows().size() },
              { "upstreams", board.table().upstreams().size() } };
 }
 
+auto membersJson(const Blackboard &board) -> json
+{
+    auto list = json::array();
+    for (const auto &[id, record] : board.membership.records()) {
+        const auto &member = record.member;
+        list.push_back({ { "name", member.name },
+                         { "zone", member.zoneName },
+                         { "state", nameOf(memberStateNames, member.state) },
+                         { "incarnation", member.incarnation },
+                         { "connected", record.connected },
+                         { "listed", record.listed },
+                         { "revision", record.revision.number },
+                         { "heard_ms_ago", milliseconds(board.now.mono - record.heard) } });
+    }
+    return list;
+}
+
+/// Returns the queues of a cell's rows.
+auto cellRowsJson(const Blackboard &board, CellId cell) -> json
+{
+    auto list = json::array();
+    const auto found = board.cells.all().find(cell);
+    if (found == board.cells.all().end()) {
+        return list;
+    }
+    for (const auto &[id, queue] : found->second.rows) {
+        list.push_back({ { "row", queue.name },
+                         { "waiting", queue.waiting.size() },
+                         { "turned_away", queue.turnedAway } });
+    }
+    return list;
+}
+
 /// Returns the cells of the table with their homes and what this host does in them.
 auto cellsJson(const Blackboard &board) -> json
 {
@@ -78,23 +121,43 @@
                          { "tenure", board.tenure.since(cell).has_value() },
                          { "claiming", board.tenure.isClaiming(cell) },
                          { "former_home", hostName(board, board.tenure.formerHome(cell)) },
+                         { "rows", cellRowsJson(board, cell) },
                          { "running", board.cells.runningIn(cell) },
                          { "queued", board.cells.queuedIn(cell) } });
     }
     return list;
 }
 
+auto healthJson(const Blackboard &board, UpstreamId upstream) -> json
+{
+    const auto *health = board.upstreams.find(upstream);
+    if (health == nullptr) {
+        return nullptr;
+    }
+    return { { "failures", health->failures },
+             { "ejected", health->ejected },
+             { "ramping", health->rampSince.has_value() },
+             { "doubted", health->doubtedSince.has_value() },
+             { "says_draining", health->saysDraining },
+             { "load", health->load } };
+}
+
 auto upstreamsJson(const Blackboard &board) -> json
 {
     auto list = json::array();
     for (const auto &upstream : board.table().upstreams()) {
         const auto active = upstream.state == UpstreamState::Active;
-        list.push_back({ { "name", upstream.name },
-                         { "service", upstream.serviceName },
-                         { "state", active ? "active" : "draining" },
-                         { "usable", board.upstreams.isUsable(upstream.id, board.now.mono) },
-                         { "quarantined", board.config.isQuarantined(upstream.id, board.now.mono) },
-                         { "feeds", board.feeds.countAt(upstream.id) } });
+        list.push_back(
+                { { "name", upstream.name },
+                  { "service", upstream.serviceName },
+                  { "state", active ? "active" : "draining" },
+                  { "usable", board.upstreams.isUsable(upstream.id, board.now.mono) },
+                  { "slots", upstream.slots },
+                  { "effective_slots", board.upstreams.effectiveSlots(upstream, board.now.mono) },
+                  { "running", board.cells.runningAt(upstream.cell(), upstream.id) },
+                  { "health", healthJson(board, upstream.id) },
+                  { "quarantined", board.config.isQuarantined(upstream.id, board.now.mono) },
+                  { "feeds", board.feeds.countAt(upstream.id) } });
     }
     return list;
 }
@@ -196,11 +259,15 @@
 auto dumpOf(const Blackboard &board) -> std::string
 {
     const json dump { { "host", hostJson(board) },
+                      { "members", membersJson(board) },
                       { "config", configJson(board) },
                       { "cells", cellsJson(board) },
                       { "upstreams", upstreamsJson(board) },
                       { "exchanges", exchangesJson(board) },
                       { "feeds", feedsJson(board) },
+                      { "keys",
+                        { { "count", board.keys.size() },
+                          { "answer_bytes", board.keys.answerBytes() } } },
                       { "retries_left", board.retryBudget.left() },
                       { "stats", statsJson(statsOf(board)) } };
     return dump.dump(2, ' ', false, json::error_handler_t::replace);
