Weigh the deadline of a bound request by its upstream's queue

Cause: a request bound to a busy upstream was admitted by the cell's queue and then came too late. Ruled out: one queue for each upstream; it would idle slots. Change: the time needed is the longer of both waits; it has a module of its own. Conclusion: what is bound is refused at once as well.

--- a/src/core/admissioncontroller.cpp
+++ b/src/core/admissioncontroller.cpp
@@ -6,6 +6,7 @@
 #include "core/fairorder.h"
 #include "core/giveback.h"
 #include "core/refuse.h"
+#include "core/timeneeded.h"
 #include "core/upstreamchoice.h"
 #include "core/waitestimate.h"
 
@@ -66,36 +67,11 @@
     return least;
 }
 
-/// Returns how long it takes until the first of the upstreams offers a slot again.
-auto timeToOpen(const Blackboard &board, const std::vector<SlotOffer> &offers) -> Duration
-{
-    auto opens = MonoTime::max();
-    for (const auto &offer : offers) {
-        opens = std::min(opens, board.upstreams.opensAt(offer.upstream->id));
-    }
-    return offers.empty() ? Duration { 0 } : opens - board.now.mono;
-}
-
-/// Returns how long the newest request of `row` needs until its answer, as far as that is known.
-auto timeNeeded(const Blackboard &board, const Cell &cell, const RowQueue &row)
-        -> std::optional<Duration>
-{
-    const auto offers = slotOffers(board, cell);
-    if (offeredSlots(offers) == 0) {
-        return timeToOpen(board, offers);
-    }
-    const auto service = row.serviceTime.likely(board.now.mono);
-    if (!service.has_value()) {
-        return std::nullopt;
-    }
-    return expectedWait(cell, row, row.waiting.size() - 1, offers, board.now.mono) + *service;
-}
-
 /// Refuses the newest request of `row` if it cannot be served in time.
 auto refuseIfLate(Blackboard &board, const Cell &cell, const RowQueue &row, Exchange &exchange)
         -> void
 {
-    const auto needed = timeNeeded(board, cell, row);
+    const auto needed = timeNeeded(board, cell, row, exchange);
     const auto remaining = exchange.deadline - board.now.mono;
     if (needed.has_value() && *needed + config::deadlineMargin >= remaining) {
         refuse(board, exchange, RefusalReason::DeadlineUnmet, boundedPause(*needed - row.deadline));
--- a/tests/unit/admissiontest.cpp
+++ b/tests/unit/admissiontest.cpp
@@ -275,7 +275,7 @@
     home.beginTenure(1h);
     home.publish();
     const auto arriveBound = [&] {
-        const auto id = home.add(row);
+        const auto id = home.add(home.rows[0]);
         home.board.exchanges.find(id)->bound = true;
         home.board.exchanges.find(id)->upstream = one;
         home.board.toAdmit.push_back(id);
@@ -288,8 +288,17 @@
     CHECK(home.sent.at(first).upstream == one);
     CHECK(!home.isSent(second));
     CHECK(home.isSent(free));
-    home.answer(first);
+    home.pass(100ms);
+    home.answer(first); // Teaches the service time.
     CHECK(home.sent.at(second).upstream == one);
+    home.pass(100ms);
+    home.answer(second);
+    home.rows[0].deadline = 250ms;
+    home.publish();
+    std::vector<ExchangeId> bound(5);
+    std::generate(bound.begin(), bound.end(), arriveBound);
+    CHECK(home.refused.count(bound[1]) == 0);
+    CHECK(home.isRefused(bound.back(), RefusalReason::DeadlineUnmet, Verdict::NotRun));
 }
 
 TEST_CASE("a full cell sheds the newest of its least urgent row")
