Wait between the proxy's writes under a limit of bytes

Cause: the address sanitizer found a stack overflow: a limited write called itself for each byte that the limit let pass meanwhile. clang-tidy took a Boost text conversion within a search for a null read. Ruled out: a larger stack; silencing the linter. Change: after a partial write under a limit the proxy waits its period; the names of an IP number are made once, before the search.

--- a/tests/standins/proxy/proxyconnection.cpp
+++ b/tests/standins/proxy/proxyconnection.cpp
@@ -254,9 +254,10 @@
     bytes.erase(0, written);
     if (written < size) {
         this->waitWritable(end);
-        return false;
+    } else {
+        this->waitUntil(end, Clock::now() + limitPeriod);
     }
-    return this->writeFirst(end);
+    return false;
 }
 
 auto ProxyConnection::passEnd(End end) -> void
--- a/tests/standins/proxy/sides.cpp
+++ b/tests/standins/proxy/sides.cpp
@@ -18,21 +18,24 @@
     if (names.empty()) {
         return true;
     }
-    const auto known = this->byIp.find(ip);
-    return std::any_of(names.begin(), names.end(), [&](const std::string &name) {
-        if (name == ip.to_string()) {
-            return true;
-        }
-        return known != this->byIp.end()
-               && std::find(known->second.begin(), known->second.end(), name)
-                          != known->second.end();
-    });
+    const std::vector<std::string> own = this->namesOf(ip);
+    return std::find_first_of(names.begin(), names.end(), own.begin(), own.end()) != names.end();
 }
 
 auto Sides::nameOf(const asio::ip::address &ip) const -> std::string
 {
+    return this->namesOf(ip).front();
+}
+
+auto Sides::namesOf(const asio::ip::address &ip) const -> std::vector<std::string>
+{
+    std::vector<std::string> names;
     const auto known = this->byIp.find(ip);
-    return known == this->byIp.end() ? ip.to_string() : known->second.front();
+    if (known != this->byIp.end()) {
+        names = known->second;
+    }
+    names.push_back(ip.to_string());
+    return names;
 }
 
 } // namespace standins
--- a/tests/standins/proxy/sides.h
+++ b/tests/standins/proxy/sides.h
@@ -24,6 +24,9 @@
     [[nodiscard]] auto nameOf(const asio::ip::address &ip) const -> std::string;
 
 private:
+    /// Returns the sides of `ip`, its text last.
+    [[nodiscard]] auto namesOf(const asio::ip::address &ip) const -> std::vector<std::string>;
+
     std::map<asio::ip::address, std::vector<std::string>> byIp;
 };
 
