Hold moved keys back until every host has the table

Cause: tables reach hosts unevenly; a key that a table moves to another zone could be run by the old home, which has the older table, and by the new one. Ruled out: a pause after adoption; a zone may be cut off for long with the older table. Change: gossip tells the newest table known to be everywhere; keyPlacedSince is later than any key until then, also for a host that has just started.

--- a/include/flamingograde/message.h
+++ b/include/flamingograde/message.h
@@ -29,7 +29,8 @@
     Revision revision;             ///< The sender's table.
     std::uint64_t tableDigest = 0; ///< Hash of the table's text.
     std::uint32_t platformAgeMs =
-            0; ///< Time since the sender, or whom it heard, last heard the platform.
+            0;        ///< Time since the sender, or whom it heard, last heard the platform.
+    Revision settled; ///< The newest table that the sender knows all hosts to have had, or a newer.
 };
 
 /// The first message on a connection, both ways.
--- a/src/core/configcontroller.cpp
+++ b/src/core/configcontroller.cpp
@@ -23,6 +23,7 @@
 constexpr Duration peerRequestTimeout = 1s; ///< A host is given this long to send its table.
 constexpr Duration startupHostPeriod = 500ms; ///< Period of the host list until it names this host.
 constexpr Duration startupReads = 10s;        ///< How long that period holds.
+constexpr std::uint32_t refusalsOfGone = 3;   ///< Refused dials in a row of an ended process.
 constexpr std::size_t announcedMax = 16;      ///< Hosts told at once of a new table.
 
 /// The key under which the readers of a zone are drawn.
@@ -49,6 +50,41 @@
     return Duration(draw(board.random));
 }
 
+/// Returns whether a dead host's process has surely ended: its machine refuses connections, while
+/// other hosts of its zone are reached.
+auto isGone(const Blackboard &board, const MemberRecord &record) -> bool
+{
+    return record.member.state == MemberState::Dead && record.refusals >= refusalsOfGone
+           && !board.membership.voters(record.member.zone).empty();
+}
+
+/// Returns whether this host would hear from a host that is at work.
+auto isHeardDirectly(const Blackboard &board, const MemberRecord &record) -> bool
+{
+    return board.membership.records().size() <= config::flatMembershipHosts || record.connected
+           || record.member.zone == board.init.self.zone;
+}
+
+/// Notes whether all hosts have the table in force. A silent one may go on with an older.
+auto reviewSettled(Blackboard &board) -> void
+{
+    const auto revision = board.config.revision;
+    const auto now = board.now.mono;
+    if (!(board.config.settled < revision) || !board.membership.knowsFleet(now)
+        || board.membership.isIsolated(now)) {
+        return;
+    }
+    const auto &records = board.membership.records();
+    const auto hasIt = [&](const auto &entry) {
+        const auto &record = entry.second;
+        return entry.first == board.membership.self || !(record.revision < revision)
+               || isGone(board, record) || !isHeardDirectly(board, record);
+    };
+    if (std::all_of(records.begin(), records.end(), hasIt)) {
+        board.config.noteSettled(revision, board.now.wall);
+    }
+}
+
 /// Tells hosts that have an older table of the one in force.
 auto announce(Blackboard &board) -> void
 {
@@ -154,6 +190,9 @@
     if (auto *record = board.membership.record(from)) {
         record->revision = std::max(record->revision, gossip.revision);
     }
+    if (board.config.settled < gossip.settled) {
+        board.config.noteSettled(gossip.settled, board.now.wall);
+    }
     if (gossip.revision.isValid() && gossip.revision == board.config.revision
         && gossip.tableDigest != board.config.digest && this->conflicting != gossip.revision) {
         this->conflicting = gossip.revision;
@@ -180,6 +219,7 @@
     if (this->hostsAsked && now >= this->hostsGivenUp) {
         this->on(board, PlatformFailed { PlatformRead::Hosts, "no answer" });
     }
+    reviewSettled(board);
     this->readPlatform(board);
 }
 
--- a/src/core/configstate.cpp
+++ b/src/core/configstate.cpp
@@ -17,13 +17,23 @@
 {
     const auto zone = zoneOfKey(*this->table, service, key);
     for (auto it = this->past.rbegin(); it != this->past.rend(); ++it) {
-        if (zoneOfKey(*it->table, service, key) != zone) {
-            return it->until;
+        if (it->table == nullptr || zoneOfKey(*it->table, service, key) != zone) {
+            return it->left.value_or(neverPlaced);
         }
     }
     return {};
 }
 
+auto ConfigState::noteSettled(Revision newest, WallTime now) -> void
+{
+    this->settled = std::max(this->settled, newest);
+    for (auto &entry : this->past) {
+        if (!entry.left && !(this->settled < entry.next)) {
+            entry.left = std::max(now, entry.until);
+        }
+    }
+}
+
 auto ConfigState::platformAge(MonoTime now) const -> Duration
 {
     return this->platformKnown ? now - this->platformHeard : Duration::max();
--- a/src/core/configstate.h
+++ b/src/core/configstate.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -28,15 +29,23 @@
     /// service.
     [[nodiscard]] auto isQuarantined(UpstreamId upstream, MonoTime now) const -> bool;
 
-    /// Returns the wall time from which keys of `service` that `key` hashes to this zone are led to
-    /// the same cell as now: the last change of the table that moved `key`, or the epoch.
+    /// Returns the wall time from which every host leads `key` to the same cell as now: when the
+    /// last change of the table that moved it had come to all hosts, or the epoch.
+    ///
+    /// While a host may still have the table before that change, this is `neverPlaced`: the old
+    /// cell may still run the key.
     [[nodiscard]] auto keyPlacedSince(ServiceId service, const std::string &key) const -> WallTime;
 
+    /// Later than the time of any key.
+    static constexpr WallTime neverPlaced = WallTime(Duration::max() / 2);
+
     /// A table that was in force before.
     struct Past
     {
-        std::shared_ptr<const Table> table;
-        WallTime until; ///< When the next one replaced it here.
+        std::shared_ptr<const Table> table; ///< Null: before this host's start, so unknown.
+        Revision next;                      ///< The table that replaced it.
+        std::optional<WallTime> left;       ///< When it was in force nowhere any more.
+        WallTime until;                     ///< When it was replaced here.
     };
 
     std::vector<Past> past; ///< Oldest first; those of the last `config::keyLifetime`.
@@ -44,6 +53,10 @@
     MonoTime platformHeard;     ///< When this host, or one it heard from, last heard the platform.
     bool platformKnown = false; ///< Whether `platformHeard` was ever set.
 
+    Revision settled; ///< The newest table that all hosts are known to have had, or a newer.
+
+    /// Notes that all hosts have had `revision` or a newer one.
+    auto noteSettled(Revision revision, WallTime now) -> void;
     /// Returns how long ago the platform was last heard by this host or one it heard from.
     [[nodiscard]] auto platformAge(MonoTime now) const -> Duration;
     /// Notes that the platform was heard at `at`.
--- a/src/core/gossip.cpp
+++ b/src/core/gossip.cpp
@@ -33,6 +33,7 @@
     gossip.loads = board.cells.ownLoads();
     gossip.revision = board.config.revision;
     gossip.tableDigest = board.config.digest;
+    gossip.settled = board.config.settled;
     gossip.platformAgeMs = platformAgeMs(board);
     return gossip;
 }
--- a/src/core/membershipcontroller.cpp
+++ b/src/core/membershipcontroller.cpp
@@ -110,6 +110,7 @@
     }
     auto &membership = board.membership;
     membership.self = self.id;
+    membership.seeded = !board.init.seeds.empty();
     membership.startedAt = board.now.mono;
     membership.pausedAt = board.now.mono;
     membership.contactAt = board.now.mono - config::pauseThreshold;
--- a/src/core/membershipstate.cpp
+++ b/src/core/membershipstate.cpp
@@ -11,6 +11,12 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
+constexpr Duration contactGrace = 1s;  ///< Other hosts tell of the whole fleet within this.
+constexpr Duration unlistedGrace = 5s; ///< A host that no list names waits for others this long.
+constexpr Duration wakeGrace = 1500ms; ///< Hosts that came during a pause dial within this.
+
 const std::vector<HostId> noHosts;
 
 /// Returns the hosts of `zone` in `index`; empty for an unknown zone.
@@ -76,6 +82,21 @@
     return this->connected == 0 || now - this->contactAt > config::pauseThreshold;
 }
 
+auto MembershipState::knowsFleet(MonoTime now) const -> bool
+{
+    const auto awake = now - this->pausedAt;
+    if (this->pauses > 0 && awake < wakeGrace) {
+        return false;
+    }
+    if (this->listRead && this->listedSelf && this->listedAt >= this->pausedAt) {
+        return true;
+    }
+    if (this->contactAt >= this->pausedAt && awake >= contactGrace) {
+        return true;
+    }
+    return awake >= unlistedGrace && (this->listRead || this->seeded);
+}
+
 auto MembershipState::record(HostId host) -> MemberRecord *
 {
     const auto found = this->byId.find(host);
--- a/src/core/membershipstate.h
+++ b/src/core/membershipstate.h
@@ -66,6 +66,10 @@
 
     /// Marks the look-ups as out of date: a member was added, erased or changed.
     auto touch() -> void { this->stale = true; }
+    /// Returns whether this host, since its start or last pause, had the chance to hear of all
+    /// hosts that are at work: from the platform's list, from other hosts, or by waiting for them.
+    [[nodiscard]] auto knowsFleet(MonoTime now) const -> bool;
+
     /// Makes the look-ups anew where they are out of date.
     auto refresh() -> void;
 
@@ -78,6 +82,7 @@
     bool listedSelf = false;  ///< The platform's last host list had this host.
     bool listRead = false;    ///< The platform's host list was read since the start.
     MonoTime listedAt;        ///< When it was last read.
+    bool seeded = false;      ///< The settings name other hosts.
     MonoTime startedAt;       ///< Time of the first event.
 
 private:
--- a/src/core/tableadoption.cpp
+++ b/src/core/tableadoption.cpp
@@ -62,17 +62,17 @@
 }
 
 /// Remembers the table in force as a past one and forgets those that no key can depend on.
-auto keepPast(Blackboard &board) -> void
+auto keepPast(Blackboard &board, Revision next) -> void
 {
     auto &past = board.config.past;
-    if (board.config.revision.isValid()) {
-        past.push_back({ board.config.table, board.now.wall });
-    }
+    const auto known = board.config.revision.isValid();
+    past.push_back({ known ? board.config.table : nullptr, next, {}, board.now.wall });
     const auto oldest = board.now.wall - config::keyLifetime;
-    const auto isOver = [oldest](const auto &entry) { return entry.until < oldest; };
+    const auto isOver = [oldest](const auto &entry) { return entry.left && *entry.left < oldest; };
     past.erase(std::remove_if(past.begin(), past.end(), isOver), past.end());
     if (past.size() > pastTablesMax) {
         past.erase(past.begin());
+        past.front().table = nullptr;
     }
 }
 
@@ -83,13 +83,14 @@
     const auto before = board.config.table;
     const auto after = std::make_shared<const Table>(std::move(table));
     board.config.quarantinedUntil = quarantineOf(board, *before, *after);
-    keepPast(board);
+    keepPast(board, revision);
     board.config.table = after;
     board.config.revision = revision;
     board.config.text = text;
     board.config.digest = hashName(text);
     board.stats.revision = revision.number;
     ++board.stats.tablesAccepted;
+    board.config.noteSettled(board.config.settled, board.now.wall);
     moveListeners(board, *before, *after);
     board.log(LogEvent::TableAccepted, "revision " + std::to_string(revision.number));
 }
--- a/src/core/tenurecontroller.cpp
+++ b/src/core/tenurecontroller.cpp
@@ -9,36 +9,12 @@
 
 namespace {
 
-using namespace std::chrono_literals;
-
-constexpr Duration contactGrace = 1s;  ///< Hosts of other zones tell of this zone within this.
-constexpr Duration unlistedGrace = 5s; ///< A host that no list names waits for others this long.
-constexpr Duration wakeGrace = 1500ms; ///< Hosts that came during a pause dial within this.
-
 /// Returns whether this zone has another host that may be at work.
 auto hasNeighbours(const Blackboard &board) -> bool
 {
     return board.membership.voters(board.init.self.zone).size() > 1;
 }
 
-/// Returns whether an only host of a zone can tell that it is the only one.
-auto isSettled(const Blackboard &board) -> bool
-{
-    const auto &membership = board.membership;
-    const auto awake = board.now.mono - membership.pausedAt;
-    if (membership.pauses > 0 && awake < wakeGrace) {
-        return false;
-    }
-    if (membership.listRead && membership.listedAt >= membership.pausedAt
-        && membership.listedSelf) {
-        return true;
-    }
-    if (membership.contactAt >= membership.pausedAt && awake >= contactGrace) {
-        return true;
-    }
-    return awake >= unlistedGrace && (membership.listRead || !board.init.seeds.empty());
-}
-
 /// Returns the cells of this zone in the table in force.
 auto cellsOfZone(const Blackboard &board) -> std::set<CellId>
 {
@@ -144,7 +120,7 @@
     if (hasNeighbours(board)) {
         return !board.membership.isIsolated(board.now.mono);
     }
-    return isSettled(board);
+    return board.membership.knowsFleet(board.now.mono);
 }
 
 } // namespace flamingograde
--- a/src/wire/messagecodec.cpp
+++ b/src/wire/messagecodec.cpp
@@ -55,7 +55,8 @@
 {
     Json map = { { "r", gossip.revision.number },
                  { "d", gossip.tableDigest },
-                 { "a", gossip.platformAgeMs } };
+                 { "a", gossip.platformAgeMs },
+                 { "s", gossip.settled.number } };
     if (!gossip.updates.empty()) {
         auto &updates = map["u"] = Json::array();
         for (const auto &member : gossip.updates) {
@@ -182,6 +183,7 @@
     gossip.revision = { reader.number(reader.field(map, "r")) };
     gossip.tableDigest = reader.number(reader.field(map, "d"));
     gossip.platformAgeMs = static_cast<std::uint32_t>(reader.number(reader.field(map, "a"), max32));
+    gossip.settled = { reader.number(reader.field(map, "s")) };
     if (map.contains("u")) {
         for (const auto &entry : reader.list(map["u"], listMax)) {
             gossip.updates.push_back(unpackMember(reader, entry));
--- a/tests/unit/messagecodectest.cpp
+++ b/tests/unit/messagecodectest.cpp
@@ -37,6 +37,7 @@
     gossip.revision = { 12 };
     gossip.tableDigest = ~0ULL;
     gossip.platformAgeMs = 1500;
+    gossip.settled = { 11 };
     return gossip;
 }
 
@@ -83,6 +84,7 @@
     CHECK(gossip.updates.size() == 2);
     CHECK(gossip.loads.back().queued == 4000000000U);
     CHECK(gossip.platformAgeMs == 1500);
+    CHECK(gossip.settled.number == 11);
 
     const auto grant = decode(
             encode(ClaimGrant { 5, { CellId(1) }, { CellId(2), CellId(3) }, { CellId(2) } }));
