Keep the lost section's name where the settings' reader looks for it

Cause: the settings are read by the same reader, which named it by TomlText. Ruled out: changing the settings' code. Change: an alias in TomlText.

--- a/src/table/tablereader.cpp
+++ b/src/table/tablereader.cpp
@@ -3,7 +3,6 @@
 
 #include "table/fieldreader.h"
 #include "table/nearest.h"
-#include "table/tomldraft.h"
 #include "table/words.h"
 
 #include <flamingograde/config.h>
@@ -59,7 +58,7 @@
     for (const auto &[key, node] : this->text.root) {
         const auto word = key.str();
         const auto isKnown = std::find(sections.begin(), sections.end(), word) != sections.end();
-        const auto isLost = !this->text.isWhole && word == TomlDraft::lostSection;
+        const auto isLost = !this->text.isWhole && word == TomlText::lostSection;
         if (isKnown || isLost) {
             continue;
         }
--- a/src/table/tomltext.h
+++ b/src/table/tomltext.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "table/findinglist.h"
+#include "table/tomldraft.h"
 
 #include <toml++/toml.h>
 
@@ -14,6 +15,8 @@
 /// What could be read of a TOML text.
 struct TomlText
 {
+    static constexpr auto lostSection = TomlDraft::lostSection;
+
     toml::table root;
     bool isWhole = true;                              ///< The text has no syntax error.
     std::unordered_set<std::uint32_t> brokenSections; ///< Lines of headers of sections with one.
