--- a/src/core/admissioncontroller.cpp
+++ b/src/core/admissioncontroller.cpp
@@ -21,6 +21,12 @@
     return std::clamp<Duration>(pause, config::retryAfterMin, config::retryAfterMax);
 }
 
+/// Returns whether the upstream of an ended request is surely done with it.
+auto isOver(const RunningRequest &request) -> bool
+{
+    return request.answered || request.notSent || request.shed;
+}
+
 /// Corrects the charge of a request that ended, and learns from it how long its row takes.
 auto account(Blackboard &board, const RunningRequest &request) -> void
 {
@@ -30,7 +36,7 @@
     const auto timedOut = request.deadline <= board.now.mono;
     const auto served = request.answered && !request.shed && !request.failed;
     if (served || timedOut) {
-        row.serviceTime.sample(used, board.now.mono);
+        row.serviceTime.sample(std::min(used, request.deadline - request.since), board.now.mono);
     }
 }
 
@@ -60,20 +66,40 @@
     return least;
 }
 
-/// Refuses the newest request of `row` if it cannot be served in time.
-auto refuseIfLate(Blackboard &board, Cell &cell, RowQueue &row, Exchange &exchange) -> void
+/// Returns how long it takes until the first of the upstreams offers a slot again.
+auto timeToOpen(const Blackboard &board, const std::vector<SlotOffer> &offers) -> Duration
 {
-    const auto service = row.serviceTime.mean(board.now.mono);
-    if (!service.has_value()) {
-        return;
+    auto opens = MonoTime::max();
+    for (const auto &offer : offers) {
+        opens = std::min(opens, board.upstreams.opensAt(offer.upstream->id));
     }
+    return offers.empty() ? Duration { 0 } : opens - board.now.mono;
+}
+
+/// Returns how long the newest request of `row` needs until its answer, as far as that is known.
+auto timeNeeded(const Blackboard &board, const Cell &cell, const RowQueue &row)
+        -> std::optional<Duration>
+{
     const auto offers = slotOffers(board, cell);
-    const auto ahead = row.waiting.size() - 1;
-    const auto needed = expectedWait(cell, row, ahead, offers, board.now.mono) + *service;
-    if (needed <= exchange.deadline - board.now.mono) {
-        return;
+    if (offeredSlots(offers) == 0) {
+        return timeToOpen(board, offers);
+    }
+    const auto service = row.serviceTime.likely(board.now.mono);
+    if (!service.has_value()) {
+        return std::nullopt;
+    }
+    return expectedWait(cell, row, row.waiting.size() - 1, offers, board.now.mono) + *service;
+}
+
+/// Refuses the newest request of `row` if it cannot be served in time.
+auto refuseIfLate(Blackboard &board, const Cell &cell, const RowQueue &row, Exchange &exchange)
+        -> void
+{
+    const auto needed = timeNeeded(board, cell, row);
+    const auto remaining = exchange.deadline - board.now.mono;
+    if (needed.has_value() && *needed + config::deadlineMargin >= remaining) {
+        refuse(board, exchange, RefusalReason::DeadlineUnmet, boundedPause(*needed - row.deadline));
     }
-    refuse(board, exchange, RefusalReason::DeadlineUnmet, boundedPause(needed - row.deadline));
 }
 
 /// Enforces the bounds of the queues after one request more.
@@ -94,6 +120,15 @@
     }
 }
 
+/// Counts what the homed cells offer, for gossip.
+auto countSlots(Blackboard &board) -> void
+{
+    for (auto &[id, cell] : board.cells.all()) {
+        cell.homed = board.tenure.since(id).has_value();
+        cell.slots = offeredSlots(slotOffers(board, cell));
+    }
+}
+
 auto releaseRepeats(Blackboard &board) -> void
 {
     for (const auto id : board.keys.takeReleased()) {
@@ -109,11 +144,18 @@
     if (progress != nullptr) {
         this->onProgress(board, *progress);
     }
+    if (std::holds_alternative<Tick>(event)) {
+        countSlots(board);
+    }
 }
 
 auto AdmissionController::settle(Blackboard &board) -> void
 {
     this->settleEnded(board);
+    if (board.cells.revision != board.config.revision) {
+        board.cells.revision = board.config.revision;
+        board.cells.follow(board.table());
+    }
     for (const auto id : std::exchange(board.toQueue, {})) {
         auto *exchange = board.exchanges.find(id);
         if (exchange != nullptr) {
@@ -141,6 +183,9 @@
 {
     for (const auto &request : board.cells.takeEnded()) {
         account(board, request);
+        if (!isOver(request)) {
+            board.cells.linger(request, board.now.mono + config::cancelGrace);
+        }
     }
 }
 
@@ -181,13 +226,11 @@
 
 auto AdmissionController::settleCell(Blackboard &board, Cell &cell) -> void
 {
+    board.cells.freeLingering(cell, board.now.mono);
     cell.homed = board.tenure.since(cell.id).has_value();
     if (cell.homed) {
-        cell.slots = offeredSlots(slotOffers(board, cell));
         dispatchWaiting(board, cell);
-        return;
-    }
-    if (cell.waiting > 0 && !board.tenure.isClaiming(cell.id)) {
+    } else if (cell.waiting > 0 && !board.tenure.isClaiming(cell.id)) {
         giveBackWaiting(board, cell);
     }
 }
--- a/src/net/daemon.h
+++ b/src/net/daemon.h
@@ -7,6 +7,7 @@
 #include "net/loop.h"
 #include "net/peerhub.h"
 #include "net/platformreader.h"
+#include "net/reporter.h"
 #include "net/rowlisteners.h"
 #include "net/signalwatch.h"
 #include "net/upstreamprober.h"
@@ -63,7 +64,7 @@
     HttpServer relays;
     HttpServer operators;
     RowListeners rows;
-    Address adminAddress;
+    BoundAddresses bound;
     std::unique_ptr<Listener> peerListener;
     std::unique_ptr<PeerHub> peers;
     std::unique_ptr<Balancer> balancer;
--- a/src/net/reporter.cpp
+++ b/src/net/reporter.cpp
@@ -18,13 +18,13 @@
 
 } // namespace
 
-auto reportReady(const Member &self, Address admin) -> void
+auto reportReady(const std::string &host, const BoundAddresses &bound) -> void
 {
     write({ { "event", "ready" },
-            { "host", self.name },
-            { "admin", admin.toString() },
-            { "peer", self.peer.toString() },
-            { "relay", self.relay.toString() } });
+            { "host", host },
+            { "admin", bound.admin.toString() },
+            { "peer", bound.peer.toString() },
+            { "relay", bound.relay.toString() } });
 }
 
 auto reportListen(Address row, Address bound) -> void
