--- a/src/core/celldump.cpp
+++ b/src/core/celldump.cpp
@@ -54,17 +54,15 @@
     }
     const auto closed =
             std::max<Duration>(board.upstreams.opensAt(upstream.id) - now, Duration::zero());
-    return { { "slots", upstream.slots },
-             { "slots_now", board.upstreams.effectiveSlots(upstream, now) },
-             { "running", board.cells.runningAt(upstream.cell(), upstream.id) },
-             { "failures", health->failures },
+    return { { "failures", health->failures },
+             { "ejected", health->ejected },
              { "ejections", health->ejections },
              { "closed_for_ms", milliseconds(closed) },
-             { "cold", health->rampSince.has_value() },
+             { "ramping", health->rampSince.has_value() },
              { "sheds", health->slotLimit.has_value() },
-             { "probes_doubt", health->doubtedSince.has_value() },
+             { "doubted", health->doubtedSince.has_value() },
              { "says_draining", health->saysDraining },
-             { "says_load", health->load } };
+             { "load", health->load } };
 }
 
 } // namespace flamingograde
