--- a/src/core/upstreamchoice.cpp
+++ b/src/core/upstreamchoice.cpp
@@ -11,11 +11,14 @@
 
 namespace {
 
-/// An upstream that was away catches up on no more than this many dispatches by slot.
-constexpr double servedLagMax = 4.0;
+/// An upstream that was away catches up on no more than this many dispatches of the smallest one.
+constexpr double servedLagMax = 2.0;
 
 auto isLess(const SlotOffer &a, const SlotOffer &b) -> bool
 {
+    if (a.lastResort != b.lastResort) {
+        return b.lastResort;
+    }
     const auto left = std::uint64_t { a.running } * b.slots;
     const auto right = std::uint64_t { b.running } * a.slots;
     return left != right ? left < right : a.served < b.served;
@@ -66,6 +69,7 @@
         SlotOffer offer;
         offer.upstream = &upstream;
         offer.slots = board.upstreams.effectiveSlots(upstream, board.now.mono);
+        offer.lastResort = board.upstreams.isLastResort(upstream.id);
         const auto load = cell.upstreams.find(upstream.id);
         if (load != cell.upstreams.end()) {
             offer.running = load->second.running;
@@ -97,13 +101,15 @@
 auto countServed(Cell &cell, const std::vector<SlotOffer> &offers, const SlotOffer &offer) -> void
 {
     auto least = std::numeric_limits<double>::max();
+    auto fewest = offer.slots;
     for (const auto &other : offers) {
         least = std::min(least, &other == &offer ? least : other.served);
+        fewest = std::min(fewest, std::max<std::uint32_t>(other.slots, 1));
     }
     const auto step = 1.0 / offer.slots;
     auto &served = cell.upstreams[offer.upstream->id].served;
     if (offers.size() > 1) {
-        served = std::max(served, least - servedLagMax * step);
+        served = std::max(served, least - servedLagMax / fewest);
     }
     served += step;
 }
