--- a/src/core/keycontroller.cpp
+++ b/src/core/keycontroller.cpp
@@ -1,6 +1,7 @@
 /// Runs each idempotency key at most once.
 #include "core/keycontroller.h"
 
+#include "core/answermeaning.h"
 #include "core/blackboard.h"
 #include "core/giveback.h"
 #include "core/keyfreshness.h"
@@ -58,13 +59,6 @@
     }
 }
 
-/// Returns whether an answer's head says that the upstream ran nothing.
-auto saysUnrun(const AnswerHead &head) -> bool
-{
-    constexpr auto misdirected = 421;
-    return head.shed || head.status == misdirected;
-}
-
 /// Returns what this host can tell another of a key.
 auto stateToTell(Blackboard &board, const KeyLookup &lookup) -> KeyState
 {
@@ -110,7 +104,7 @@
     }
     const auto id = exchange.id;
     const auto verdict = state == KeyState::Done ? Verdict::Run : Verdict::Unknown;
-    const auto repeats = board.keys.dispatched(id, 0, board.now);
+    board.keys.dispatched(id, 0, board.now);
     finishKey(board, id, state, nullptr);
     refuseKey(board, exchange, RefusalReason::KeyUnknown, verdict);
 }
