--- a/src/table/upstreamdiff.cpp
+++ b/src/table/upstreamdiff.cpp
@@ -26,8 +26,8 @@
 {
     const auto subject = subjectOf(after);
     changes.compare(subject, "service", before.serviceName, after.serviceName,
-                    "its feeds end and requests under way may be cut; drain it, remove it, and "
-                    "add it under another name");
+                    "its flows cannot go on there; drain it, remove it, and add it under another "
+                    "name");
     changes.compare(subject, "zone", before.zoneName, after.zoneName,
                     "hosts with the old and the new table may both fill its slots; drain it, "
                     "remove it, and add it under another name");
