Bench the library alone, real hosts by number and placement by policy

Change: bench-core gets steering, feeds' memory, requests through a home and a host among 11,000; bench-fleet gets control cost by hosts, policies under one load and ratios to straight loads.

--- /dev/null
+++ b/bench/core/bigfleet.cpp
@@ -0,0 +1,135 @@
+/// The scripted fleet around one host.
+#include "bigfleet.h"
+
+#include "wire/messagecodec.h"
+
+#include <utility>
+
+namespace flamingograde {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t firstIp = 0x0A100001;
+constexpr auto startOfTime = WallTime(Duration(1'800'000'000s));
+
+} // namespace
+
+BigFleet::BigFleet(std::size_t hosts, std::string table) : bench(std::move(table))
+{
+    this->addMembers(hosts);
+    HostsFetched fetched;
+    fetched.hosts = this->members;
+    this->give(fetched);
+    this->pass(5s, 0);
+    this->joinTraffic = std::exchange(this->traffic, {});
+}
+
+auto BigFleet::pass(Duration time, double changesPerSecond) -> void
+{
+    const auto changesPerProbe =
+            changesPerSecond * std::chrono::duration<double>(config::probePeriod).count();
+    const auto end = this->passed + time;
+    while (this->passed < end) {
+        this->passed += config::tickPeriod;
+        this->tick();
+        if (this->passed % config::probePeriod == 0ms) {
+            this->probeFrom(this->drawChanges(changesPerProbe));
+        }
+    }
+}
+
+auto BigFleet::addMembers(std::size_t hosts) -> void
+{
+    this->members.push_back(this->bench.self());
+    for (std::size_t i = 1; i < hosts; ++i) {
+        Member member;
+        member.name = "zone-" + std::to_string(i % zones) + "-host-" + std::to_string(i / zones);
+        member.id = HostId::ofName(member.name);
+        member.zoneName = i % zones == 0 ? "z1" : "zone-" + std::to_string(i % zones);
+        member.zone = ZoneId::ofName(member.zoneName);
+        member.peer = { firstIp + static_cast<std::uint32_t>(i), 7001 };
+        member.relay = { firstIp + static_cast<std::uint32_t>(i), 7002 };
+        this->members.push_back(std::move(member));
+    }
+}
+
+auto BigFleet::tick() -> void
+{
+    for (const auto host : std::exchange(this->coming, {})) {
+        for (const auto &member : this->members) {
+            if (member.id == host) {
+                this->neighbours.push_back(host);
+                this->give(PeerUp { member });
+            }
+        }
+    }
+    for (auto &answer : std::exchange(this->answers, {})) {
+        this->give(std::move(answer));
+    }
+    this->bench.advance(config::tickPeriod);
+    this->give(Tick {});
+}
+
+auto BigFleet::probeFrom(std::vector<Member> changes) -> void
+{
+    if (this->neighbours.empty()) {
+        return;
+    }
+    Ping ping;
+    ping.sequence = ++this->lastSequence;
+    ping.gossip.revision = Revision { 1 };
+    ping.gossip.tableDigest = hashName(this->bench.table());
+    ping.gossip.updates = std::move(changes);
+    const auto from = this->neighbours[this->random() % this->neighbours.size()];
+    this->give(PeerMessage { from, std::move(ping) });
+}
+
+auto BigFleet::drawChanges(double count) -> std::vector<Member>
+{
+    std::vector<Member> changes;
+    this->owedChanges += count;
+    while (this->owedChanges >= 1) {
+        this->owedChanges -= 1;
+        auto &member = this->members[1 + this->random() % (this->members.size() - 1)];
+        const auto age = startOfTime.time_since_epoch() + this->passed;
+        member.incarnation = static_cast<std::uint64_t>(age.count());
+        changes.push_back(member);
+    }
+    return changes;
+}
+
+auto BigFleet::give(Event event) -> void
+{
+    for (const auto &action : this->bench.give(std::move(event))) {
+        this->take(action);
+    }
+}
+
+auto BigFleet::take(const Action &action) -> void
+{
+    if (const auto *connect = std::get_if<ConnectPeer>(&action)) {
+        ++this->traffic.dials;
+        if (this->dialled.insert(connect->host).second) {
+            this->coming.push_back(connect->host);
+        }
+        return;
+    }
+    const auto *sent = std::get_if<SendPeer>(&action);
+    if (sent == nullptr) {
+        return;
+    }
+    ++this->traffic.messages;
+    this->traffic.bytes += encode(sent->message).size();
+    const auto *ping = std::get_if<Ping>(&sent->message);
+    if (ping != nullptr && ping->sequence != 0) {
+        Ack ack;
+        ack.sequence = ping->sequence;
+        ack.gossip.revision = Revision { 1 };
+        ack.gossip.tableDigest = hashName(this->bench.table());
+        this->answers.push_back({ sent->host, std::move(ack) });
+    }
+}
+
+} // namespace flamingograde
--- /dev/null
+++ b/bench/fleet/controlcost.cpp
@@ -0,0 +1,157 @@
+#include "controlcost.h"
+
+#include "barefleet.h"
+#include "hostcost.h"
+#include "leastsquares.h"
+
+#include "harness/tomlfile.h"
+
+#include <flamingograde/config.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <string>
+
+using harness::Millis;
+
+namespace {
+
+constexpr Millis calmTime { 4000 }; ///< From the start to the first measure.
+constexpr Millis idleTime { 8000 }; ///< Longer than the periods of probes and host list.
+constexpr Millis editsTime { 6000 };
+constexpr Millis editPeriod { 1000 }; ///< 14 times the letter's rate, so that edits stand out.
+constexpr Millis churnTime { 6000 };
+constexpr int rollouts = 3;
+constexpr std::size_t editHosts = 6; ///< Of the fleet on which edits of large tables are measured.
+
+auto deploymentOf(std::size_t hosts) -> harness::Deployment
+{
+    auto deployment = harness::Deployment::fromJson(
+            harness::readToml(std::string(FLAMINGOGRADE_BENCH) + "/control.toml"));
+    for (std::size_t i = 0; i < hosts; ++i) {
+        const auto &zone = deployment.zones[i % deployment.zones.size()];
+        deployment.hosts.push_back({ zone + "-" + std::to_string(i), zone });
+    }
+    return deployment;
+}
+
+auto weightEdit(int number) -> std::string
+{
+    return "row packs weight=" + std::to_string(2 + number % 2);
+}
+
+auto measureIdle(harness::Loop &loop, BareFleet &fleet) -> HostCost
+{
+    CostMeter meter(fleet);
+    loop.runFor(idleTime);
+    return meter.read();
+}
+
+auto measureEdits(harness::Loop &loop, BareFleet &fleet) -> HostCost
+{
+    CostMeter meter(fleet);
+    const auto edits = editsTime / editPeriod;
+    for (int i = 0; i < edits; ++i) {
+        fleet.publish(weightEdit(i));
+        loop.runFor(editPeriod);
+    }
+    return meter.read();
+}
+
+/// Returns the longest time until an edit was in force on all hosts; null if one never was.
+auto measureRollouts(harness::Loop &loop, BareFleet &fleet) -> nlohmann::json
+{
+    double longest = 0;
+    for (int i = 0; i < rollouts; ++i) {
+        fleet.publish(weightEdit(i + 1));
+        const auto seconds = fleet.waitInForce();
+        if (!seconds) {
+            return nullptr;
+        }
+        longest = std::max(longest, *seconds);
+        loop.runFor(editPeriod);
+    }
+    return longest;
+}
+
+/// The cost while a host is killed and another takes its place.
+auto measureChurn(harness::Loop &loop, BareFleet &fleet) -> HostCost
+{
+    CostMeter meter(fleet);
+    fleet.replaceHost("z1-0", "z1-new");
+    loop.runFor(churnTime);
+    return meter.read();
+}
+
+auto measureSize(harness::Loop &loop, const Progress &progress, std::size_t hosts) -> nlohmann::json
+{
+    BareFleet fleet(loop, deploymentOf(hosts));
+    fleet.startHosts();
+    loop.runFor(calmTime);
+    nlohmann::json measured { { "hosts", hosts } };
+    measured["idle"] = measureIdle(loop, fleet).toJson();
+    measured["rollout_seconds_max"] = measureRollouts(loop, fleet);
+    measured["edits_per_second"] = 1000.0 / static_cast<double>(editPeriod.count());
+    measured["edits"] = measureEdits(loop, fleet).toJson();
+    measured["churn_seconds"] = static_cast<double>(churnTime.count()) / 1000;
+    measured["churn"] = measureChurn(loop, fleet).toJson();
+    progress.say(std::to_string(hosts)
+                 + " hosts: " + measured["idle"]["bytes_sent_per_second"]["mean"].dump()
+                 + " bytes/s sent a host, cpu " + measured["idle"]["cpu_share"]["mean"].dump()
+                 + ", edit in force after " + measured["rollout_seconds_max"].dump() + " s");
+    return measured;
+}
+
+/// Returns the line through a measure of fleets whose hosts all know each other.
+auto lineOf(const nlohmann::json &sizes, const std::string &field) -> Line
+{
+    std::vector<Point> points;
+    const nlohmann::json::json_pointer path(field);
+    for (const auto &size : sizes) {
+        if (size.at("hosts") <= flamingograde::config::flatMembershipHosts) {
+            points.push_back({ size.at("hosts"), size.at(path) });
+        }
+    }
+    return leastSquares(points);
+}
+
+} // namespace
+
+auto measureControlCost(harness::Loop &loop, const Progress &progress,
+                        const std::vector<std::size_t> &sizes) -> nlohmann::json
+{
+    nlohmann::json measured { { "sizes", nlohmann::json::array() } };
+    for (const auto hosts : sizes) {
+        measured["sizes"].push_back(measureSize(loop, progress, hosts));
+    }
+    if (sizes.size() > 1) {
+        const auto &list = measured["sizes"];
+        measured["lines"] = {
+            { "bytes_sent", lineOf(list, "/idle/bytes_sent_per_second/mean").toJson() },
+            { "messages_sent", lineOf(list, "/idle/messages_sent_per_second/mean").toJson() },
+            { "cpu_share", lineOf(list, "/idle/cpu_share/mean").toJson() },
+            { "resident_bytes", lineOf(list, "/idle/resident_bytes/mean").toJson() },
+            { "platform_calls", lineOf(list, "/idle/platform_calls_per_second").toJson() },
+        };
+    }
+    return measured;
+}
+
+auto measureEditCost(harness::Loop &loop, const Progress &progress) -> nlohmann::json
+{
+    auto measured = nlohmann::json::array();
+    for (const int upstreams : { 0, 500, 2000 }) {
+        BareFleet fleet(loop, deploymentOf(editHosts));
+        fleet.addIdleUpstreams(upstreams);
+        fleet.startHosts();
+        loop.runFor(calmTime);
+        const auto idle = measureIdle(loop, fleet);
+        const auto edits = measureEdits(loop, fleet);
+        measured.push_back({ { "table_bytes", fleet.tableBytes() },
+                             { "idle", idle.toJson() },
+                             { "edits", edits.toJson() } });
+        progress.say("table of " + std::to_string(fleet.tableBytes()) + " bytes: "
+                     + std::to_string(edits.bytesSent.mean) + " bytes/s sent a host under edits");
+    }
+    return measured;
+}
--- /dev/null
+++ b/bench/fleet/directbench.cpp
@@ -0,0 +1,165 @@
+#include "directbench.h"
+
+#include "barefleet.h"
+
+#include "harness/tomlfile.h"
+
+#include <chrono>
+#include <string>
+
+using harness::Millis;
+
+namespace {
+
+constexpr const char *upstreamName = "echo-z1-1";
+constexpr Millis latencyTime { 3000 };
+constexpr Millis stepTime { 1500 };
+constexpr Millis finishLimit { 30000 };
+constexpr double latencyRate = 500;
+constexpr double firstRate = 1000;
+constexpr double rateFactor = 1.4;
+constexpr double lastRate = 60000;
+constexpr double sustainedShare = 0.98; ///< Of the requests that were due, answered.
+constexpr double sustainedP99 = 100;    ///< Milliseconds.
+constexpr int flows = 200;
+constexpr int feeds = 6000;
+constexpr double feedRate = 6000; ///< Openings asked for a second.
+constexpr double microseconds = 1e6;
+
+/// One load: where to, and how.
+struct LoadPlan
+{
+    std::string address;
+    double rate = 0;
+    Millis time { 0 };
+    int flowCount = flows;
+    int reuse = 64; ///< Requests on one connection.
+};
+
+/// Runs loads against a fleet of one host.
+/// @remarks Not thread safe.
+class DirectRun
+{
+public:
+    explicit DirectRun(harness::Loop &eventLoop)
+        : loop(eventLoop),
+          fleet(eventLoop, harness::Deployment::fromJson(harness::readToml(
+                                   std::string(FLAMINGOGRADE_BENCH) + "/direct.toml")))
+    {
+        this->fleet.startHosts();
+    }
+
+    [[nodiscard]] auto straight() -> std::string
+    {
+        return this->fleet.upstreamAddress(upstreamName);
+    }
+    [[nodiscard]] auto throughHost(const std::string &row) -> std::string
+    {
+        return this->fleet.listenerOf(this->fleet.plan().hosts.front().name, row);
+    }
+
+    auto send(const LoadPlan &plan) -> nlohmann::json
+    {
+        const auto name = this->nextName();
+        auto &callers = this->fleet.callers();
+        callers.call({ { "cmd", "load" },
+                       { "name", name },
+                       { "kind", "request" },
+                       { "address", plan.address },
+                       { "host", "echo" },
+                       { "rate", plan.rate },
+                       { "flows", plan.flowCount },
+                       { "reuse", plan.reuse } });
+        this->loop.runFor(plan.time);
+        callers.call({ { "cmd", "stop" }, { "name", name } }, finishLimit);
+        callers.call({ { "cmd", "wait" }, { "name", name } }, finishLimit);
+        return callers.call({ { "cmd", "report" }, { "name", name } }, finishLimit);
+    }
+
+    /// Raises the rate until it is not sustained. @returns the last rate that was.
+    auto largestRate(LoadPlan plan) -> double
+    {
+        double sustained = 0;
+        for (plan.rate = firstRate; plan.rate <= lastRate; plan.rate *= rateFactor) {
+            const auto report = this->send(plan);
+            const auto due = plan.rate * static_cast<double>(plan.time.count()) / 1000;
+            const auto whole = report.at("answered").get<double>() >= due * sustainedShare;
+            if (!whole || report.at("latency_ms").at("p99") > sustainedP99) {
+                return sustained;
+            }
+            sustained = plan.rate;
+        }
+        return sustained;
+    }
+
+    /// Opens feeds through the host. @returns how many were opened a second.
+    auto feedsPerSecond() -> double
+    {
+        const auto name = this->nextName();
+        auto &callers = this->fleet.callers();
+        const auto begin = std::chrono::steady_clock::now();
+        callers.call({ { "cmd", "load" },
+                       { "name", name },
+                       { "kind", "feed" },
+                       { "address", this->throughHost("feeds") },
+                       { "rate", feedRate },
+                       { "flows", feeds } });
+        callers.call({ { "cmd", "wait" }, { "name", name } }, finishLimit);
+        const std::chrono::duration<double> passed = std::chrono::steady_clock::now() - begin;
+        callers.call({ { "cmd", "stop" }, { "name", name } }, finishLimit);
+        return feeds / passed.count();
+    }
+
+    auto cpuSeconds() -> double
+    {
+        return this->fleet.metrics().begin()->second.at("flamingograde_process_cpu_seconds_total");
+    }
+
+private:
+    auto nextName() -> std::string { return "load-" + std::to_string(++this->loads); }
+
+    harness::Loop &loop;
+    BareFleet fleet;
+    int loads = 0;
+};
+
+auto ratios(const nlohmann::json &through, const nlohmann::json &straight) -> nlohmann::json
+{
+    nlohmann::json result;
+    for (const char *field : { "p50", "p99", "p999" }) {
+        result[field] = through.at("latency_ms").at(field).get<double>()
+                        / straight.at("latency_ms").at(field).get<double>();
+    }
+    return result;
+}
+
+} // namespace
+
+auto measureDirect(harness::Loop &loop, const Progress &progress) -> nlohmann::json
+{
+    DirectRun run(loop);
+    nlohmann::json measured;
+    const auto reads = run.throughHost("reads");
+    const auto cpuBefore = run.cpuSeconds();
+    const auto through = run.send({ reads, latencyRate, latencyTime });
+    const auto cpu = run.cpuSeconds() - cpuBefore;
+    const auto straight = run.send({ run.straight(), latencyRate, latencyTime });
+    measured["latency_ms"] = { { "through", through.at("latency_ms") },
+                               { "straight", straight.at("latency_ms") },
+                               { "ratio", ratios(through, straight) } };
+    measured["cpu_us_per_request"] = cpu * microseconds / through.at("answered").get<double>();
+    progress.say("latency through a host over straight, p50: "
+                 + measured["latency_ms"]["ratio"]["p50"].dump());
+    const auto most = run.largestRate({ reads, 0, stepTime });
+    const auto mostStraight = run.largestRate({ run.straight(), 0, stepTime });
+    measured["requests_per_second"] = { { "through", most },
+                                        { "straight", mostStraight },
+                                        { "ratio", most / mostStraight } };
+    progress.say("requests a second through a host " + std::to_string(most) + ", straight "
+                 + std::to_string(mostStraight));
+    measured["new_flows_per_second"] = run.largestRate({ reads, 0, stepTime, 0, 1 });
+    measured["new_feeds_per_second"] = run.feedsPerSecond();
+    progress.say("new flows a second " + measured["new_flows_per_second"].dump() + ", feeds "
+                 + measured["new_feeds_per_second"].dump());
+    return measured;
+}
--- /dev/null
+++ b/bench/fleet/main.cpp
@@ -0,0 +1,87 @@
+/// Measures real hosts and writes a report. Usage: bench-fleet REPORT [PART...]
+#include "controlcost.h"
+#include "directbench.h"
+#include "policybench.h"
+#include "progress.h"
+
+#include "harness/loop.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace {
+
+/// A part of the bench, by the name under which the report has it.
+struct Part
+{
+    std::string name;
+    std::function<nlohmann::json()> run;
+};
+
+auto partsOf(harness::Loop &loop, const Progress &progress) -> std::vector<Part>
+{
+    const std::vector<std::size_t> sizes { 3, 9, 27, 81 };
+    return {
+        { "direct", [&] { return measureDirect(loop, progress); } },
+        { "policies", [&] { return measurePolicies(loop, progress); } },
+        { "control", [&, sizes] { return measureControlCost(loop, progress, sizes); } },
+        { "edits", [&] { return measureEditCost(loop, progress); } },
+    };
+}
+
+/// Runs the parts called `names`, or all, and writes the report after each.
+auto run(harness::Loop &loop, const std::string &file, const std::vector<std::string> &names)
+        -> void
+{
+    const Progress progress;
+    const auto parts = partsOf(loop, progress);
+    for (const auto &name : names) {
+        const auto isCalled = [&](const Part &part) { return part.name == name; };
+        if (std::none_of(parts.begin(), parts.end(), isCalled)) {
+            throw std::runtime_error("no part " + name);
+        }
+    }
+    nlohmann::json report = nlohmann::json::object();
+    for (const auto &part : parts) {
+        const auto isNamed = std::find(names.begin(), names.end(), part.name) != names.end();
+        if (names.empty() || isNamed) {
+            progress.say("part " + part.name);
+            report[part.name] = part.run();
+            std::ofstream(file) << report.dump(2) << "\n";
+        }
+    }
+}
+
+} // namespace
+
+auto main(int argc, char **argv) -> int
+{
+    if (argc < 2) {
+        std::cerr << "usage: bench-fleet REPORT [PART...]\n";
+        return EXIT_FAILURE;
+    }
+    int signal = 0;
+    try {
+        harness::Loop loop;
+        run(loop, argv[1], { argv + 2, argv + argc });
+        return EXIT_SUCCESS;
+    } catch (const harness::Interrupted &stop) {
+        signal = stop.signal;
+    } catch (const std::exception &error) {
+        std::cerr << "bench-fleet: " << error.what() << "\n";
+        return EXIT_FAILURE;
+    }
+    std::signal(signal, SIG_DFL);
+    std::raise(signal);
+    return EXIT_FAILURE;
+}
