--- a/src/core/keycontroller.cpp
+++ b/src/core/keycontroller.cpp
@@ -1,6 +1,7 @@
 /// Runs each idempotency key at most once.
 #include "core/keycontroller.h"
 
+#include "core/answermeaning.h"
 #include "core/blackboard.h"
 #include "core/giveback.h"
 #include "core/keyfreshness.h"
@@ -58,13 +59,6 @@
     }
 }
 
-/// Returns whether an answer's head says that the upstream ran nothing.
-auto saysUnrun(const AnswerHead &head) -> bool
-{
-    constexpr auto misdirected = 421;
-    return head.shed || head.status == misdirected;
-}
-
 /// Returns what this host can tell another of a key.
 auto stateToTell(Blackboard &board, const KeyLookup &lookup) -> KeyState
 {
@@ -78,6 +72,20 @@
     return mayRunIt || !wasHome ? KeyState::Unknown : KeyState::Unseen;
 }
 
+/// Has a request wait while this host claims its cell; gives it back otherwise.
+auto parkOrGiveBack(Blackboard &board, Exchange &exchange) -> void
+{
+    if (!board.tenure.isClaiming(exchange.cell)) {
+        giveBack(board, exchange);
+        return;
+    }
+    if (board.keys.parkedCount() >= config::keysParkedMax) {
+        refuse(board, exchange, RefusalReason::NoHome, config::retryAfterMin);
+        return;
+    }
+    board.keys.park(exchange.id);
+}
+
 /// Takes a former home's failure to answer.
 auto onNoWord(Blackboard &board, const PendingLookup &lookup) -> void
 {
@@ -96,7 +104,7 @@
     }
     const auto id = exchange.id;
     const auto verdict = state == KeyState::Done ? Verdict::Run : Verdict::Unknown;
-    const auto repeats = board.keys.dispatched(id, 0, board.now);
+    board.keys.dispatched(id, 0, board.now);
     finishKey(board, id, state, nullptr);
     refuseKey(board, exchange, RefusalReason::KeyUnknown, verdict);
 }
@@ -133,10 +141,11 @@
             finishKey(board, id, KeyState::Unknown, nullptr);
         }
     }
-    auto list = std::exchange(board.toAdmit, {});
-    for (const auto id : board.keys.takeReleased()) {
-        list.push_back(id);
-    }
+    auto list = board.keys.takeParked();
+    const auto released = board.keys.takeReleased();
+    list.insert(list.end(), released.begin(), released.end());
+    const auto arrived = std::exchange(board.toAdmit, {});
+    list.insert(list.end(), arrived.begin(), arrived.end());
     for (const auto id : list) {
         auto *exchange = board.exchanges.find(id);
         if (exchange != nullptr) {
@@ -266,7 +275,7 @@
 {
     const auto since = board.tenure.since(exchange.cell);
     if (!since.has_value()) {
-        giveBack(board, exchange);
+        parkOrGiveBack(board, exchange);
         return;
     }
     board.keys.noteTenure(exchange.cell, *since);
--- a/src/net/reporter.h
+++ b/src/net/reporter.h
@@ -2,14 +2,21 @@
 #pragma once
 
 #include <flamingograde/address.h>
-#include <flamingograde/member.h>
 
 #include <string>
 
 namespace flamingograde::net {
 
+/// Where a host listens for other hosts and operators. Other hosts may be told another address.
+struct BoundAddresses
+{
+    Address admin;
+    Address peer;
+    Address relay;
+};
+
 /// Each writes one JSON object as a line and flushes it. Not thread safe.
-auto reportReady(const Member &self, Address admin) -> void;
+auto reportReady(const std::string &host, const BoundAddresses &bound) -> void;
 auto reportListen(Address row, Address bound) -> void;
 auto reportUnlisten(Address row) -> void;
 auto reportStopped(const std::string &left) -> void;
--- a/tests/unit/admissiontest.cpp
+++ b/tests/unit/admissiontest.cpp
@@ -198,6 +198,12 @@
     CHECK(home.refused.size() == 18);
     home.pass(home.refused.at(last).retryAfter);
     CHECK(home.refused.count(home.arrive(home.row)) == 0);
+    home.pass(5s);
+    for (int i = 0; i < 200; ++i) {
+        last = home.arrive(home.row);
+    }
+    const auto pause = home.refused.at(last).retryAfter; // 158 are told to come one by one.
+    CHECK(std::chrono::duration<double>(pause).count() == Approx(7.9).margin(0.2));
 }
 
 TEST_CASE("a row runs no more than its concurrency limit")
@@ -230,8 +236,12 @@
     CHECK(!home.isSent(waiting));
     CHECK(home.isRefused(waiting, RefusalReason::DeadlineUnmet, Verdict::NotRun));
     const auto fresh = home.arrive(home.row);
+    const auto expires = home.board.now.wall + 1s;
+    CHECK(!home.isSent(fresh)); // The upstream may not have dropped the cancelled ones yet.
+    home.pass(config::cancelGrace + config::tickPeriod);
     REQUIRE(home.isSent(fresh));
-    CHECK(home.sent.at(fresh).expires == home.board.now.wall + 1s);
+    CHECK(home.sent.at(fresh).expires == expires);
+    CHECK(home.sent.at(fresh).remaining < 1s);
 }
 
 TEST_CASE("without tenure requests wait, or go back to where they came from")
