Walk only homed cells on a tick

Cause: each tick hashed the cell of every upstream of the table. Ruled out: a cache of cell ids; the tenures already name the cells. Change: probes and tenures go by the cells held. Conclusion: a tick's cost follows what a host is home of.

--- a/src/core/keycontroller.cpp
+++ b/src/core/keycontroller.cpp
@@ -221,11 +221,8 @@
          board.keys.takeLookupsBefore(board.now.mono - config::keyLookupTimeout)) {
         onNoWord(board, lookup);
     }
-    for (const auto &upstream : board.table().upstreams()) {
-        const auto since = board.tenure.since(upstream.cell());
-        if (since.has_value()) {
-            board.keys.noteTenure(upstream.cell(), *since);
-        }
+    for (const auto &[cell, tenure] : board.tenure.all()) {
+        board.keys.noteTenure(cell, tenure.since);
     }
 }
 
--- a/src/core/upstreamcontroller.cpp
+++ b/src/core/upstreamcontroller.cpp
@@ -178,13 +178,19 @@
     }
 }
 
-auto probeIfDue(Blackboard &board, const Upstream &upstream, UpstreamHealth &health) -> void
+/// Probes the upstreams of the cells that this host is home of.
+auto probeDue(Blackboard &board) -> void
 {
-    if (!board.tenure.since(upstream.cell()).has_value() || health.nextProbe > board.now.mono) {
-        return;
+    for (const auto &[cell, tenure] : board.tenure.all()) {
+        for (const auto index : board.table().upstreamsOf(cell)) {
+            const auto &upstream = board.table().upstreams()[index];
+            auto &health = board.upstreams.health(upstream.id);
+            if (health.nextProbe <= board.now.mono) {
+                health.nextProbe = board.now.mono + config::upstreamProbePeriod;
+                board.act(ProbeUpstream { upstream.id, upstream.address, upstream.serviceName });
+            }
+        }
     }
-    health.nextProbe = board.now.mono + config::upstreamProbePeriod;
-    board.act(ProbeUpstream { upstream.id, upstream.address, upstream.serviceName });
 }
 
 auto logIfDrained(Blackboard &board, const Upstream &upstream, UpstreamHealth &health) -> void
@@ -290,9 +296,9 @@
     for (const auto &upstream : board.table().upstreams()) {
         auto &health = board.upstreams.health(upstream.id);
         endByTime(board, upstream, health);
-        probeIfDue(board, upstream, health);
         logIfDrained(board, upstream, health);
     }
+    probeDue(board);
 }
 
 } // namespace flamingograde
