--- a/src/core/dump.cpp
+++ b/src/core/dump.cpp
@@ -2,6 +2,7 @@
 #include "core/dump.h"
 
 #include "core/blackboard.h"
+#include "core/celldump.h"
 #include "core/hexid.h"
 
 #include <nlohmann/json.hpp>
@@ -89,22 +90,6 @@
     return list;
 }
 
-/// Returns the queues of a cell's rows.
-auto cellRowsJson(const Blackboard &board, CellId cell) -> json
-{
-    auto list = json::array();
-    const auto found = board.cells.all().find(cell);
-    if (found == board.cells.all().end()) {
-        return list;
-    }
-    for (const auto &[id, queue] : found->second.rows) {
-        list.push_back({ { "row", queue.name },
-                         { "waiting", queue.waiting.size() },
-                         { "turned_away", queue.turnedAway } });
-    }
-    return list;
-}
-
 /// Returns the cells of the table with their homes and what this host does in them.
 auto cellsJson(const Blackboard &board) -> json
 {
@@ -121,43 +106,25 @@
                          { "tenure", board.tenure.since(cell).has_value() },
                          { "claiming", board.tenure.isClaiming(cell) },
                          { "former_home", hostName(board, board.tenure.formerHome(cell)) },
-                         { "rows", cellRowsJson(board, cell) },
                          { "running", board.cells.runningIn(cell) },
-                         { "queued", board.cells.queuedIn(cell) } });
+                         { "queued", board.cells.queuedIn(cell) },
+                         { "rows", cellRowsJson(board, cell) } });
     }
     return list;
 }
 
-auto healthJson(const Blackboard &board, UpstreamId upstream) -> json
-{
-    const auto *health = board.upstreams.find(upstream);
-    if (health == nullptr) {
-        return nullptr;
-    }
-    return { { "failures", health->failures },
-             { "ejected", health->ejected },
-             { "ramping", health->rampSince.has_value() },
-             { "doubted", health->doubtedSince.has_value() },
-             { "says_draining", health->saysDraining },
-             { "load", health->load } };
-}
-
 auto upstreamsJson(const Blackboard &board) -> json
 {
     auto list = json::array();
     for (const auto &upstream : board.table().upstreams()) {
         const auto active = upstream.state == UpstreamState::Active;
-        list.push_back(
-                { { "name", upstream.name },
-                  { "service", upstream.serviceName },
-                  { "state", active ? "active" : "draining" },
-                  { "usable", board.upstreams.isUsable(upstream.id, board.now.mono) },
-                  { "slots", upstream.slots },
-                  { "effective_slots", board.upstreams.effectiveSlots(upstream, board.now.mono) },
-                  { "running", board.cells.runningAt(upstream.cell(), upstream.id) },
-                  { "health", healthJson(board, upstream.id) },
-                  { "quarantined", board.config.isQuarantined(upstream.id, board.now.mono) },
-                  { "feeds", board.feeds.countAt(upstream.id) } });
+        list.push_back({ { "name", upstream.name },
+                         { "service", upstream.serviceName },
+                         { "state", active ? "active" : "draining" },
+                         { "health", upstreamHealthJson(board, upstream) },
+                         { "usable", board.upstreams.isUsable(upstream.id, board.now.mono) },
+                         { "quarantined", board.config.isQuarantined(upstream.id, board.now.mono) },
+                         { "feeds", board.feeds.countAt(upstream.id) } });
     }
     return list;
 }
--- a/src/core/stopstate.h
+++ b/src/core/stopstate.h
@@ -8,7 +8,7 @@
 /// Whether and since when this host stops.
 struct StopState
 {
-    bool stopping = false; ///< Asked to stop; takes nothing new once `closed`.
+    bool stopping = false; ///< Asked to stop; takes no feeds once `closed`, nothing once `ready`.
     bool closed = false;   ///< The listeners are closed.
     bool ready = false;    ///< `StopReady` was given.
     MonoTime since;        ///< When it was asked.
--- a/tests/unit/virtualfleet.h
+++ b/tests/unit/virtualfleet.h
@@ -72,6 +72,8 @@
     auto cutFeed(ExchangeId feed) -> void;
     /// Stops a host at once: its connections are refused from now on.
     auto kill(std::size_t host) -> void;
+    /// Starts a killed host anew, with nothing but its settings.
+    auto restart(std::size_t host) -> void;
     /// Freezes a host: its events wait for `resume`.
     auto pause(std::size_t host) -> void { this->hosts[host].paused = true; }
     /// Lets a frozen host go on, with all that has come meanwhile.
@@ -100,6 +102,7 @@
 private:
     struct Host
     {
+        Init init;
         Member member;
         std::unique_ptr<Balancer> balancer;
         bool dead = false;
