--- a/bench/core/flow_bench.cpp
+++ b/bench/core/flow_bench.cpp
@@ -54,7 +54,7 @@
 {
     const auto keys = benchKeys();
     const auto text = benchToken();
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         benchmark::DoNotOptimize(verifyToken(text, keys));
     }
 }
@@ -63,7 +63,7 @@
 {
     const auto keys = benchKeys();
     const FlowToken token { ServiceId(1), UpstreamId(2), FlowId(3) };
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         benchmark::DoNotOptimize(signToken(token, keys.back()));
     }
 }
@@ -75,7 +75,7 @@
         nodes.push_back({ hashName(std::to_string(i)), 2000 });
     }
     std::uint64_t key = 0;
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         benchmark::DoNotOptimize(rendezvousPick(++key, nodes));
     }
 }
@@ -100,7 +100,7 @@
         arrived.exchange = ExchangeId(++id);
         static_cast<void>(balancer.handle(now, arrived));
     }
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         arrived.exchange = ExchangeId(++id);
         benchmark::DoNotOptimize(balancer.handle(now, arrived));
         benchmark::DoNotOptimize(balancer.handle(now, CallerLeft { arrived.exchange }));
