--- a/src/core/dump.cpp
+++ b/src/core/dump.cpp
@@ -106,9 +106,9 @@
                          { "tenure", board.tenure.since(cell).has_value() },
                          { "claiming", board.tenure.isClaiming(cell) },
                          { "former_home", hostName(board, board.tenure.formerHome(cell)) },
+                         { "rows", cellRowsJson(board, cell) },
                          { "running", board.cells.runningIn(cell) },
-                         { "queued", board.cells.queuedIn(cell) },
-                         { "rows", cellRowsJson(board, cell) } });
+                         { "queued", board.cells.queuedIn(cell) } });
     }
     return list;
 }
@@ -118,13 +118,17 @@
     auto list = json::array();
     for (const auto &upstream : board.table().upstreams()) {
         const auto active = upstream.state == UpstreamState::Active;
-        list.push_back({ { "name", upstream.name },
-                         { "service", upstream.serviceName },
-                         { "state", active ? "active" : "draining" },
-                         { "health", upstreamHealthJson(board, upstream) },
-                         { "usable", board.upstreams.isUsable(upstream.id, board.now.mono) },
-                         { "quarantined", board.config.isQuarantined(upstream.id, board.now.mono) },
-                         { "feeds", board.feeds.countAt(upstream.id) } });
+        list.push_back(
+                { { "name", upstream.name },
+                  { "service", upstream.serviceName },
+                  { "state", active ? "active" : "draining" },
+                  { "usable", board.upstreams.isUsable(upstream.id, board.now.mono) },
+                  { "slots", upstream.slots },
+                  { "effective_slots", board.upstreams.effectiveSlots(upstream, board.now.mono) },
+                  { "running", board.cells.runningAt(upstream.cell(), upstream.id) },
+                  { "health", upstreamHealthJson(board, upstream) },
+                  { "quarantined", board.config.isQuarantined(upstream.id, board.now.mono) },
+                  { "feeds", board.feeds.countAt(upstream.id) } });
     }
     return list;
 }
