Take over a cell only from a host that knew of this one

Ruled out: ending the tenure of every host that is cut off; a zone of one host would stop with its zone. Conclusion: what is left open is named at FailureDetector.

--- a/include/flamingograde/config.h
+++ b/include/flamingograde/config.h
@@ -24,6 +24,7 @@
 inline constexpr auto probeTimeout          = 300ms;  ///< Without an ack after this, others are asked to probe.
 inline constexpr auto suspicionTimeout      = 1200ms; ///< A suspect is declared dead after this; longer than `pauseThreshold`.
 inline constexpr auto refusedTimeout        = 1100ms; ///< A host that refuses connections is dead after this; longer than `pauseThreshold`.
+inline constexpr std::size_t refusalsOfDead = 3;      ///< Refused connections in a row that count as a sign of death.
 inline constexpr auto hostListPeriod        = 2000ms; ///< Period of reading the host list by a reader.
 inline constexpr std::size_t indirectProbes = 3;      ///< Peers asked to probe a silent one.
 inline constexpr std::size_t updatesPerMessage = 6;   ///< Membership updates carried by one message.
--- a/src/core/configcontroller.cpp
+++ b/src/core/configcontroller.cpp
@@ -23,7 +23,6 @@
 constexpr Duration peerRequestTimeout = 1s; ///< A host is given this long to send its table.
 constexpr Duration startupHostPeriod = 500ms; ///< Period of the host list until it names this host.
 constexpr Duration startupReads = 10s;        ///< How long that period holds.
-constexpr std::uint32_t refusalsOfGone = 3;   ///< Refused dials in a row of an ended process.
 constexpr std::size_t announcedMax = 16;      ///< Hosts told at once of a new table.
 
 /// The key under which the readers of a zone are drawn.
@@ -54,7 +53,7 @@
 /// other hosts of its zone are reached.
 auto isGone(const Blackboard &board, const MemberRecord &record) -> bool
 {
-    return record.member.state == MemberState::Dead && record.refusals >= refusalsOfGone
+    return record.member.state == MemberState::Dead && record.refusals >= config::refusalsOfDead
            && !board.membership.voters(record.member.zone).empty();
 }
 
--- a/src/core/failuredetector.cpp
+++ b/src/core/failuredetector.cpp
@@ -16,11 +16,11 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration probeKept = 2s;          ///< A late answer to a probe counts for this long.
-constexpr Duration indirectPeriod = 400ms;  ///< Others are asked this often about a silent host.
-constexpr Duration contactPeriod = 300ms;   ///< Without an answer this long, more hosts are probed.
-constexpr std::size_t contactProbes = 3;    ///< Hosts probed then beside those of the own zone.
-constexpr std::uint32_t refusalsOfDead = 3; ///< Refused dials in a row that count.
+constexpr Duration probeKept = 2s;         ///< A late answer to a probe counts for this long.
+constexpr Duration indirectPeriod = 400ms; ///< Others are asked this often about a silent host.
+constexpr Duration contactPeriod = 300ms;  ///< Without an answer this long, more hosts are probed.
+constexpr std::size_t contactProbes = 3;   ///< Hosts probed then beside those of the own zone.
+constexpr Duration lastOtherAfter = 10s;   ///< All others are dead for this long.
 
 /// Returns whether `host` can be asked to probe `record`'s host, and would be connected with it.
 auto isHelper(const Blackboard &board, const MemberRecord &helper, const MemberRecord &record)
@@ -58,20 +58,36 @@
     return helpers;
 }
 
+/// Returns whether all hosts beside this one and that of `record` are dead, and not just now: a cut
+/// that comes in steps shall not look like this.
+auto isLastOther(const Blackboard &board, const MemberRecord &record) -> bool
+{
+    const auto &records = board.membership.records();
+    return std::all_of(records.begin(), records.end(), [&](const auto &entry) {
+        const auto &[id, other] = entry;
+        return id == board.membership.self || id == record.member.id
+               || (other.member.state == MemberState::Dead
+                   && board.now.mono - other.changed >= lastOtherAfter);
+    });
+}
+
 /// Returns whether anything beside this host's own failure speaks for the death of a silent host.
 auto isDeathCredible(const Blackboard &board, const MemberRecord &record) -> bool
 {
-    const auto sinceIsolated = board.now.mono - board.membership.isolatedAt;
-    if (record.confirmed && sinceIsolated >= config::refusedTimeout) {
+    const auto &membership = board.membership;
+    const auto refused = record.refusals >= config::refusalsOfDead;
+    if (refused && isLastOther(board, record)) {
         return true;
     }
-    const auto refused = record.refusals >= refusalsOfDead;
-    if (refused && board.membership.undeadCount() <= 2) {
+    const auto unlisted = !record.listed && membership.listedAt > record.unansweredSince;
+    if (unlisted && record.everListed && membership.connectedCount() == 0) {
         return true;
     }
-    const auto dropped = record.everListed && !record.listed
-                         && board.membership.listedAt > record.unansweredSince;
-    return dropped && board.membership.connectedCount() == 0;
+    if (!record.confirmed || board.now.mono - membership.isolatedAt < config::refusedTimeout) {
+        return false;
+    }
+    const auto neighbour = record.member.zone == board.init.self.zone;
+    return !neighbour || refused || knowsUs(board, record) || (unlisted && membership.listedSelf);
 }
 
 /// Returns whether a silent host has been silent for long enough to be dead.
@@ -79,7 +95,7 @@
 {
     const auto now = board.now.mono;
     const auto silence = now - std::max({ record.heard, record.vouched, record.unansweredSince });
-    if (record.refusals >= refusalsOfDead) {
+    if (record.refusals >= config::refusalsOfDead) {
         return silence >= config::refusedTimeout;
     }
     return now - record.changed >= config::suspicionTimeout && silence >= config::suspicionTimeout;
@@ -96,6 +112,7 @@
     if (board.now.mono >= this->nextProbe) {
         this->nextProbe = board.now.mono + config::probePeriod;
         this->probeNext(board, dialer);
+        this->introduce(board);
     }
     this->keepContact(board);
     for (auto &[id, record] : board.membership.records()) {
@@ -216,6 +233,16 @@
     }
 }
 
+auto FailureDetector::introduce(Blackboard &board) -> void
+{
+    for (const auto &[id, record] : board.membership.records()) {
+        if (record.connected && record.member.zone == board.init.self.zone
+            && record.member.state != MemberState::Dead && !knowsUs(board, record)) {
+            this->probe(board, id, std::nullopt);
+        }
+    }
+}
+
 auto FailureDetector::keepContact(Blackboard &board) -> void
 {
     const auto now = board.now.mono;
--- a/src/core/failuredetector.h
+++ b/src/core/failuredetector.h
@@ -20,9 +20,10 @@
 /// Probes one host a period, asks others to probe a silent one, suspects it, and declares it dead
 /// once another host cannot reach it either.
 ///
-/// Where only two hosts are left, a refused connection alone is taken for death: so a cut that
-/// refuses connections between the last two hosts of a zone that is itself cut off leaves both of
-/// them home. So does a cut through a zone whose parts each reach a part of the other zones.
+/// Where only two hosts have been left for a while, a refused connection alone is taken for death.
+/// So a cut that refuses connections between the last two hosts of a zone that is itself cut off
+/// leaves both of them home, and so does a cut through a zone whose parts each reach a part of the
+/// other zones.
 /// @remarks Not thread safe.
 class FailureDetector
 {
@@ -57,6 +58,7 @@
     };
 
     auto probeNext(Blackboard &board, const Dialer &dialer) -> void;
+    auto introduce(Blackboard &board) -> void;
     auto keepContact(Blackboard &board) -> void;
     auto probe(Blackboard &board, HostId target, std::optional<Requester> requester) -> void;
     auto expireProbes(Blackboard &board) -> void;
--- a/src/core/membermerge.cpp
+++ b/src/core/membermerge.cpp
@@ -14,6 +14,9 @@
 /// Each change is told this often, times the logarithm of the fleet's size.
 constexpr std::uint32_t tellingsFactor = 3;
 
+/// A host that answers knows after this that the one that asked is alive.
+constexpr Duration refutationGrace = std::chrono::milliseconds(500);
+
 auto markChanged(Blackboard &board, MemberRecord &record) -> void
 {
     const auto hosts = static_cast<double>(board.membership.records().size());
@@ -59,8 +62,8 @@
     }
 }
 
-/// Returns whether this host itself has nothing against the death of a member.
-auto mayBeDead(const Blackboard &board, const MemberRecord &record) -> bool
+/// Returns whether this host itself has nothing against the death of a member that `from` tells.
+auto mayBeDead(const Blackboard &board, HostId from, const MemberRecord &record) -> bool
 {
     const auto now = board.now.mono;
     const auto since = std::max(record.heard, board.membership.isolatedAt);
@@ -70,7 +73,12 @@
     if (record.member.zone != board.init.self.zone) {
         return true;
     }
-    return record.unanswered && now - record.unansweredSince >= config::refusedTimeout;
+    if (!record.unanswered || now - record.unansweredSince < config::refusedTimeout) {
+        return false;
+    }
+    const auto *sender = board.membership.find(from);
+    const auto isNeighbour = sender != nullptr && sender->zone == board.init.self.zone;
+    return isNeighbour || record.refusals >= config::refusalsOfDead || knowsUs(board, record);
 }
 
 /// Returns whether every known host of the zone answered this host lately, so that none of them
@@ -126,7 +134,10 @@
 {
     auto *record = board.membership.record(said.id);
     if (record == nullptr) {
-        addMember(board, said);
+        auto &added = addMember(board, said);
+        if (added.member.zone == board.init.self.zone && said.state == MemberState::Dead) {
+            changeMember(board, added, MemberState::Suspect);
+        }
         return;
     }
     if (said.id == board.membership.self) {
@@ -134,7 +145,7 @@
         return;
     }
     auto update = said;
-    if (said.state == MemberState::Dead && from != said.id && !mayBeDead(board, *record)) {
+    if (said.state == MemberState::Dead && from != said.id && !mayBeDead(board, from, *record)) {
         record->confirmed = record->confirmed || record->unanswered;
         update.state = MemberState::Suspect;
     }
@@ -162,6 +173,12 @@
     }
 }
 
+auto knowsUs(const Blackboard &board, const MemberRecord &record) -> bool
+{
+    const auto &membership = board.membership;
+    return record.acked > std::max(membership.isolatedAt, membership.pausedAt) + refutationGrace;
+}
+
 auto changeMember(Blackboard &board, MemberRecord &record, MemberState state) -> void
 {
     record.member.state = state;
--- a/src/core/membermerge.h
+++ b/src/core/membermerge.h
@@ -17,11 +17,17 @@
 /// Takes what `from` says of a member, where it is newer: a higher incarnation goes first, then the
 /// order of `MemberState`. What concerns this host itself is refuted.
 ///
-/// That a member is dead is taken from others only where this host does not hear it either, and of
-/// a host of the own zone only where it failed to answer this host for `config::refusedTimeout`:
-/// until then it may be home of a cell that this host would take over.
+/// That a member is dead is taken from others only where this host does not hear it either. Of a
+/// host of the own zone, it must have failed to answer this host for `config::refusedTimeout`, and
+/// either the sender is of the zone too, or the dead one has an ended process or knew of this
+/// host: otherwise it may go on as the only home of the zone.
 auto mergeMember(Blackboard &board, HostId from, const Member &update) -> void;
 
+/// Returns whether the member answered this host long enough after this one started, woke or came
+/// back from being cut off: then it counts this host among those that would take over its cells,
+/// and gives them up when it is itself cut off.
+[[nodiscard]] auto knowsUs(const Blackboard &board, const MemberRecord &record) -> bool;
+
 /// Changes a member's state at its present incarnation, and has it told to others.
 auto changeMember(Blackboard &board, MemberRecord &record, MemberState state) -> void;
 
