Let listeners rest while no descriptor is left

Cause: a listener without a free descriptor was called in every turn of the loop. Ruled out: a descriptor held in reserve, which closes callers' connections unanswered. Change: it stops for 100 ms; idle connections to upstreams and homes are kept for 0.5 s.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -11,7 +11,8 @@
 namespace {
 
 constexpr std::uint64_t ioTimeoutMs = 24ULL * 3600 * 1000; ///< Calls have timers of their own.
-constexpr std::uint64_t idleTimeoutMs = 2000;
+constexpr std::uint64_t idleTimeoutMs =
+        500; ///< Short: one that went silent looks like an idle one.
 constexpr std::size_t poolCapacity = 1024;
 
 } // namespace
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -7,6 +7,7 @@
 #include <h2o.h>
 
 #include <cerrno>
+#include <chrono>
 #include <cstring>
 #include <utility>
 
@@ -14,7 +15,8 @@
 
 namespace {
 
-constexpr auto backlog = 4096;      ///< Connections that wait to be accepted.
+constexpr auto backlog = 4096;                            ///< Connections that wait to be accepted.
+constexpr auto restTime = std::chrono::milliseconds(100); ///< With no descriptor left.
 constexpr auto acceptsPerTurn = 64; ///< So that a burst does not starve open connections.
 
 /// Returns a listening descriptor, or -1 with `errno` set.
@@ -48,13 +50,19 @@
                               + std::strerror(errno));
     }
     auto *socket = h2o_evloop_socket_create(loop.raw(), fd, H2O_SOCKET_FLAG_DONT_READ);
-    return std::unique_ptr<Listener>(new Listener(socket, boundAddress(fd), std::move(accepted)));
+    return std::unique_ptr<Listener>(
+            new Listener(loop, socket, boundAddress(fd), std::move(accepted)));
 }
 
-Listener::Listener(st_h2o_socket_t *listening, Address boundTo, Accepted callback)
-    : socket(listening), address(boundTo), accepted(std::move(callback))
+Listener::Listener(Loop &owner, st_h2o_socket_t *listening, Address boundTo, Accepted callback)
+    : loop(owner), socket(listening), address(boundTo), accepted(std::move(callback))
 {
     this->socket->data = this;
+    this->start();
+}
+
+auto Listener::start() -> void
+{
     h2o_socket_read_start(this->socket, [](h2o_socket_t *self, const char *error) {
         if (error == nullptr) {
             static_cast<Listener *>(self->data)->acceptAll();
@@ -71,11 +79,17 @@
 auto Listener::acceptAll() -> void
 {
     for (auto count = 0; count < acceptsPerTurn; ++count) {
+        errno = 0;
         auto *connection = h2o_evloop_socket_accept(this->socket);
-        if (connection == nullptr) {
-            return;
+        if (connection != nullptr) {
+            this->accepted(connection);
+            continue;
+        }
+        if (errno == EMFILE || errno == ENFILE) {
+            h2o_socket_read_stop(this->socket);
+            this->resting = this->loop.after(restTime, [this] { this->start(); });
         }
-        this->accepted(connection);
+        return;
     }
 }
 
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -1,6 +1,8 @@
 /// A listening socket.
 #pragma once
 
+#include "net/timer.h"
+
 #include <flamingograde/address.h>
 
 #include <tl/expected.hpp>
@@ -37,12 +39,15 @@
     [[nodiscard]] auto bound() const -> Address { return this->address; }
 
 private:
-    Listener(st_h2o_socket_t *listening, Address boundTo, Accepted callback);
+    Listener(Loop &owner, st_h2o_socket_t *listening, Address boundTo, Accepted callback);
+    auto start() -> void;
     auto acceptAll() -> void;
 
+    Loop &loop;
     st_h2o_socket_t *socket;
     Address address;
     Accepted accepted;
+    Timer resting; ///< Until descriptors may be free again.
 };
 
 } // namespace flamingograde::net
