--- a/include/flamingograde/config.h
+++ b/include/flamingograde/config.h
@@ -24,6 +24,7 @@
 inline constexpr auto probeTimeout          = 300ms;  ///< Without an ack after this, others are asked to probe.
 inline constexpr auto suspicionTimeout      = 1200ms; ///< A suspect is declared dead after this; longer than `pauseThreshold`.
 inline constexpr auto refusedTimeout        = 1100ms; ///< A host that refuses connections is dead after this; longer than `pauseThreshold`.
+inline constexpr std::size_t refusalsOfDead = 3;      ///< Refused connections in a row that count as a sign of death.
 inline constexpr auto hostListPeriod        = 2000ms; ///< Period of reading the host list by a reader.
 inline constexpr std::size_t indirectProbes = 3;      ///< Peers asked to probe a silent one.
 inline constexpr std::size_t updatesPerMessage = 6;   ///< Membership updates carried by one message.
@@ -104,6 +105,7 @@
 // Stopping.
 inline constexpr auto stopTimeout           = 60s;    ///< Longest wait of an orderly stop.
 inline constexpr auto feedMoveTime          = 2000ms; ///< Feeds are ended over this time after the listeners closed.
+inline constexpr auto closeGrace            = 500ms;  ///< A stop takes what was on its way when the listeners closed for this long.
 inline constexpr auto stopReportPeriod      = 1000ms; ///< Period of the log's word on what a stop waits for.
 inline constexpr auto leaveNotice           = 1000ms; ///< Time between announcing a stop and closing the listeners.
 
--- a/src/core/admissioncontroller.cpp
+++ b/src/core/admissioncontroller.cpp
@@ -6,6 +6,7 @@
 #include "core/fairorder.h"
 #include "core/giveback.h"
 #include "core/refuse.h"
+#include "core/timeneeded.h"
 #include "core/upstreamchoice.h"
 #include "core/waitestimate.h"
 
@@ -24,7 +25,7 @@
 /// Returns whether the upstream of an ended request is surely done with it.
 auto isOver(const RunningRequest &request) -> bool
 {
-    return request.answered || request.notSent || request.shed;
+    return request.answered || request.notSent || request.unrun;
 }
 
 /// Corrects the charge of a request that ended, and learns from it how long its row takes.
@@ -34,7 +35,7 @@
     const auto used = board.now.mono - request.since;
     correctCharge(row, request.charged, used);
     const auto timedOut = request.deadline <= board.now.mono;
-    const auto served = request.answered && !request.shed && !request.failed;
+    const auto served = request.answered && !request.unrun && !request.failed;
     if (served || timedOut) {
         row.serviceTime.sample(std::min(used, request.deadline - request.since), board.now.mono);
     }
@@ -66,36 +67,11 @@
     return least;
 }
 
-/// Returns how long it takes until the first of the upstreams offers a slot again.
-auto timeToOpen(const Blackboard &board, const std::vector<SlotOffer> &offers) -> Duration
-{
-    auto opens = MonoTime::max();
-    for (const auto &offer : offers) {
-        opens = std::min(opens, board.upstreams.opensAt(offer.upstream->id));
-    }
-    return offers.empty() ? Duration { 0 } : opens - board.now.mono;
-}
-
-/// Returns how long the newest request of `row` needs until its answer, as far as that is known.
-auto timeNeeded(const Blackboard &board, const Cell &cell, const RowQueue &row)
-        -> std::optional<Duration>
-{
-    const auto offers = slotOffers(board, cell);
-    if (offeredSlots(offers) == 0) {
-        return timeToOpen(board, offers);
-    }
-    const auto service = row.serviceTime.likely(board.now.mono);
-    if (!service.has_value()) {
-        return std::nullopt;
-    }
-    return expectedWait(cell, row, row.waiting.size() - 1, offers, board.now.mono) + *service;
-}
-
 /// Refuses the newest request of `row` if it cannot be served in time.
 auto refuseIfLate(Blackboard &board, const Cell &cell, const RowQueue &row, Exchange &exchange)
         -> void
 {
-    const auto needed = timeNeeded(board, cell, row);
+    const auto needed = timeNeeded(board, cell, row, exchange);
     const auto remaining = exchange.deadline - board.now.mono;
     if (needed.has_value() && *needed + config::deadlineMargin >= remaining) {
         refuse(board, exchange, RefusalReason::DeadlineUnmet, boundedPause(*needed - row.deadline));
--- a/src/core/arrivalcontroller.cpp
+++ b/src/core/arrivalcontroller.cpp
@@ -26,7 +26,7 @@
 /// Returns why this host takes no arrivals from callers now, or nothing.
 auto objectionOfHost(const Blackboard &board) -> std::optional<Objection>
 {
-    if (board.stop.closed) {
+    if (board.stop.ready) {
         return Objection { RefusalReason::Stopping, config::retryAfterMin };
     }
     if (!board.config.revision.isValid()) {
@@ -35,6 +35,16 @@
     return std::nullopt;
 }
 
+/// Requests that come on connections from before the listeners closed are still served; feeds are
+/// not, as they would have to move at once.
+auto objectionOfStop(const Blackboard &board, const Row &row) -> std::optional<Objection>
+{
+    if (board.stop.closed && row.kind == RequestKind::Feed) {
+        return Objection { RefusalReason::Stopping, config::retryAfterMin };
+    }
+    return std::nullopt;
+}
+
 auto objectionOfLoad(const Blackboard &board, const Row &row) -> std::optional<Objection>
 {
     const auto isFull = row.kind == RequestKind::Feed
@@ -59,6 +69,9 @@
     if (birth && *birth > board.now.wall + board.init.clockBound) {
         return Objection { RefusalReason::BadKey, noRetry };
     }
+    if (const auto objection = objectionOfStop(board, row)) {
+        return objection;
+    }
     return objectionOfLoad(board, row);
 }
 
