Watch the platform for 1.5 s at a time

Cause: a watch of 20 s over a connection that has gone silent is not told from a quiet one before it is overdue, so an edit stayed unseen on all hosts. Ruled out: keep-alives in the watch (the platform's call has none); reading beside the watch (twice the calls). Change: watchWait 20 s to 1.5 s, the margin beyond it 2 s to 1 s.

--- a/include/flamingograde/config.h
+++ b/include/flamingograde/config.h
@@ -33,7 +33,8 @@
 
 // Configuration.
 inline constexpr std::size_t readersPerZone = 2;      ///< Hosts of a zone that watch the platform.
-inline constexpr auto watchWait             = 20s;    ///< How long the platform is asked to hold a watch.
+inline constexpr auto watchWait             = 1500ms; ///< How long the platform is asked to hold a watch; bounds how long a silent connection hides an edit.
+inline constexpr auto platformReadMargin    = 1000ms; ///< Longest answer of the platform beyond the wait asked for.
 inline constexpr auto platformRetryMin      = 250ms;  ///< First pause after a failed read of the platform.
 inline constexpr auto platformRetryMax      = 2000ms; ///< Longest pause after failed reads of the platform.
 inline constexpr std::size_t tableBytesMax  = 1000000;///< Largest table text; the platform holds values up to a megabyte.
--- a/src/net/platformreader.cpp
+++ b/src/net/platformreader.cpp
@@ -18,7 +18,6 @@
 
 constexpr auto statusOk = 200;
 constexpr auto statusNotModified = 304;
-constexpr auto readTimeout = std::chrono::milliseconds(2000); ///< Beyond the wait asked for.
 constexpr std::size_t hostListMax = 1U << 20U;
 
 auto readRevision(std::string_view text) -> std::optional<Revision>
@@ -53,7 +52,7 @@
     asked.host = this->target.toString();
     asked.path = "/v1/table?after=" + std::to_string(action.after.number)
                  + "&wait=" + std::to_string(wait.count());
-    asked.timeout = action.wait + readTimeout;
+    asked.timeout = action.wait + config::platformReadMargin;
     asked.bodyMax = config::tableBytesMax;
     this->table = std::make_unique<PlainGet>(
             this->client, asked,
@@ -66,7 +65,7 @@
     asked.target = this->target;
     asked.host = this->target.toString();
     asked.path = "/v1/hosts";
-    asked.timeout = readTimeout;
+    asked.timeout = config::platformReadMargin;
     asked.bodyMax = hostListMax;
     this->hosts = std::make_unique<PlainGet>(
             this->client, asked,
--- a/tests/scenarios/steprunner.cpp
+++ b/tests/scenarios/steprunner.cpp
@@ -36,7 +36,8 @@
 /// Returns the fields of `step` that a stand-in takes.
 auto withoutOwnFields(nlohmann::json step) -> nlohmann::json
 {
-    for (const char *field : { "do", "row", "via", "eq", "ne", "ge", "le", "as", "wait", "one_way" }) {
+    for (const char *field :
+         { "do", "row", "via", "eq", "ne", "ge", "le", "as", "wait", "one_way" }) {
         step.erase(field);
     }
     return step;
