--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -108,7 +108,7 @@
         std::string relayLink;
         std::string listed; ///< Its state on the host list; empty: not on it.
         bool running = false;
-        std::uint64_t revision = 0; ///< Highest seen in dumps of the running process.
+        std::uint64_t revision = 0;           ///< Highest seen in dumps of the running process.
         std::unique_ptr<HostProcess> process; ///< Kept after a kill: the fabric still checks it.
     };
 
