--- a/tests/harness/condition.cpp
+++ b/tests/harness/condition.cpp
@@ -51,6 +51,17 @@
     return *at;
 }
 
+auto addNumbers(nlohmann::json &sum, const nlohmann::json &other) -> void
+{
+    if (other.is_object()) {
+        for (const auto &[name, value] : other.items()) {
+            addNumbers(sum[name], value);
+        }
+    } else if (other.is_number()) {
+        sum = (sum.is_number() ? sum.get<double>() : 0) + other.get<double>();
+    }
+}
+
 auto failedConditions(const nlohmann::json &step, const nlohmann::json &value)
         -> std::vector<std::string>
 {
--- a/tests/harness/condition.h
+++ b/tests/harness/condition.h
@@ -12,6 +12,9 @@
 /// In an array of objects, a part of the path is the `name` of the member that is meant.
 [[nodiscard]] auto valueAt(const nlohmann::json &value, const std::string &path) -> nlohmann::json;
 
+/// Adds the numbers of `other` to those of `sum`, member by member.
+auto addNumbers(nlohmann::json &sum, const nlohmann::json &other) -> void;
+
 /// Checks the tables `eq`, `ne`, `ge` and `le` of `step`, each of paths and bounds, against
 /// `value`.
 /// @returns a text for each that does not hold. A path that is missing does not hold.
--- a/tests/scenarios/steprunner.cpp
+++ b/tests/scenarios/steprunner.cpp
@@ -423,6 +423,13 @@
     if (values.empty()) {
         throw std::runtime_error("nothing to look at");
     }
+    if (step.value("sum", false)) {
+        nlohmann::json sum;
+        for (const auto &value : values) {
+            harness::addNumbers(sum, value);
+        }
+        return { sum };
+    }
     return values;
 }
 
