Sum only numbers over hosts

Cause: a text member became null in the sum and broke the wait. Change: members that are neither numbers nor objects are left out. Ruled out: sums over texts.

--- a/tests/harness/condition.cpp
+++ b/tests/harness/condition.cpp
@@ -55,7 +55,9 @@
 {
     if (other.is_object()) {
         for (const auto &[name, value] : other.items()) {
-            addNumbers(sum[name], value);
+            if (value.is_object() || value.is_number()) {
+                addNumbers(sum[name], value);
+            }
         }
     } else if (other.is_number()) {
         sum = (sum.is_number() ? sum.get<double>() : 0) + other.get<double>();
