--- a/tests/scenarios/steprunner.cpp
+++ b/tests/scenarios/steprunner.cpp
@@ -119,15 +119,16 @@
     if (!value.is_string()) {
         return result;
     }
+    // In the order of falling names, so that a name goes before the names that it begins with.
     auto text = value.get<std::string>();
-    for (const auto &[name, variable] : this->variables) {
-        const std::string mark = "$" + name;
+    for (auto it = this->variables.rbegin(); it != this->variables.rend(); ++it) {
+        const std::string mark = "$" + it->first;
         if (text == mark) {
-            return variable;
+            return it->second;
         }
         const auto at = text.find(mark);
         if (at != std::string::npos) {
-            text.replace(at, mark.size(), variable.get<std::string>());
+            text.replace(at, mark.size(), it->second.get<std::string>());
         }
     }
     return text;
@@ -422,6 +423,13 @@
     if (values.empty()) {
         throw std::runtime_error("nothing to look at");
     }
+    if (step.value("sum", false)) {
+        nlohmann::json sum;
+        for (const auto &value : values) {
+            harness::addNumbers(sum, value);
+        }
+        return { sum };
+    }
     return values;
 }
 
