Probe hosts held to be dead over connections that are up

Cause: after a silent cut shorter than the silence timeout no connection was dialled again, and nobody probed a dead host: two zones stayed apart over good connections. Ruled out: dropping the connection of a dead host; the transport does so by itself only later. Change: the ring has dead hosts with a connection; a test. Conclusion: zones find each other within 3 s.

--- a/src/core/failuredetector.cpp
+++ b/src/core/failuredetector.cpp
@@ -211,8 +211,8 @@
 auto FailureDetector::probeNext(Blackboard &board, const Dialer &dialer) -> void
 {
     const auto isProbed = [&](const MemberRecord &record) {
-        return record.member.id != board.membership.self && record.member.state != MemberState::Dead
-               && dialer.wants(record.member.id);
+        return record.member.id != board.membership.self && dialer.wants(record.member.id)
+               && (record.member.state != MemberState::Dead || record.connected);
     };
     if (this->ring.empty()) {
         for (const auto &[id, record] : board.membership.records()) {
--- a/tests/unit/tenuretest.cpp
+++ b/tests/unit/tenuretest.cpp
@@ -103,6 +103,20 @@
     CHECK(fleet.faults.empty());
 }
 
+TEST_CASE("zones find each other after a cut that closed no connection", "[fleet]")
+{
+    PeerFleet fleet(9);
+    startFleet(fleet, 2);
+    fleet.fault({ "a1", "a2" }, others(fleet, "a"), LinkFault::Silent);
+    REQUIRE(fleet.runUntil([&] { return fleet.stateAt("a1", "b1") == MemberState::Dead; },
+                           config::silenceTimeout));
+    fleet.heal();
+    fleet.run(3s);
+    CHECK(fleet.stateAt("a1", "b1") == MemberState::Alive);
+    CHECK(fleet.stateAt("b1", "a1") == MemberState::Alive);
+    CHECK(fleet.faults.empty());
+}
+
 TEST_CASE("an isolated host gives up its cells before others take them", "[fleet]")
 {
     const auto kind = GENERATE(LinkFault::Silent, LinkFault::Refuse);
