--- /dev/null
+++ b/bench/core/flow_bench.cpp
@@ -0,0 +1,168 @@
+/// Costs of steering: tokens, the rendezvous hash, and arrivals as a whole.
+#include "core/rendezvous.h"
+#include "core/token.h"
+
+#include <flamingograde/balancer.h>
+
+#include <benchmark/benchmark.h>
+
+#include <string>
+#include <vector>
+
+namespace flamingograde {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t upstreamCount = 14;
+
+auto benchKeys() -> std::vector<TokenKey>
+{
+    TokenKey old;
+    old.id = 1;
+    old.secret.fill(0x11);
+    TokenKey signing;
+    signing.id = 2;
+    signing.secret.fill(0x22);
+    signing.signing = true;
+    return { old, signing };
+}
+
+auto benchToken() -> std::string
+{
+    return signToken({ ServiceId::ofName("packs"), UpstreamId::ofName("u3"), FlowId(9) },
+                     benchKeys().back());
+}
+
+auto benchTable() -> std::string
+{
+    std::string text = "[[token_key]]\nid = 1\nsecret = \"" + std::string(32, '1')
+                       + "\"\nsigning = false\n[[token_key]]\nid = 2\nsecret = \""
+                       + std::string(32, '2') + "\"\nsigning = true\n"
+                       + "[[row]]\nname = \"feed\"\nservice = \"packs\"\nkind = \"feed\"\n"
+                         "address = \"10.9.0.1:80\"\n";
+    for (std::size_t i = 0; i < upstreamCount; ++i) {
+        const auto number = std::to_string(i + 1);
+        text += "[[upstream]]\nname = \"u" + number + "\"\nservice = \"packs\"\nzone = \"a\"\n"
+                + "address = \"10.1.1." + number + ":80\"\nconnections = 100000\n";
+    }
+    return text;
+}
+
+auto benchHost() -> Init
+{
+    Init init;
+    init.self.name = "a1";
+    init.self.id = HostId::ofName("a1");
+    init.self.zoneName = "a";
+    init.self.zone = ZoneId::ofName("a");
+    init.self.peer = { 1, 1 };
+    init.self.relay = { 1, 2 };
+    return init;
+}
+
+auto verifying(benchmark::State &state) -> void
+{
+    const auto keys = benchKeys();
+    const auto text = benchToken();
+    while (state.KeepRunning()) {
+        benchmark::DoNotOptimize(verifyToken(text, keys));
+    }
+}
+
+auto signing(benchmark::State &state) -> void
+{
+    const auto keys = benchKeys();
+    const FlowToken token { ServiceId(1), UpstreamId(2), FlowId(3) };
+    while (state.KeepRunning()) {
+        benchmark::DoNotOptimize(signToken(token, keys.back()));
+    }
+}
+
+auto picking(benchmark::State &state) -> void
+{
+    std::vector<RendezvousNode> nodes;
+    for (std::size_t i = 0; i < upstreamCount; ++i) {
+        nodes.push_back({ hashName(std::to_string(i)), 2000 });
+    }
+    std::uint64_t key = 0;
+    while (state.KeepRunning()) {
+        benchmark::DoNotOptimize(rendezvousPick(++key, nodes));
+    }
+}
+
+/// A feed arrives and its caller leaves, with `state.range(0)` feeds held beside it.
+auto arriving(benchmark::State &state, const std::string &token) -> void
+{
+    Balancer balancer(benchHost());
+    const Now now { MonoTime(1s), WallTime(1'800'000'000s) };
+    static_cast<void>(balancer.handle(now, TableFetched { Revision { 1 }, benchTable() }));
+    CallerArrived arrived;
+    arrived.address = *Address::parse("10.9.0.1:80");
+    arrived.token = token;
+    std::uint64_t id = 0;
+    for (std::int64_t i = 0; i < state.range(0); ++i) {
+        arrived.exchange = ExchangeId(++id);
+        static_cast<void>(balancer.handle(now, arrived));
+    }
+    while (state.KeepRunning()) {
+        arrived.exchange = ExchangeId(++id);
+        benchmark::DoNotOptimize(balancer.handle(now, arrived));
+        benchmark::DoNotOptimize(balancer.handle(now, CallerLeft { arrived.exchange }));
+    }
+}
+
+/// A request arrives, is dispatched and answered; the table has `state.range(0)` services.
+auto answering(benchmark::State &state) -> void
+{
+    std::string text =
+            "[[token_key]]\nid = 1\nsecret = \"" + std::string(32, '1') + "\"\nsigning = true\n";
+    std::vector<Address> addresses;
+    for (std::int64_t i = 0; i < state.range(0); ++i) {
+        const auto service = "s" + std::to_string(i);
+        const auto number = std::to_string(i / 200) + "." + std::to_string(i % 200 + 1);
+        addresses.push_back(*Address::parse("10.9." + number + ":80"));
+        text += "[[row]]\nname = \"r" + service + "\"\nservice = \"" + service
+                + "\"\nkind = \"request\"\naddress = \"10.9." + number + ":80\"\n";
+        text += "[[upstream]]\nname = \"u" + service + "\"\nservice = \"" + service
+                + "\"\nzone = \"a\"\naddress = \"10.1." + number + ":80\"\n";
+    }
+    auto host = benchHost();
+    Balancer balancer(host);
+    Now now { MonoTime(1s), WallTime(1'800'000'000s) };
+    static_cast<void>(balancer.handle(now, TableFetched { Revision { 1 }, text }));
+    static_cast<void>(balancer.handle(now, HostsFetched { { host.self } }));
+    for (int i = 0; i < 400; ++i) { // Until this host is home and its upstreams are warm.
+        now.mono += config::tickPeriod;
+        now.wall += config::tickPeriod;
+        static_cast<void>(balancer.handle(now, Tick {}));
+    }
+    CallerArrived arrived;
+    std::uint64_t id = 0;
+    while (state.KeepRunning()) {
+        arrived.exchange = ExchangeId(++id);
+        arrived.address = addresses[id % addresses.size()];
+        static_cast<void>(balancer.handle(now, arrived));
+        ExchangeProgress progress { arrived.exchange, 1, Progress::Answering, AnswerHead { 200 } };
+        static_cast<void>(balancer.handle(now, progress));
+        progress.progress = Progress::Answered;
+        static_cast<void>(balancer.handle(now, progress));
+        now.mono += 1ms;
+        now.wall += 1ms;
+    }
+    if (balancer.stats().answered != id) {
+        state.SkipWithError("not all requests were answered");
+    }
+}
+
+BENCHMARK(verifying);
+BENCHMARK(signing);
+BENCHMARK(picking);
+BENCHMARK(answering)->Arg(1)->Arg(10)->Arg(100)->Arg(1000);
+BENCHMARK_CAPTURE(arriving, with_token, benchToken())->Arg(0)->Arg(50000);
+BENCHMARK_CAPTURE(arriving, without_token, std::string())->Arg(0)->Arg(50000);
+
+} // namespace
+
+} // namespace flamingograde
--- a/include/flamingograde/config.h
+++ b/include/flamingograde/config.h
@@ -105,6 +105,7 @@
 // Stopping.
 inline constexpr auto stopTimeout           = 60s;    ///< Longest wait of an orderly stop.
 inline constexpr auto feedMoveTime          = 2000ms; ///< Feeds are ended over this time after the listeners closed.
+inline constexpr auto closeGrace            = 500ms;  ///< A stop takes what was on its way when the listeners closed for this long.
 inline constexpr auto stopReportPeriod      = 1000ms; ///< Period of the log's word on what a stop waits for.
 inline constexpr auto leaveNotice           = 1000ms; ///< Time between announcing a stop and closing the listeners.
 
--- a/src/core/outcomecontroller.cpp
+++ b/src/core/outcomecontroller.cpp
@@ -28,10 +28,29 @@
     exchange.avoid = exchange.cell;
 }
 
-/// Returns the pause before the next placement: none for the first repeat elsewhere.
-auto pauseBefore(const Exchange &exchange, bool sameHome) -> Duration
+/// Returns whether a choice of cells is left to the placement.
+auto isFreeToMove(const Exchange &exchange) -> bool
+{
+    return exchange.origin == Origin::Caller && (exchange.idempotent || exchange.ownKey);
+}
+
+/// Returns whether the exchange's cell still has the home to which it was last sent.
+auto hasSameHome(const Blackboard &board, const Exchange &exchange) -> bool
+{
+    const auto &indices = board.table().upstreamsOf(exchange.cell);
+    if (indices.empty()) {
+        return false;
+    }
+    const auto zone = board.table().upstreams()[indices.front()].zone;
+    return board.membership.homeOf(exchange.cell, zone) == exchange.home;
+}
+
+/// Returns the pause before an exchange is placed again after its home did not take it: none where
+/// it can go to another host.
+auto pauseBefore(const Blackboard &board, const Exchange &exchange) -> Duration
 {
-    if (!sameHome && exchange.attempt <= 1) {
+    const auto first = exchange.attempt <= 1;
+    if (first && (isFreeToMove(exchange) || !hasSameHome(board, exchange))) {
         return Duration::zero();
     }
     return config::placeRetryMin * std::max<std::uint32_t>(exchange.attempt, 1U);
@@ -66,12 +85,6 @@
     placeAgain(board, exchange, Duration::zero(), otherwise);
 }
 
-/// Returns whether a choice of cells is left to the placement.
-auto isFreeToMove(const Exchange &exchange) -> bool
-{
-    return exchange.origin == Origin::Caller && (exchange.idempotent || exchange.ownKey);
-}
-
 auto onNotSent(Blackboard &board, Exchange &exchange) -> void
 {
     const auto wasRelayed = exchange.stage == Stage::Relayed;
@@ -79,8 +92,7 @@
     if (wasRelayed) {
         const Refusal otherwise { RefusalReason::NoHome, verdictOf(exchange),
                                   config::retryAfterMin };
-        const auto pause = pauseBefore(exchange, !isFreeToMove(exchange));
-        return placeAgain(board, exchange, pause, otherwise);
+        return placeAgain(board, exchange, pauseBefore(board, exchange), otherwise);
     }
     const Refusal otherwise { RefusalReason::NoUpstream, verdictOf(exchange),
                               config::retryAfterMin };
@@ -148,8 +160,7 @@
     }
     const auto mayMove = head.verdict == Verdict::NotRun && isPlacementRefusal(head.reason);
     if (mayMove || isOwnUnknown) {
-        const auto pause = pauseBefore(exchange, !isFreeToMove(exchange));
-        return placeAgain(board, exchange, pause, refusal);
+        return placeAgain(board, exchange, pauseBefore(board, exchange), refusal);
     }
     refuse(board, exchange, refusal);
 }
@@ -196,6 +207,9 @@
 
 auto onAnswered(Blackboard &board, Exchange &exchange) -> void
 {
+    if (exchange.stage != Stage::Answering) {
+        return onLost(board, exchange);
+    }
     ++board.stats.answered;
     board.retryBudget.earn();
     forget(board, exchange.id);
@@ -283,6 +297,26 @@
     }
 }
 
+/// Places idempotent requests again whose home has been given up; the others may still get their
+/// answer and are left to their deadline.
+auto leaveDeadHomes(Blackboard &board) -> void
+{
+    std::vector<ExchangeId> stranded;
+    for (const auto &[id, exchange] : board.exchanges.all()) {
+        if (exchange.stage != Stage::Relayed || !exchange.idempotent) {
+            continue;
+        }
+        const auto *home = board.membership.find(exchange.home);
+        if (home == nullptr || home->state == MemberState::Dead) {
+            stranded.push_back(id);
+        }
+    }
+    std::sort(stranded.begin(), stranded.end());
+    for (const auto id : stranded) {
+        onLost(board, *board.exchanges.find(id));
+    }
+}
+
 } // namespace
 
 auto OutcomeController::handle(Blackboard &board, const Event &event) -> void
@@ -294,6 +328,10 @@
                },
                event);
     expireAll(board);
+    if (this->members != board.membership.version()) {
+        this->members = board.membership.version();
+        leaveDeadHomes(board);
+    }
 }
 
 } // namespace flamingograde
--- a/src/core/outcomecontroller.h
+++ b/src/core/outcomecontroller.h
@@ -3,6 +3,8 @@
 
 #include <flamingograde/event.h>
 
+#include <cstdint>
+
 namespace flamingograde {
 
 class Blackboard;
@@ -18,6 +20,9 @@
 public:
     /// Takes one event. Precondition: none.
     auto handle(Blackboard &board, const Event &event) -> void;
+
+private:
+    std::uint64_t members = 0; ///< The membership under which all relays were last looked at.
 };
 
 } // namespace flamingograde
--- a/src/core/stopcontroller.h
+++ b/src/core/stopcontroller.h
@@ -18,6 +18,7 @@
     auto handle(Blackboard &board, const Event &event) -> void;
 
 private:
+    MonoTime closedAt; ///< When the listeners were closed.
     MonoTime reported; ///< When the log last said what the stop waits for.
 };
 
--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -6,7 +6,6 @@
 #include "net/hostlog.h"
 #include "net/listener.h"
 #include "net/metrics.h"
-#include "net/reporter.h"
 
 #include <flamingograde/config.h>
 
@@ -79,7 +78,7 @@
     if (!this->open()) {
         return exitFailure;
     }
-    reportReady(this->settings.init.self, this->adminAddress);
+    reportReady(this->settings.init.self.name, this->bound);
     this->nextTick = Loop::now().mono;
     while (!this->hasEnded()) {
         this->tickIfDue();
@@ -110,7 +109,8 @@
             return false;
         }
     }
-    this->adminAddress = *admin;
+    this->bound.admin = *admin;
+    this->bound.relay = *relay;
     auto &self = this->settings.init.self;
     self.relay = self.relay.isValid() ? self.relay : *relay;
     return true;
@@ -127,8 +127,9 @@
         return false;
     }
     this->peerListener = std::move(*listener);
+    this->bound.peer = this->peerListener->bound();
     auto &self = this->settings.init.self;
-    self.peer = self.peer.isValid() ? self.peer : this->peerListener->bound();
+    self.peer = self.peer.isValid() ? self.peer : this->bound.peer;
     self.incarnation = static_cast<std::uint64_t>(Loop::now().wall.time_since_epoch().count());
     this->peers = std::make_unique<PeerHub>(
             this->loop, self, this->settings.source,
--- a/tests/unit/upstreamtest.cpp
+++ b/tests/unit/upstreamtest.cpp
@@ -19,8 +19,7 @@
         for (int i = 0; i < count; ++i) {
             this->ids.push_back(this->addUpstream("u" + std::to_string(i), 4));
         }
-        this->beginTenure(1h);
-        this->publish();
+        this->start();
         this->serveIn(10ms);
     }
 
@@ -37,7 +36,7 @@
         return this->board.upstreams.effectiveSlots(this->upstreams[index], this->board.now.mono);
     }
 
-    /// Has the dispatches to the first `bad` upstreams end by `progress`.
+    /// Has the dispatches to the first `bad` upstreams end by `progress`, or by a head of 421.
     auto breakFirst(std::size_t bad, Progress progress) -> void
     {
         this->onDispatch = [this, bad, progress](const Dispatch &dispatch) {
@@ -45,7 +44,13 @@
             const auto end = this->ids.begin() + static_cast<std::ptrdiff_t>(bad);
             const auto isBad = std::find(this->ids.begin(), end, dispatch.upstream) != end;
             this->after(10ms, [this, id, isBad, progress] {
-                isBad ? this->report(id, progress) : this->answer(id);
+                if (!isBad) {
+                    this->answer(id);
+                } else if (progress == Progress::Answering) {
+                    this->head(id, 421);
+                } else {
+                    this->report(id, progress);
+                }
             });
         };
     }
@@ -56,7 +61,7 @@
 TEST_CASE("failures of traffic eject an upstream, and it comes back step by step")
 {
     UpstreamHome home(4);
-    home.breakFirst(1, GENERATE(Progress::NotSent, Progress::Lost));
+    home.breakFirst(1, GENERATE(Progress::NotSent, Progress::Lost, Progress::Answering));
     home.load(100);
     REQUIRE(home.slotsOf(0) == 0);
     CHECK(!home.board.upstreams.isUsable(home.ids[0], home.board.now.mono));
@@ -157,10 +162,28 @@
     home.pass(2s);
     CHECK(home.slotsOf(shedder) == 2);
     home.serveIn(10ms);
-    home.load(100);
+    home.load(20);
+    CHECK(home.slotsOf(shedder) == 2); // A few successes do not undo it.
+    home.load(300);
     CHECK(home.slotsOf(shedder) == 4);
 }
 
+TEST_CASE("while all upstreams are paused only what can wait for them is queued")
+{
+    UpstreamHome home(1);
+    home.onDispatch = nullptr;
+    const auto first = home.arrive(home.row);
+    home.head(first, 503, true, 3s);
+    CHECK(home.refused.count(home.arrive(home.row)) == 0);
+    auto hasty = home.row;
+    hasty.deadline = 2s;
+    home.rows[0] = hasty;
+    home.publish();
+    const auto refused = home.arrive(hasty);
+    REQUIRE(home.isRefused(refused, RefusalReason::DeadlineUnmet, Verdict::NotRun));
+    CHECK(home.refused.at(refused).retryAfter == 1s);
+}
+
 TEST_CASE("a draining upstream gets nothing new and finishes what it has")
 {
     UpstreamHome home(2);
--- a/tests/unit/virtualfleet.cpp
+++ b/tests/unit/virtualfleet.cpp
@@ -28,7 +28,7 @@
 } // namespace
 
 VirtualFleet::VirtualFleet(const std::vector<std::pair<std::string, std::string>> &names,
-                           std::string text)
+                           std::string text, Policy policy)
     : table(std::move(text))
 {
     this->clock = { MonoTime(Duration(100s)), startOfTime };
@@ -42,7 +42,8 @@
         init.self.peer = { 0x0a000001, port };
         init.self.relay = { 0x0a000002, port };
         init.seed = port++;
-        this->hosts.push_back({ init.self, std::make_unique<Balancer>(init), false, {} });
+        init.policy = policy;
+        this->hosts.push_back({ init, init.self, std::make_unique<Balancer>(init), false, {} });
     }
 }
 
@@ -123,6 +124,16 @@
     }
 }
 
+auto VirtualFleet::restart(std::size_t host) -> void
+{
+    auto &restarted = this->hosts[host];
+    ++restarted.init.seed;
+    restarted.balancer = std::make_unique<Balancer>(restarted.init);
+    restarted.dead = false;
+    restarted.watch.reset();
+    this->stopped.erase(host);
+}
+
 auto VirtualFleet::resume(std::size_t host) -> void
 {
     this->hosts[host].paused = false;
