Number claims so that no two lives of a host use the same

Cause: a restarted host counted its claims from 1 again and was told of a former home that did not know what the host's last life had run; a key could have been run twice. Ruled out: random numbers; the seed is made from the host's name. Change: numbers of claims begin at the wall time; a test of handing over, with and without requests that finish, and of a new life. Conclusion: a former home is named only to the claim that ended it.

--- a/src/core/claimant.cpp
+++ b/src/core/claimant.cpp
@@ -56,7 +56,7 @@
         return;
     }
     Claim claim;
-    claim.id = ++this->lastNumber;
+    claim.id = this->nextNumber(board);
     claim.cells = missing;
     claim.nextRequest = board.now.mono;
     for (const auto cell : missing) {
@@ -114,11 +114,18 @@
     }
 }
 
+auto Claimant::nextNumber(const Blackboard &board) -> std::uint64_t
+{
+    const auto age = static_cast<std::uint64_t>(board.now.wall.time_since_epoch().count());
+    this->lastNumber = std::max(this->lastNumber + 1, age);
+    return this->lastNumber;
+}
+
 auto Claimant::request(Blackboard &board, Claim &claim) -> void
 {
     claim.nextRequest = board.now.mono + config::probePeriod;
     ClaimRequest request;
-    request.round = ++this->lastNumber;
+    request.round = this->nextNumber(board);
     request.claim = claim.id;
     request.cells.assign(claim.cells.begin(), claim.cells.end());
     request.voters = otherVoters(board);
--- a/src/core/claimant.h
+++ b/src/core/claimant.h
@@ -41,6 +41,8 @@
         MonoTime sentAt;
     };
 
+    /// Returns a number that no life of this host used before.
+    auto nextNumber(const Blackboard &board) -> std::uint64_t;
     auto request(Blackboard &board, Claim &claim) -> void;
     auto begin(Blackboard &board, Claim &claim) -> void;
     [[nodiscard]] static auto isGranted(const Blackboard &board, const Claim &claim, CellId cell)
--- a/tests/unit/tenuretest.cpp
+++ b/tests/unit/tenuretest.cpp
@@ -161,6 +161,42 @@
     CHECK(fleet.faults.empty());
 }
 
+TEST_CASE("a cell is granted once its requests are finished, or after a second", "[fleet]")
+{
+    const auto finishes = GENERATE(true, false);
+    PeerFleet fleet(11);
+    startFleet(fleet, 2);
+    const auto home = fleet.homes("a").front();
+    const std::string next = home == "a1" ? "a2" : "a1";
+    auto &board = fleet.board(home);
+    const auto cell = cellOf(ServiceId::ofName("pack"), ZoneId::ofName("a"));
+    RunningRequest request;
+    request.exchange = ExchangeId(1);
+    request.cell = cell;
+    request.row = board.table().rows().front().id;
+    board.cells.enqueue(cell, board.table().rows().front(), request.exchange);
+    board.cells.start(request);
+    fleet.leave(home);
+    fleet.run(700ms);
+    CHECK(fleet.homes("a").empty());
+    CHECK(fleet.board(next).tenure.isClaiming(cell));
+    if (finishes) {
+        board.cells.remove(request.exchange);
+    }
+    const auto took = fleet.runUntil([&] { return fleet.homes("a").size() == 1; }, 1s);
+    REQUIRE(took);
+    CHECK(*took <= (finishes ? 100ms : 700ms));
+    CHECK(fleet.homes("a") == std::vector { next });
+    CHECK(fleet.board(next).tenure.formerHome(cell) == HostId::ofName(home));
+
+    // A new life of the home does not know what the last one ran, and is not sent to ask another.
+    fleet.kill(next);
+    fleet.start(next);
+    REQUIRE(fleet.runUntil([&] { return fleet.homes("a") == std::vector { next }; }, 3s));
+    CHECK_FALSE(fleet.board(next).tenure.formerHome(cell).isValid());
+    CHECK(fleet.faults.empty());
+}
+
 TEST_CASE("no two hosts are home of a cell under random faults", "[fleet]")
 {
     const auto seed = GENERATE(range<std::uint64_t>(100, 160));
