Prefer cells whose home is settled; test tokens of a key not yet known

Cause: a host that was still claiming a cell drew requests that could run elsewhere at once. Change: its own claims do not count as ready where the cell is free to choose.

--- a/src/core/cellhomeplacement.cpp
+++ b/src/core/cellhomeplacement.cpp
@@ -62,7 +62,7 @@
         const auto hasZones = !board.table().zonesOf(exchange.service).empty();
         return PlaceNowhere { hasZones ? RefusalReason::NoHome : RefusalReason::NoUpstream, false };
     }
-    dropUnlessLast(choices, [](const CellChoice &choice) { return !choice.reachable; });
+    dropUnlessLast(choices, [](const CellChoice &choice) { return !choice.ready; });
     dropUnlessLast(choices,
                    [&](const CellChoice &choice) { return choice.cell == exchange.avoid; });
     return placeInZone(board, exchange.service, lessLoaded(board, choices).zone);
--- a/src/core/explain.cpp
+++ b/src/core/explain.cpp
@@ -84,7 +84,7 @@
         const auto load = board.cells.loadOf(choice.cell, board.now.mono).value_or(CellLoad {});
         candidates.push_back({ { "zone", zoneName(board, choice.cell) },
                                { "home", hostName(board, choice.home) },
-                               { "reachable", choice.reachable },
+                               { "ready", choice.ready },
                                { "weight", choice.slots },
                                { "running", load.running },
                                { "queued", load.queued } });
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -25,6 +25,16 @@
            || board.membership.aliveCount() > config::flatMembershipHosts;
 }
 
+/// Returns whether a home runs requests at once, as far as is known: a claim of this host may still
+/// wait for the former home's requests.
+auto isReady(const Blackboard &board, HostId home, CellId cell) -> bool
+{
+    if (home == board.init.self.id) {
+        return board.tenure.since(cell).has_value();
+    }
+    return isReachable(board, home, cell);
+}
+
 } // namespace
 
 auto cellChoices(const Blackboard &board, ServiceId service) -> std::vector<CellChoice>
@@ -35,7 +45,7 @@
         const auto slots = activeSlots(board.table(), service, zone);
         const auto home = board.membership.homeOf(cell, zone);
         if (slots > 0 && home.isValid()) {
-            choices.push_back({ cell, zone, home, slots, isReachable(board, home, cell) });
+            choices.push_back({ cell, zone, home, slots, isReady(board, home, cell) });
         }
     }
     return choices;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -50,8 +50,8 @@
     CellId cell;
     ZoneId zone;
     HostId home;
-    double slots = 0;       ///< Active slots of the table.
-    bool reachable = false; ///< Whether its home answers, as far as is known.
+    double slots = 0;   ///< Active slots of the table.
+    bool ready = false; ///< Whether its home runs requests at once, as far as is known.
 };
 
 /// Returns the cells of `service` that have active upstreams and a home.
--- a/tests/unit/flowtest.cpp
+++ b/tests/unit/flowtest.cpp
@@ -68,6 +68,11 @@
             fleet.give(host, CallerLeft { id });
         }
     }
+    const auto newer = fleet.result(feedAt(fleet, 1, {})).token; // Under a key unknown to host 0.
+    const auto id = feedAt(fleet, 0, newer);
+    REQUIRE(fleet.result(id).refusal);
+    CHECK(fleet.result(id).refusal->reason == RefusalReason::BadToken);
+    CHECK(fleet.result(id).refusal->retryAfter > 0ms); // The key may just be published.
 }
 
 TEST_CASE("an idempotent flow's requests keep their upstream until it drains")
