Do not wait before h2o has told of writes made outside of its run

Cause: h2o reports on a write in its next run only. After a handled event or a task the loop waited for the next socket event or tick first, so an answer's reading began up to 50 ms late. Conclusion: an idle host passes a request on at once.

--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -82,8 +82,9 @@
     this->nextTick = Loop::now().mono;
     while (!this->hasEnded()) {
         this->tickIfDue();
-        this->handleQueued();
-        const auto wait = this->queue.empty() ? this->nextTick - Loop::now().mono : Duration(0);
+        // h2o reports on writes made outside of its run only in its next: no wait before that.
+        const auto handled = this->handleQueued();
+        const auto wait = handled ? Duration(0) : this->nextTick - Loop::now().mono;
         this->loop.turn(std::max(wait, Duration(0)));
     }
     reportStopped(*this->left);
@@ -151,8 +152,9 @@
     }
 }
 
-auto Daemon::handleQueued() -> void
+auto Daemon::handleQueued() -> bool
 {
+    const auto found = !this->queue.empty();
     while (!this->queue.empty()) {
         auto event = std::move(this->queue.front());
         this->queue.pop_front();
@@ -161,6 +163,7 @@
             this->act(action);
         }
     }
+    return found;
 }
 
 auto Daemon::act(const Action &action) -> void
--- a/src/net/daemon.h
+++ b/src/net/daemon.h
@@ -44,7 +44,8 @@
     auto openServers() -> bool;
     auto openPeers() -> bool;
     auto post(Event event) -> void;
-    auto handleQueued() -> void;
+    /// Handles what was posted. @returns whether there was anything.
+    auto handleQueued() -> bool;
     auto act(const Action &action) -> void;
     auto requestStop() -> void;
     auto answerOperator(st_h2o_req_t *request) -> void;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -68,30 +68,35 @@
     if (!this->timers.empty()) {
         wait = std::min(wait, this->timers.begin()->first.first - Loop::now().mono);
     }
-    if (!this->deferred.empty()) {
+    if (this->tasksRan || !this->deferred.empty()) {
         wait = Duration(0);
     }
     const auto millis = std::chrono::ceil<std::chrono::milliseconds>(wait).count();
     h2o_evloop_run(this->evloop, static_cast<std::int32_t>(std::max<std::int64_t>(millis, 0)));
-    this->runTimers();
-    this->runDeferred();
+    const auto timersRan = this->runTimers();
+    const auto deferredRan = this->runDeferred();
+    this->tasksRan = timersRan || deferredRan;
 }
 
-auto Loop::runTimers() -> void
+auto Loop::runTimers() -> bool
 {
     const auto now = Loop::now().mono;
+    bool ran = false;
     while (!this->timers.empty() && this->timers.begin()->first.first <= now) {
         auto node = this->timers.extract(this->timers.begin());
         node.mapped()();
+        ran = true;
     }
+    return ran;
 }
 
-auto Loop::runDeferred() -> void
+auto Loop::runDeferred() -> bool
 {
     const auto tasks = std::exchange(this->deferred, {});
     for (const auto &task : tasks) {
         task();
     }
+    return !tasks.empty();
 }
 
 } // namespace flamingograde::net
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -39,7 +39,8 @@
     /// Runs `task` at the end of this turn, outside of any socket's callback. Precondition: none.
     auto defer(Task task) -> void;
 
-    /// Waits for sockets up to `longest`, then runs what is due.
+    /// Waits for sockets up to `longest`, then runs what is due. Does not wait where tasks of the
+    /// last turn may have written: h2o reports on writes made outside of its run only in its next.
     /// Precondition: not called from a callback.
     auto turn(Duration longest) -> void;
 
@@ -47,13 +48,15 @@
     friend class Timer;
     using Key = std::pair<MonoTime, std::uint64_t>;
 
-    auto runTimers() -> void;
-    auto runDeferred() -> void;
+    /// Run what is due. @returns whether anything ran.
+    auto runTimers() -> bool;
+    auto runDeferred() -> bool;
 
     st_h2o_evloop_t *evloop;
     std::map<Key, Task> timers;
     std::vector<Task> deferred;
     std::uint64_t nextSequence = 0;
+    bool tasksRan = false; ///< In the last turn.
 };
 
 } // namespace flamingograde::net
