--- a/src/core/upstreamcontroller.cpp
+++ b/src/core/upstreamcontroller.cpp
@@ -1,6 +1,7 @@
 /// Learns from traffic and probes how upstreams are.
 #include "core/upstreamcontroller.h"
 
+#include "core/answermeaning.h"
 #include "core/blackboard.h"
 #include "core/overloaded.h"
 
@@ -101,12 +102,13 @@
 /// Takes the head of a request's answer.
 auto noteHead(Blackboard &board, RunningRequest &request, const AnswerHead &head) -> void
 {
+    request.unrun = saysUnrun(head);
     if (head.shed) {
-        request.shed = true;
         noteShed(board, request.upstream, head.retryAfter);
         return;
     }
-    if (head.status >= serverError) {
+    const auto isFault = head.status >= serverError && !saysTooLate(head);
+    if (request.unrun || isFault) {
         request.failed = true;
         noteFailure(board, request.upstream);
     }
@@ -123,7 +125,7 @@
         return;
     case Progress::Answered:
         request.answered = true;
-        if (!request.failed && !request.shed) {
+        if (!request.failed && !request.unrun) {
             noteSuccess(board, request.upstream);
         }
         return;
@@ -176,13 +178,19 @@
     }
 }
 
-auto probeIfDue(Blackboard &board, const Upstream &upstream, UpstreamHealth &health) -> void
+/// Probes the upstreams of the cells that this host is home of.
+auto probeDue(Blackboard &board) -> void
 {
-    if (!board.tenure.since(upstream.cell()).has_value() || health.nextProbe > board.now.mono) {
-        return;
+    for (const auto &[cell, tenure] : board.tenure.all()) {
+        for (const auto index : board.table().upstreamsOf(cell)) {
+            const auto &upstream = board.table().upstreams()[index];
+            auto &health = board.upstreams.health(upstream.id);
+            if (health.nextProbe <= board.now.mono) {
+                health.nextProbe = board.now.mono + config::upstreamProbePeriod;
+                board.act(ProbeUpstream { upstream.id, upstream.address, upstream.serviceName });
+            }
+        }
     }
-    health.nextProbe = board.now.mono + config::upstreamProbePeriod;
-    board.act(ProbeUpstream { upstream.id, upstream.address, upstream.serviceName });
 }
 
 auto logIfDrained(Blackboard &board, const Upstream &upstream, UpstreamHealth &health) -> void
@@ -288,9 +296,9 @@
     for (const auto &upstream : board.table().upstreams()) {
         auto &health = board.upstreams.health(upstream.id);
         endByTime(board, upstream, health);
-        probeIfDue(board, upstream, health);
         logIfDrained(board, upstream, health);
     }
+    probeDue(board);
 }
 
 } // namespace flamingograde
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -11,7 +11,8 @@
 namespace {
 
 constexpr std::uint64_t ioTimeoutMs = 24ULL * 3600 * 1000; ///< Calls have timers of their own.
-constexpr std::uint64_t idleTimeoutMs = 2000;
+constexpr std::uint64_t idleTimeoutMs =
+        500; ///< Short: one that went silent looks like an idle one.
 constexpr std::size_t poolCapacity = 1024;
 
 } // namespace
@@ -24,7 +25,8 @@
 };
 
 HttpClient::HttpClient(Loop &owner, Address sourceIp)
-    : loop(owner), source(sourceIp), shared(std::make_unique<Context>())
+    : loop(owner), source(sourceIp), shared(std::make_unique<Context>()),
+      newConnections(this->makePool())
 {
     h2o_timeout_init(this->loop.raw(), &this->shared->timeout, ioTimeoutMs);
     this->shared->client.loop = this->loop.raw();
@@ -52,6 +54,11 @@
     return pool;
 }
 
+auto HttpClient::handOver() -> st_h2o_socketpool_t *
+{
+    return this->newConnections.get();
+}
+
 auto HttpClient::poolOf(Address target) -> st_h2o_socketpool_t *
 {
     auto found = this->pools.find(target);
--- a/tests/unit/flowtest.cpp
+++ b/tests/unit/flowtest.cpp
@@ -117,6 +117,39 @@
     CHECK(fleet.runs.empty());
 }
 
+TEST_CASE("a flow whose upstream drains goes on there, and starts anew once that is gone")
+{
+    VirtualFleet fleet(sixHosts, sampleTable());
+    fleet.settle();
+    auto feed = feedAt(fleet, 0, {});
+    while (fleet.feeds.at(feed).upstream != UpstreamId::ofName("pa1")) {
+        feed = feedAt(fleet, 0, {});
+    }
+    const auto token = fleet.result(feed).token;
+    fleet.publish(editedTable()); // pa1 drains.
+    fleet.advance(1s);
+    CHECK(fleet.feeds.count(feed) == 1);
+    for (int i = 0; i < 30; ++i) {
+        const auto fresh = feedAt(fleet, static_cast<std::size_t>(i % 6), {});
+        CHECK(fleet.feeds.at(fresh).upstream != UpstreamId::ofName("pa1"));
+    }
+    CHECK(fleet.feeds.count(feedAt(fleet, 1, token)) == 1);
+    fleet.behaviour = [](UpstreamId id) {
+        return id == UpstreamId::ofName("pa1") ? Behaviour::Refuse : Behaviour::Answer;
+    };
+    const auto gone = fleet.call(2, feedAddress, token);
+    fleet.advance(3s);
+    REQUIRE(fleet.result(gone).refusal);
+    CHECK(fleet.result(gone).refusal->reason == RefusalReason::StaleToken);
+    auto removed = editedTable();
+    const auto at = removed.find("[[upstream]]\nname = \"pa1\"");
+    removed.erase(at, removed.find("[[upstream]]", at + 1) - at);
+    fleet.publish(removed);
+    fleet.advance(1s);
+    CHECK(fleet.result(feed).answered); // Ended at an event's boundary.
+    CHECK_FALSE(fleet.result(feed).aborted);
+}
+
 TEST_CASE("a feed that loses its upstream opens again there, after growing pauses")
 {
     VirtualFleet fleet({ { "a1", "a" } }, sampleTable());
