--- a/src/net/peersocket.cpp
+++ b/src/net/peersocket.cpp
@@ -48,6 +48,7 @@
         connection->set_fail_handler(nullptr);
         connection->set_close_handler(nullptr);
         connection->set_validate_handler(nullptr);
+        connection->eof(); // Ends its pending read, which holds it.
     }
     h2o_socket_close(this->socket);
 }
