--- a/src/core/refuse.cpp
+++ b/src/core/refuse.cpp
@@ -7,10 +7,25 @@
 
 namespace {
 
+auto logEventOf(RefusalReason reason) -> LogEvent
+{
+    switch (reason) {
+    case RefusalReason::UnknownService:
+        return LogEvent::ServiceUnknown;
+    case RefusalReason::BadToken:
+    case RefusalReason::StaleToken:
+        return LogEvent::TokenRefused;
+    case RefusalReason::TooLarge:
+        return LogEvent::BodyTooLarge;
+    default:
+        return LogEvent::RequestRefused;
+    }
+}
+
 auto answer(Blackboard &board, ExchangeId exchange, const Refusal &refusal) -> void
 {
     ++board.stats.refused.at(static_cast<std::size_t>(refusal.reason));
-    board.log(LogEvent::RequestRefused,
+    board.log(logEventOf(refusal.reason),
               std::string(toString(refusal.reason)) + ' ' + std::string(toString(refusal.verdict)));
     board.act(Refuse { exchange, refusal });
 }
--- a/src/core/stopcontroller.cpp
+++ b/src/core/stopcontroller.cpp
@@ -98,10 +98,12 @@
     }
     const auto elapsed = board.now.mono - board.stop.since;
     if (!board.stop.closed && elapsed >= config::leaveNotice) {
+        this->closedAt = board.now.mono;
         closeListeners(board);
     }
     const auto left = unfinished(board);
-    if (board.stop.closed && left.empty()) {
+    if (board.stop.closed && left.empty()
+        && board.now.mono - this->closedAt >= config::closeGrace) {
         return finish(board, left);
     }
     if (elapsed >= board.init.stopTimeout) {
--- a/tests/unit/chaostest.cpp
+++ b/tests/unit/chaostest.cpp
@@ -127,6 +127,9 @@
             this->fleet.mute.insert(host);
         } else if (roll < 14) {
             this->fleet.mute.clear();
+        } else if (roll == 14 && this->killed.size() < 3) {
+            this->killed.insert(host);
+            this->fleet.give(host, StopRequested {});
         }
     }
 };
--- a/tests/unit/outcometest.cpp
+++ b/tests/unit/outcometest.cpp
@@ -113,6 +113,36 @@
     CHECK(fleet.host(0).stats().exchanges == 0);
 }
 
+TEST_CASE("idempotent requests leave a home that is given up; others wait for it")
+{
+    VirtualFleet fleet({ { "a1", "a" }, { "a2", "a" }, { "b1", "b" }, { "b2", "b" } },
+                       sampleTable());
+    fleet.settle();
+    std::size_t home = 4;
+    while (home == 4) { // Find the home of "packs" in zone b.
+        fleet.call(0, voteAddress, {}, "b." + fleet.newKey());
+        fleet.advance(50ms);
+        home = fleet.runs.back().host;
+    }
+    fleet.runs.clear();
+    fleet.pause(home);
+    std::vector<ExchangeId> reads;
+    for (int i = 0; i < 8; ++i) {
+        reads.push_back(fleet.call(0, readAddress));
+    }
+    const auto vote = fleet.call(0, voteAddress, {}, "b." + fleet.newKey());
+    fleet.advance(4500ms);
+    for (const auto id : reads) {
+        CHECK(fleet.result(id).answered);
+    }
+    CHECK_FALSE(fleet.result(vote).refusal);
+    fleet.resume(home);
+    fleet.advance(1s);
+    REQUIRE(fleet.result(vote).ends == 1);
+    const auto end = fleet.result(vote);
+    CHECK((end.answered || end.refusal->verdict == Verdict::Unknown));
+}
+
 TEST_CASE("arrivals out of bounds are refused as not run")
 {
     auto fleet = oneHost();
--- a/tests/unit/virtualfleet.cpp
+++ b/tests/unit/virtualfleet.cpp
@@ -43,7 +43,7 @@
         init.self.relay = { 0x0a000002, port };
         init.seed = port++;
         init.policy = policy;
-        this->hosts.push_back({ init.self, std::make_unique<Balancer>(init), false, {} });
+        this->hosts.push_back({ init, init.self, std::make_unique<Balancer>(init), false, {} });
     }
 }
 
@@ -124,6 +124,16 @@
     }
 }
 
+auto VirtualFleet::restart(std::size_t host) -> void
+{
+    auto &restarted = this->hosts[host];
+    ++restarted.init.seed;
+    restarted.balancer = std::make_unique<Balancer>(restarted.init);
+    restarted.dead = false;
+    restarted.watch.reset();
+    this->stopped.erase(host);
+}
+
 auto VirtualFleet::resume(std::size_t host) -> void
 {
     this->hosts[host].paused = false;
