--- a/tests/unit/peerfleet.h
+++ b/tests/unit/peerfleet.h
@@ -98,6 +98,7 @@
         std::uint64_t revision = 0;
         std::deque<Event> waiting; ///< Came while frozen.
         std::optional<Revision> watch;
+        std::uint64_t watchNumber = 0; ///< Of the latest read, so that an older one cannot end it.
         std::optional<std::pair<std::uint64_t, std::string>> served;
     };
     struct Pending
