Hand a cell's keys over to its new home

Cause: a new home refused as unknown every key made before its tenure and the bound on clocks, unless the former home still lived: each planned change of home cost about a second of votes. Ruled out: a longer stay of the stopping host (keys of two changes in a row stay unknown), keeping the former home's tenure start without its keys (votes would run twice). Change: a grant carries from when its sender knows every dispatch of the cell and the keys of the last 5 s, at most 10,000; the new home goes on from there and hands both on. A claim given up unbegun is told to the voters, so that the knowledge goes to the next claimant. A host that was paused, cut off or held to be dead between the end of its tenure and the grant hands over nothing.

--- a/include/flamingograde/config.h
+++ b/include/flamingograde/config.h
@@ -72,6 +72,9 @@
 inline constexpr std::size_t storedAnswerMax = 65536; ///< Largest answer kept for a repeat of its request.
 inline constexpr std::size_t storedAnswersBytesMax = 16U << 20U; ///< All kept answers of a host.
 inline constexpr std::size_t keysParkedMax  = 1000;   ///< Requests with a key that wait for this host to become their home.
+inline constexpr auto handoverWindow        = 5000ms; ///< A home that gives up a cell tells the new one the keys dispatched this lately.
+inline constexpr auto handoverTimeout       = 1000ms; ///< Requests under way are waited for this long before a cell is granted.
+inline constexpr std::size_t handoverKeysMax = 10000; ///< Keys told in one grant; more shorten the window.
 inline constexpr auto keyLookupTimeout      = 500ms;  ///< Longest wait for a former home's word on a key.
 
 // Upstreams.
@@ -111,4 +114,7 @@
 
 // clang-format on
 
+static_assert(handoverWindow > 2 * clockBound + handoverTimeout,
+              "a key made during a handover must be newer than what the new home is not told");
+
 } // namespace flamingograde::config
--- a/include/flamingograde/message.h
+++ b/include/flamingograde/message.h
@@ -87,10 +87,39 @@
 {
     std::uint64_t round = 0;    ///< Names this request among those of the sender.
     std::vector<CellId> cells;  ///< The cells claimed.
-    std::uint64_t claim = 0;    ///< Names the claim; the same in each request until it is granted.
+    std::uint64_t claim = 0;    ///< Names the claim; the same in each request until it is granted,
+                                ///< and of no other life of the sender.
     std::vector<HostId> voters; ///< All hosts of the zone that the sender asks.
 };
 
+/// What a host knows of a key.
+enum class KeyState : std::uint8_t {
+    Unseen,  ///< Never dispatched by this host during its tenure, and never will be.
+    Running, ///< Dispatched, no answer yet.
+    Done,    ///< Dispatched and answered.
+    Unknown, ///< Dispatched with unknown result, or not this host's to tell.
+};
+
+/// A key that was dispatched.
+struct HandedKey
+{
+    std::uint64_t hash = 0; ///< `hashName` of the key's text.
+    KeyState state = KeyState::Unknown;
+    std::int64_t dispatchedUs = 0; ///< Wall time of the dispatch, in microseconds.
+};
+
+/// What a home knows of the keys of a cell when it gives the cell up.
+///
+/// Every key that was ever dispatched in the cell is in `keys`, or was dispatched before
+/// `knownSinceUs`.
+struct CellKnowledge
+{
+    CellId cell;
+    std::int64_t knownSinceUs = 0; ///< Wall time in microseconds.
+    Revision tables;               ///< This holds for the keys' cell by all tables up to this one.
+    std::vector<HandedKey> keys;
+};
+
 /// Promises that the sender runs nothing more for the granted cells until it claims them itself.
 struct ClaimGrant
 {
@@ -98,6 +127,14 @@
     std::vector<CellId> refused; ///< Cells that the sender does not grant now; ask again later.
     std::vector<CellId> granted; ///< Cells promised. Those in neither list are still finishing.
     std::vector<CellId> held;    ///< Of `granted`: those that the sender was home of until this.
+    std::vector<CellKnowledge> knowledge; ///< Of the cells in `held`.
+};
+
+/// Tells who may have granted it that the sender gave up a claim and was never home by it.
+struct ClaimRelease
+{
+    std::uint64_t claim = 0;   ///< Of the `ClaimRequest`.
+    std::vector<CellId> cells; ///< The cells given up.
 };
 
 /// Asks a former home what it knows of a key.
@@ -108,23 +145,15 @@
     std::string key;
 };
 
-/// What a host knows of a key.
-enum class KeyState : std::uint8_t {
-    Unseen,  ///< Never dispatched by this host during its tenure, and never will be.
-    Running, ///< Dispatched, no answer yet.
-    Done,    ///< Dispatched and answered.
-    Unknown, ///< Dispatched with unknown result, or not this host's to tell.
-};
-
 /// Answers a `KeyLookup`.
 struct KeyReport
 {
     std::uint64_t sequence = 0;
     KeyState state = KeyState::Unknown;
-    std::int64_t tenureSinceUs = 0; ///< Wall time from which the sender was home, in microseconds.
+    std::int64_t tenureSinceUs = 0; ///< Wall time from which the sender knows every dispatch.
 };
 
 using Message = std::variant<Hello, Ping, Ack, PingRequest, PingReport, TableRequest, TableBody,
-                             ClaimRequest, ClaimGrant, KeyLookup, KeyReport>;
+                             ClaimRequest, ClaimGrant, KeyLookup, KeyReport, ClaimRelease>;
 
 } // namespace flamingograde
--- a/src/core/claim.h
+++ b/src/core/claim.h
@@ -3,6 +3,7 @@
 
 #include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
+#include <flamingograde/message.h>
 
 #include <cstdint>
 #include <map>
@@ -13,8 +14,8 @@
 /// What another host said to a claim.
 struct Vote
 {
-    std::map<CellId, MonoTime> granted; ///< When the granted request was sent.
-    std::set<CellId> held;              ///< Cells that the voter was home of until then.
+    std::map<CellId, MonoTime> granted;   ///< When the granted request was sent.
+    std::map<CellId, CellKnowledge> held; ///< Of cells that the voter was home of until then.
 };
 
 /// Cells claimed together, and the votes so far.
--- a/src/core/claimant.cpp
+++ b/src/core/claimant.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 
 namespace flamingograde {
 
@@ -19,20 +20,49 @@
     return voters;
 }
 
-/// Returns the one voter that was home of `cell` until it granted it; invalid for none or many.
-auto formerHome(const Claim &claim, CellId cell) -> HostId
+/// Returns the tenure that begins now. It follows on that of the one voter that was home of `cell`
+/// until it granted it, if there is just one.
+auto tenureOf(Blackboard &board, const Claim &claim, CellId cell) -> TenureState::Tenure
 {
-    HostId former;
+    TenureState::Tenure tenure { board.now.wall, {} };
+    const CellKnowledge *knowledge = nullptr;
     for (const auto &[host, vote] : claim.votes) {
-        if (vote.held.count(cell) == 0) {
+        const auto held = vote.held.find(cell);
+        if (held == vote.held.end()) {
             continue;
         }
-        if (former.isValid()) {
-            return {};
+        if (knowledge != nullptr) {
+            return { board.now.wall, {} };
         }
-        former = host;
+        tenure.former = host;
+        knowledge = &held->second;
     }
-    return former;
+    if (knowledge == nullptr) {
+        return tenure;
+    }
+    board.keys.inherit(cell, knowledge->keys, board.now.mono);
+    const auto since = WallTime(Duration(knowledge->knownSinceUs));
+    if (since < board.now.wall) {
+        tenure.told = KnownFrom { since, knowledge->tables };
+    }
+    return tenure;
+}
+
+/// Takes the grant of `cell` into `vote`.
+auto takeGrant(Vote &vote, const ClaimGrant &grant, CellId cell, MonoTime sentAt) -> void
+{
+    vote.granted[cell] = sentAt;
+    vote.held.erase(cell);
+    if (std::find(grant.held.begin(), grant.held.end(), cell) == grant.held.end()) {
+        return;
+    }
+    const auto known = std::find_if(grant.knowledge.begin(), grant.knowledge.end(),
+                                    [cell](const auto &entry) { return entry.cell == cell; });
+    if (known != grant.knowledge.end()) {
+        vote.held[cell] = *known;
+        return;
+    }
+    vote.held[cell].knownSinceUs = std::numeric_limits<std::int64_t>::max();
 }
 
 } // namespace
@@ -46,17 +76,19 @@
         }
     }
     for (auto &[id, claim] : this->claims) {
-        for (auto it = claim.cells.begin(); it != claim.cells.end();) {
-            const auto wanted = cells.count(*it) != 0;
-            board.tenure.setClaiming(*it, wanted);
-            it = wanted ? std::next(it) : claim.cells.erase(it);
+        std::vector<CellId> unwanted;
+        for (const auto cell : claim.cells) {
+            if (cells.count(cell) == 0) {
+                unwanted.push_back(cell);
+            }
         }
+        this->release(board, claim, unwanted);
     }
     if (missing.empty()) {
         return;
     }
     Claim claim;
-    claim.id = ++this->lastNumber;
+    claim.id = this->nextNumber(board);
     claim.cells = missing;
     claim.nextRequest = board.now.mono;
     for (const auto cell : missing) {
@@ -100,25 +132,46 @@
         vote.granted.erase(cell);
     }
     for (const auto cell : grant.granted) {
-        vote.granted[cell] = round->second.sentAt;
+        takeGrant(vote, grant, cell, round->second.sentAt);
     }
-    vote.held.insert(grant.held.begin(), grant.held.end());
     this->advance(board);
 }
 
 auto Claimant::drop(Blackboard &board, CellId cell) -> void
 {
-    board.tenure.setClaiming(cell, false);
     for (auto &[id, claim] : this->claims) {
+        if (claim.cells.count(cell) != 0) {
+            this->release(board, claim, { cell });
+        }
+    }
+}
+
+auto Claimant::release(Blackboard &board, Claim &claim, const std::vector<CellId> &cells) -> void
+{
+    if (cells.empty()) {
+        return;
+    }
+    for (const auto cell : cells) {
+        board.tenure.setClaiming(cell, false);
         claim.cells.erase(cell);
     }
+    for (const auto voter : otherVoters(board)) {
+        sendPeer(board, voter, ClaimRelease { claim.id, cells });
+    }
+}
+
+auto Claimant::nextNumber(const Blackboard &board) -> std::uint64_t
+{
+    const auto wall = static_cast<std::uint64_t>(board.now.wall.time_since_epoch().count());
+    this->lastNumber = std::max(this->lastNumber + 1, wall);
+    return this->lastNumber;
 }
 
 auto Claimant::request(Blackboard &board, Claim &claim) -> void
 {
     claim.nextRequest = board.now.mono + config::probePeriod;
     ClaimRequest request;
-    request.round = ++this->lastNumber;
+    request.round = this->nextNumber(board);
     request.claim = claim.id;
     request.cells.assign(claim.cells.begin(), claim.cells.end());
     request.voters = otherVoters(board);
@@ -136,7 +189,7 @@
             ++it;
             continue;
         }
-        board.tenure.begin(*it, { board.now.wall, formerHome(claim, *it) });
+        board.tenure.begin(*it, tenureOf(board, claim, *it));
         ++begun;
         it = claim.cells.erase(it);
     }
--- a/src/core/claimant.h
+++ b/src/core/claimant.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <vector>
 
 namespace flamingograde {
 
@@ -30,7 +31,7 @@
     auto advance(Blackboard &board) -> void;
     /// Takes a vote.
     auto granted(Blackboard &board, HostId from, const ClaimGrant &grant) -> void;
-    /// Gives up claiming `cell`.
+    /// Gives up claiming `cell`, if it is claimed.
     auto drop(Blackboard &board, CellId cell) -> void;
 
 private:
@@ -43,12 +44,17 @@
 
     auto request(Blackboard &board, Claim &claim) -> void;
     auto begin(Blackboard &board, Claim &claim) -> void;
+    /// Gives up claiming `cells` and tells the voters.
+    auto release(Blackboard &board, Claim &claim, const std::vector<CellId> &cells) -> void;
+    /// Returns a number that this host has not used, nor in an earlier life.
+    [[nodiscard]] auto nextNumber(const Blackboard &board) -> std::uint64_t;
     [[nodiscard]] static auto isGranted(const Blackboard &board, const Claim &claim, CellId cell)
             -> bool;
 
     std::map<std::uint64_t, Claim> claims; ///< By id.
     std::map<std::uint64_t, Round> rounds; ///< Those young enough to count.
-    std::uint64_t lastNumber = 0;          ///< Of claims and rounds.
+    std::uint64_t lastNumber = 0;          ///< Of claims and rounds; at least the wall time in
+                                           ///< microseconds, so that a restart repeats none.
 };
 
 } // namespace flamingograde
--- a/src/core/configstate.cpp
+++ b/src/core/configstate.cpp
@@ -13,12 +13,29 @@
     return found != this->quarantinedUntil.end() && now < found->second;
 }
 
-auto ConfigState::keyPlacedSince(ServiceId service, const std::string &key) const -> WallTime
+auto ConfigState::Past::leftAt(Revision told) const -> WallTime
+{
+    const auto isTold = this->table == nullptr && !(told < this->next);
+    return isTold ? WallTime() : this->left.value_or(neverPlaced);
+}
+
+auto ConfigState::keyPlacedSince(ServiceId service, const std::string &key, Revision told) const
+        -> WallTime
 {
     const auto zone = zoneOfKey(*this->table, service, key);
     for (auto it = this->past.rbegin(); it != this->past.rend(); ++it) {
         if (it->table == nullptr || zoneOfKey(*it->table, service, key) != zone) {
-            return it->left.value_or(neverPlaced);
+            return it->leftAt(told);
+        }
+    }
+    return {};
+}
+
+auto ConfigState::placedSince(ServiceId service, Revision told) const -> WallTime
+{
+    for (auto it = this->past.rbegin(); it != this->past.rend(); ++it) {
+        if (it->table == nullptr || !placesAlike(*it->table, *this->table, service)) {
+            return it->leftAt(told);
         }
     }
     return {};
--- a/src/core/configstate.h
+++ b/src/core/configstate.h
@@ -34,7 +34,13 @@
     ///
     /// While a host may still have the table before that change, this is `neverPlaced`: the old
     /// cell may still run the key.
-    [[nodiscard]] auto keyPlacedSince(ServiceId service, const std::string &key) const -> WallTime;
+    /// @param told tables that were in force before this host's start and are allowed for
+    /// elsewhere: all up to this one.
+    [[nodiscard]] auto keyPlacedSince(ServiceId service, const std::string &key,
+                                      Revision told = {}) const -> WallTime;
+
+    /// Returns the latest `keyPlacedSince` of all keys of `service`, or a later time.
+    [[nodiscard]] auto placedSince(ServiceId service, Revision told) const -> WallTime;
 
     /// Later than the time of any key.
     static constexpr WallTime neverPlaced = WallTime(Duration::max() / 2);
@@ -46,6 +52,9 @@
         Revision next;                      ///< The table that replaced it.
         std::optional<WallTime> left;       ///< When it was in force nowhere any more.
         WallTime until;                     ///< When it was replaced here.
+
+        /// Returns when a key that it led elsewhere came to its cell.
+        [[nodiscard]] auto leftAt(Revision told) const -> WallTime;
     };
 
     std::vector<Past> past; ///< Oldest first; those of the last `config::keyLifetime`.
--- a/src/core/grantor.cpp
+++ b/src/core/grantor.cpp
@@ -4,18 +4,15 @@
 #include "core/blackboard.h"
 #include "core/claimant.h"
 #include "core/gossip.h"
+#include "core/keyfreshness.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace flamingograde {
 
 namespace {
 
-using namespace std::chrono_literals;
-
-/// Requests under way are waited for this long before a cell is granted.
-constexpr Duration handoverTimeout = 1s;
-
 /// Returns whether `from` asks every host of the zone that this one knows to be at work.
 auto asksAll(const Blackboard &board, HostId from, const ClaimRequest &request) -> bool
 {
@@ -29,7 +26,34 @@
 /// Returns whether nothing stands against saying that the cell is given up.
 auto isFinished(const Blackboard &board, CellId cell, const Handover &handover) -> bool
 {
-    return board.cells.runningIn(cell) == 0 || board.now.mono - handover.since >= handoverTimeout;
+    return board.cells.runningIn(cell) == 0
+           || board.now.mono - handover.since >= config::handoverTimeout;
+}
+
+/// Returns what this host, home of `cell` until now, knows of its keys.
+/// @param most how many keys are told.
+auto knowledgeOf(const Blackboard &board, CellId cell, const KnownFrom &atBegin, std::size_t most)
+        -> CellKnowledge
+{
+    auto known = knownFromNow(board, cell, atBegin);
+    const auto after = board.now.wall - config::handoverWindow;
+    auto keys = board.keys.handOver(cell, after, most, known.since);
+    return { cell, known.since.time_since_epoch().count(), known.tables, std::move(keys) };
+}
+
+/// Adds `cell` to what is granted.
+/// @param cells how many cells share the bound on keys.
+auto grantCell(const Blackboard &board, Handover &handover, CellId cell, std::size_t cells,
+               ClaimGrant &grant) -> void
+{
+    handover.granted = true;
+    grant.granted.push_back(cell);
+    if (!handover.held) {
+        return;
+    }
+    const auto most = config::handoverKeysMax / cells;
+    grant.held.push_back(cell);
+    grant.knowledge.push_back(knowledgeOf(board, cell, handover.known, most));
 }
 
 } // namespace
@@ -50,11 +74,7 @@
         if (!isFinished(board, cell, handover)) {
             continue;
         }
-        handover.granted = true;
-        grant.granted.push_back(cell);
-        if (handover.held) {
-            grant.held.push_back(cell);
-        }
+        grantCell(board, handover, cell, request.cells.size(), grant);
     }
     if (!grant.refused.empty()) {
         sendZoneView(board, from);
@@ -67,23 +87,42 @@
 auto Grantor::advance(Blackboard &board) -> void
 {
     for (auto &[cell, handover] : this->handovers) {
-        if (handover.granted || !isFinished(board, cell, handover)) {
+        if (!handover.to.isValid() || handover.granted || !isFinished(board, cell, handover)) {
             continue;
         }
-        handover.granted = true;
         ClaimGrant grant;
         grant.round = handover.round;
-        grant.granted = { cell };
-        if (handover.held) {
-            grant.held = { cell };
-        }
+        grantCell(board, handover, cell, 1, grant);
         sendPeer(board, handover.to, std::move(grant));
     }
 }
 
+auto Grantor::released(HostId from, const ClaimRelease &release) -> void
+{
+    for (const auto cell : release.cells) {
+        const auto found = this->handovers.find(cell);
+        if (found == this->handovers.end()) {
+            continue;
+        }
+        auto &handover = found->second;
+        if (handover.to == from && handover.claim == release.claim) {
+            handover.to = HostId();
+            handover.granted = false;
+        }
+    }
+}
+
+auto Grantor::disown() -> void
+{
+    for (auto &[cell, handover] : this->handovers) {
+        handover.held = false;
+    }
+}
+
 auto Grantor::handOver(Blackboard &board, HostId from, const ClaimRequest &request, CellId cell)
         -> Handover &
 {
+    const auto known = board.tenure.knownFrom(cell);
     const auto wasHome = board.tenure.end(cell);
     if (wasHome) {
         board.log(LogEvent::TenureEnded, "1 cell claimed by another host");
@@ -94,6 +133,7 @@
         handover = Handover {};
         handover.since = board.now.mono;
         handover.held = wasHome;
+        handover.known = known.value_or(KnownFrom {});
     } else if (handover.claim != request.claim || handover.to != from) {
         handover.held = handover.held && !handover.granted;
         handover.granted = false;
--- a/src/core/grantor.h
+++ b/src/core/grantor.h
@@ -23,6 +23,10 @@
             -> void;
     /// Grants the cells whose requests are finished, or were waited for long enough.
     auto advance(Blackboard &board) -> void;
+    /// Takes the word of `from` that it was never home by a claim.
+    auto released(HostId from, const ClaimRelease &release) -> void;
+    /// Hands over no cell any more as its home until now: another host may have been home since.
+    auto disown() -> void;
     /// Forgets the promise to another host: this host is home again.
     auto regained(CellId cell) -> void { this->handovers.erase(cell); }
 
--- a/src/core/handover.h
+++ b/src/core/handover.h
@@ -1,6 +1,8 @@
 /// A cell that this host gives up.
 #pragma once
 
+#include "core/knownfrom.h"
+
 #include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
 
@@ -12,11 +14,12 @@
 /// runs is finished.
 struct Handover
 {
-    HostId to;               ///< Who claims the cell.
+    HostId to;               ///< Who claims the cell; invalid where it gave that up.
     std::uint64_t claim = 0; ///< Its claim.
     std::uint64_t round = 0; ///< Its newest request.
     MonoTime since;          ///< When the promise began.
-    bool held = false;       ///< This host was home until then.
+    bool held = false;       ///< This host was home until then, and nobody since.
+    KnownFrom known;         ///< What it knew of the keys as the home.
     bool granted = false;    ///< It was said.
 };
 
--- a/src/core/keycontroller.cpp
+++ b/src/core/keycontroller.cpp
@@ -66,6 +66,9 @@
     if (state != KeyState::Unseen) {
         return state;
     }
+    if (const auto told = board.keys.inherited({ lookup.cell, lookup.key })) {
+        return *told;
+    }
     const auto mayRunIt =
             board.tenure.since(lookup.cell).has_value() || board.tenure.isClaiming(lookup.cell);
     const auto wasHome = board.keys.tenureOf(lookup.cell).has_value();
@@ -86,12 +89,20 @@
     board.keys.park(exchange.id);
 }
 
+/// Refuses a key for which the former home has no word, by what it handed over.
+auto refuseUnproved(Blackboard &board, Exchange &exchange) -> void
+{
+    const auto told = board.keys.inherited({ exchange.cell, exchange.key });
+    const auto verdict = told == KeyState::Done ? Verdict::Run : Verdict::Unknown;
+    refuseKey(board, exchange, RefusalReason::KeyUnknown, verdict);
+}
+
 /// Takes a former home's failure to answer.
 auto onNoWord(Blackboard &board, const PendingLookup &lookup) -> void
 {
     auto *exchange = board.exchanges.find(lookup.exchange);
     if (exchange != nullptr && exchange->stage == Stage::Looking) {
-        refuseKey(board, *exchange, RefusalReason::KeyUnknown, Verdict::Unknown);
+        refuseUnproved(board, *exchange);
     }
 }
 
@@ -186,8 +197,8 @@
     KeyReport report;
     report.sequence = lookup.sequence;
     report.state = stateToTell(board, lookup);
-    const auto tenure = board.keys.tenureOf(lookup.cell).value_or(board.now.wall);
-    report.tenureSinceUs = toMicroseconds(std::max(tenure, board.keys.forgottenUntil(lookup.cell)));
+    const auto known = board.keys.tenureOf(lookup.cell).value_or(KnownFrom { board.now.wall, {} });
+    report.tenureSinceUs = toMicroseconds(knownFromNow(board, lookup.cell, known).since);
     board.act(SendPeer { from, report });
 }
 
@@ -201,12 +212,16 @@
     if (exchange == nullptr || exchange->stage != Stage::Looking) {
         return;
     }
-    if (report.state != KeyState::Unseen) {
-        refuseSeen(board, *exchange, report.state);
+    const auto handedOver = board.keys.inherited({ exchange->cell, exchange->key });
+    const auto isUnknown = report.state == KeyState::Unknown;
+    const auto state = isUnknown ? handedOver.value_or(report.state) : report.state;
+    if (state != KeyState::Unseen) {
+        refuseSeen(board, *exchange, state);
         return;
     }
-    const auto toldSince = WallTime(Duration(report.tenureSinceUs));
-    if (!isProvedBy(board, *exchange, toldSince)) {
+    const auto known = board.tenure.knownFrom(exchange->cell).value_or(KnownFrom {});
+    const KnownFrom told { WallTime(Duration(report.tenureSinceUs)), known.tables };
+    if (!isProvedBy(board, *exchange, told)) {
         refuseKey(board, *exchange, RefusalReason::KeyUnknown, Verdict::Unknown);
         return;
     }
@@ -222,7 +237,7 @@
         onNoWord(board, lookup);
     }
     for (const auto &[cell, tenure] : board.tenure.all()) {
-        board.keys.noteTenure(cell, tenure.since);
+        board.keys.noteTenure(cell, *board.tenure.knownFrom(cell));
     }
 }
 
@@ -270,20 +285,20 @@
 
 auto KeyController::admitUnseen(Blackboard &board, Exchange &exchange, const KeyName &name) -> void
 {
-    const auto since = board.tenure.since(exchange.cell);
-    if (!since.has_value()) {
+    const auto known = board.tenure.knownFrom(exchange.cell);
+    if (!known.has_value()) {
         parkOrGiveBack(board, exchange);
         return;
     }
-    board.keys.noteTenure(exchange.cell, *since);
-    if (isProvablyFresh(board, exchange)) {
+    board.keys.noteTenure(exchange.cell, *known);
+    if (!board.keys.inherited(name) && isProvablyFresh(board, exchange)) {
         board.keys.reserve(name, exchange.id);
         board.toQueue.push_back(exchange.id);
         return;
     }
     const auto former = board.tenure.formerHome(exchange.cell);
     if (!former.isValid() || former == board.init.self.id) {
-        refuseKey(board, exchange, RefusalReason::KeyUnknown, Verdict::Unknown);
+        refuseUnproved(board, exchange);
         return;
     }
     board.keys.reserve(name, exchange.id);
--- a/src/core/keyfreshness.cpp
+++ b/src/core/keyfreshness.cpp
@@ -24,18 +24,30 @@
 
 auto isProvablyFresh(const Blackboard &board, const Exchange &exchange) -> bool
 {
-    const auto tenure = board.tenure.since(exchange.cell);
-    return tenure.has_value() && isProvedBy(board, exchange, *tenure);
+    const auto known = board.tenure.knownFrom(exchange.cell);
+    return known.has_value() && isProvedBy(board, exchange, *known);
 }
 
-auto isProvedBy(const Blackboard &board, const Exchange &exchange, WallTime toldSince) -> bool
+auto isProvedBy(const Blackboard &board, const Exchange &exchange, const KnownFrom &told) -> bool
 {
-    const auto placed = board.config.keyPlacedSince(exchange.service, exchange.key);
-    auto from = std::max(toldSince, placed);
+    const auto placed = board.config.keyPlacedSince(exchange.service, exchange.key, told.tables);
+    auto from = std::max(told.since, placed);
     if (exchange.keyBirth.has_value()) {
         from = std::max(from, board.keys.forgottenUntil(exchange.cell));
     }
     return isNewerThan(board, exchange, from, board.keys.evictedUntil(exchange.cell));
 }
 
+auto knownFromNow(const Blackboard &board, CellId cell, const KnownFrom &known) -> KnownFrom
+{
+    const auto since = std::max(known.since, board.keys.forgottenUntil(cell));
+    const auto &upstreams = board.table().upstreamsOf(cell);
+    if (upstreams.empty()) {
+        return { ConfigState::neverPlaced, {} };
+    }
+    const auto service = board.table().upstreams()[upstreams.front()].service;
+    const auto placed = board.config.placedSince(service, known.tables);
+    return { std::max(since, placed), board.config.revision };
+}
+
 } // namespace flamingograde
--- a/src/core/keyplacement.cpp
+++ b/src/core/keyplacement.cpp
@@ -6,6 +6,8 @@
 
 #include <flamingograde/table.h>
 
+#include <algorithm>
+
 namespace flamingograde {
 
 auto activeSlots(const Table &table, ServiceId service, ZoneId zone) -> double
@@ -20,6 +22,17 @@
     return slots;
 }
 
+auto placesAlike(const Table &a, const Table &b, ServiceId service) -> bool
+{
+    const auto isAlike = [&](ZoneId zone) {
+        return activeSlots(a, service, zone) == activeSlots(b, service, zone);
+    };
+    const auto &ofA = a.zonesOf(service);
+    const auto &ofB = b.zonesOf(service);
+    return std::all_of(ofA.begin(), ofA.end(), isAlike)
+           && std::all_of(ofB.begin(), ofB.end(), isAlike);
+}
+
 auto zoneOfKey(const Table &table, ServiceId service, std::string_view key) -> ZoneId
 {
     const auto zoneName = keyZoneNameOf(key);
--- a/src/core/keyplacement.h
+++ b/src/core/keyplacement.h
@@ -13,6 +13,10 @@
 /// @remarks Thread safe.
 [[nodiscard]] auto activeSlots(const Table &table, ServiceId service, ZoneId zone) -> double;
 
+/// Returns whether two tables lead every key of `service` to the same zone.
+/// @remarks Thread safe. May say no where they do.
+[[nodiscard]] auto placesAlike(const Table &a, const Table &b, ServiceId service) -> bool;
+
 /// Returns the zone in which `key` is run; a function of the table and the key alone, so that all
 /// hosts with one table agree. Invalid where the service has no active upstream.
 ///
--- a/src/core/keyregistry.cpp
+++ b/src/core/keyregistry.cpp
@@ -20,6 +20,16 @@
     return found == times.end() ? WallTime {} : found->second;
 }
 
+auto wallTimeOf(const HandedKey &key) -> WallTime
+{
+    return WallTime(Duration(key.dispatchedUs));
+}
+
+auto isNewer(const HandedKey &a, const HandedKey &b) -> bool
+{
+    return a.dispatchedUs != b.dispatchedUs ? a.dispatchedUs > b.dispatchedUs : a.hash < b.hash;
+}
+
 /// Moves the lookups that `matches` out of `lookups`.
 template<typename Predicate>
 auto takeLookups(std::map<std::uint64_t, PendingLookup> &lookups, Predicate matches)
@@ -156,6 +166,7 @@
 
 auto KeyRegistry::expire(MonoTime now) -> void
 {
+    this->expireInherited(now);
     while (!this->aged.empty() && this->aged.front().expires <= now) {
         auto oldest = std::move(this->aged.front());
         this->aged.pop_front();
@@ -183,12 +194,71 @@
     return timeOf(this->evicted, cell);
 }
 
-auto KeyRegistry::noteTenure(CellId cell, WallTime since) -> void
+auto KeyRegistry::handOver(CellId cell, WallTime after, std::size_t most,
+                           WallTime &knownSince) const -> std::vector<HandedKey>
 {
-    this->tenures[cell] = since;
+    std::unordered_map<std::uint64_t, HandedKey> found;
+    const auto told = this->inheritedKeys.find(cell);
+    if (told != this->inheritedKeys.end()) {
+        for (const auto &[hash, key] : told->second.keys) {
+            if (wallTimeOf(key) > after) {
+                found.emplace(hash, key);
+            } else {
+                knownSince = std::max(knownSince, wallTimeOf(key));
+            }
+        }
+    }
+    for (const auto &entry : this->aged) {
+        if (entry.name.cell != cell) {
+            continue;
+        }
+        if (entry.dispatched <= after) {
+            knownSince = std::max(knownSince, entry.dispatched);
+        } else if (this->isCurrent(entry)) {
+            const auto key = this->handed(entry);
+            found[key.hash] = key;
+        }
+    }
+    std::vector<HandedKey> keys;
+    keys.reserve(found.size());
+    for (const auto &[hash, key] : found) {
+        keys.push_back(key);
+    }
+    std::sort(keys.begin(), keys.end(), isNewer);
+    if (keys.size() > most) {
+        knownSince = std::max(knownSince, wallTimeOf(keys[most]));
+        keys.resize(most);
+    }
+    return keys;
 }
 
-auto KeyRegistry::tenureOf(CellId cell) const -> std::optional<WallTime>
+auto KeyRegistry::inherit(CellId cell, const std::vector<HandedKey> &keys, MonoTime now) -> void
+{
+    InheritedKeys told;
+    told.expires = now + config::keyLifetime;
+    for (auto key : keys) {
+        key.state = key.state == KeyState::Done ? KeyState::Done : KeyState::Unknown;
+        told.keys.emplace(key.hash, key);
+    }
+    this->inheritedKeys[cell] = std::move(told);
+}
+
+auto KeyRegistry::inherited(const KeyName &name) const -> std::optional<KeyState>
+{
+    const auto told = this->inheritedKeys.find(name.cell);
+    if (told == this->inheritedKeys.end()) {
+        return std::nullopt;
+    }
+    const auto found = told->second.keys.find(hashName(name.key));
+    return found == told->second.keys.end() ? std::nullopt : std::optional(found->second.state);
+}
+
+auto KeyRegistry::noteTenure(CellId cell, const KnownFrom &known) -> void
+{
+    this->tenures[cell] = known;
+}
+
+auto KeyRegistry::tenureOf(CellId cell) const -> std::optional<KnownFrom>
 {
     const auto found = this->tenures.find(cell);
     return found == this->tenures.end() ? std::nullopt : std::optional(found->second);
@@ -222,6 +292,20 @@
     return takeLookups(this->lookups, [host](const auto &lookup) { return lookup.host == host; });
 }
 
+auto KeyRegistry::expireInherited(MonoTime now) -> void
+{
+    for (auto entry = this->inheritedKeys.begin(); entry != this->inheritedKeys.end();) {
+        if (entry->second.expires > now) {
+            ++entry;
+            continue;
+        }
+        for (const auto &[hash, key] : entry->second.keys) {
+            raise(this->forgotten, entry->first, wallTimeOf(key));
+        }
+        entry = this->inheritedKeys.erase(entry);
+    }
+}
+
 auto KeyRegistry::makeRoom() -> void
 {
     auto left = this->aged.size();
@@ -273,6 +357,12 @@
     record->answer = nullptr;
 }
 
+auto KeyRegistry::handed(const Aged &entry) const -> HandedKey
+{
+    const auto state = this->records.at(entry.name).state;
+    return { hashName(entry.name.key), state, entry.dispatched.time_since_epoch().count() };
+}
+
 auto KeyRegistry::isCurrent(const Aged &entry) const -> bool
 {
     const auto found = this->records.find(entry.name);
--- a/src/core/keyregistry.h
+++ b/src/core/keyregistry.h
@@ -1,8 +1,10 @@
 /// The keys that this host has run as a home.
 #pragma once
 
+#include "core/inheritedkeys.h"
 #include "core/keyname.h"
 #include "core/keyrecord.h"
+#include "core/knownfrom.h"
 #include "core/pendinglookup.h"
 
 #include <flamingograde/clock.h>
@@ -87,10 +89,20 @@
     /// Returns the same without what was forgotten for its age alone.
     [[nodiscard]] auto evictedUntil(CellId cell) const -> WallTime;
 
-    /// Notes that this host is home of `cell` since `since`.
-    auto noteTenure(CellId cell, WallTime since) -> void;
-    /// Returns since when this host is or was last home of `cell`, or nothing.
-    [[nodiscard]] auto tenureOf(CellId cell) const -> std::optional<WallTime>;
+    /// Returns the keys of `cell` dispatched after `after`, newest first, by this host or as it was
+    /// told. Raises `knownSince` to the dispatch of the newest one left out.
+    /// @param most the length of the list.
+    [[nodiscard]] auto handOver(CellId cell, WallTime after, std::size_t most,
+                                WallTime &knownSince) const -> std::vector<HandedKey>;
+    /// Remembers what the former home of `cell` handed over, in place of what one did before.
+    auto inherit(CellId cell, const std::vector<HandedKey> &keys, MonoTime now) -> void;
+    /// Returns what a former home told of `name`: `Done`, `Unknown`, or nothing.
+    [[nodiscard]] auto inherited(const KeyName &name) const -> std::optional<KeyState>;
+
+    /// Notes that this host is home of `cell` and from when it knows every dispatch.
+    auto noteTenure(CellId cell, const KnownFrom &known) -> void;
+    /// Returns the same for the cell's present or last tenure of this host, or nothing.
+    [[nodiscard]] auto tenureOf(CellId cell) const -> std::optional<KnownFrom>;
 
     /// Notes a question and returns its sequence number.
     auto addLookup(const PendingLookup &lookup) -> std::uint64_t;
@@ -110,10 +122,12 @@
         MonoTime expires;
     };
 
+    auto expireInherited(MonoTime now) -> void;
     auto makeRoom() -> void;
     auto erase(const KeyName &name) -> void;
     auto keep(const KeyName &name, std::shared_ptr<const std::string> answer) -> void;
     auto dropAnswer(const KeyName &name) -> void;
+    [[nodiscard]] auto handed(const Aged &entry) const -> HandedKey;
     [[nodiscard]] auto isCurrent(const Aged &entry) const -> bool;
 
     std::size_t keysMax;
@@ -128,7 +142,8 @@
     std::vector<ExchangeId> parked;
     std::unordered_map<CellId, WallTime> forgotten;
     std::unordered_map<CellId, WallTime> evicted;
-    std::unordered_map<CellId, WallTime> tenures;
+    std::unordered_map<CellId, KnownFrom> tenures;
+    std::unordered_map<CellId, InheritedKeys> inheritedKeys;
     std::map<std::uint64_t, PendingLookup> lookups;
     std::uint64_t lastSequence = 0;
 };
--- a/src/core/tenurecontroller.cpp
+++ b/src/core/tenurecontroller.cpp
@@ -36,6 +36,9 @@
         if (const auto *request = std::get_if<ClaimRequest>(&received->message)) {
             this->grantor.requested(board, this->claimant, received->from, *request);
         }
+        if (const auto *release = std::get_if<ClaimRelease>(&received->message)) {
+            this->grantor.released(received->from, *release);
+        }
         if (const auto *grant = std::get_if<ClaimGrant>(&received->message);
             grant != nullptr && this->mayClaim(board)) {
             this->claimant.granted(board, received->from, *grant);
@@ -103,6 +106,7 @@
 auto TenureController::endAll(Blackboard &board, const char *why) -> void
 {
     this->claimant.want(board, {});
+    this->grantor.disown();
     std::vector<CellId> cells;
     for (const auto &[cell, tenure] : board.tenure.all()) {
         cells.push_back(cell);
--- a/src/core/tenurestate.cpp
+++ b/src/core/tenurestate.cpp
@@ -9,6 +9,16 @@
     return found == this->held.end() ? std::nullopt : std::make_optional(found->second.since);
 }
 
+auto TenureState::knownFrom(CellId cell) const -> std::optional<KnownFrom>
+{
+    const auto found = this->held.find(cell);
+    if (found == this->held.end()) {
+        return std::nullopt;
+    }
+    const auto &tenure = found->second;
+    return tenure.told.value_or(KnownFrom { tenure.since, {} });
+}
+
 auto TenureState::isClaiming(CellId cell) const -> bool
 {
     return this->claimed.count(cell) != 0;
--- a/src/core/tenurestate.h
+++ b/src/core/tenurestate.h
@@ -1,6 +1,8 @@
 /// The cells that this host is home of.
 #pragma once
 
+#include "core/knownfrom.h"
+
 #include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
 
@@ -19,6 +21,10 @@
     /// Returns since when (wall time) this host may run requests of `cell`, or nothing.
     [[nodiscard]] auto since(CellId cell) const -> std::optional<WallTime>;
 
+    /// Returns from when this host knows every dispatch of `cell`, or nothing where it is not its
+    /// home: from the begin of its tenure, or from earlier where the former home told it.
+    [[nodiscard]] auto knownFrom(CellId cell) const -> std::optional<KnownFrom>;
+
     /// Returns whether this host claims `cell` and waits for grants: requests may wait here.
     [[nodiscard]] auto isClaiming(CellId cell) const -> bool;
 
@@ -30,7 +36,8 @@
     struct Tenure
     {
         WallTime since;
-        HostId former; ///< Invalid for none known.
+        HostId former;                      ///< Invalid for none known.
+        std::optional<KnownFrom> told = {}; ///< By the former home.
     };
 
     /// Returns all cells that this host is home of.
--- a/src/wire/messagecodec.cpp
+++ b/src/wire/messagecodec.cpp
@@ -22,10 +22,12 @@
 
 using Json = nlohmann::json;
 
-constexpr std::size_t depthMax = 8;     ///< Deeper nesting is no message.
-constexpr std::size_t listMax = 100000; ///< Longer lists are no message.
-constexpr std::size_t memberFields = 8; ///< Entries of a member's list.
-constexpr std::size_t loadFields = 4;   ///< Entries of a load's list.
+constexpr std::size_t depthMax = 8;        ///< Deeper nesting is no message.
+constexpr std::size_t listMax = 100000;    ///< Longer lists are no message.
+constexpr std::size_t memberFields = 8;    ///< Entries of a member's list.
+constexpr std::size_t loadFields = 4;      ///< Entries of a load's list.
+constexpr std::size_t knowledgeFields = 4; ///< Entries of a cell's knowledge.
+constexpr std::size_t handedKeyFields = 3; ///< Entries of a handed key.
 constexpr std::uint64_t max32 = std::numeric_limits<std::uint32_t>::max();
 constexpr std::uint64_t max16 = std::numeric_limits<std::uint16_t>::max();
 
@@ -115,12 +117,35 @@
              { "v", packIds(message.voters) } };
 }
 
+auto pack(const CellKnowledge &knowledge) -> Json
+{
+    auto keys = Json::array();
+    for (const auto &key : knowledge.keys) {
+        keys.push_back(
+                Json::array({ key.hash, static_cast<std::uint8_t>(key.state), key.dispatchedUs }));
+    }
+    return Json::array({ knowledge.cell.value(), knowledge.knownSinceUs, knowledge.tables.number,
+                         std::move(keys) });
+}
+
 auto pack(const ClaimGrant &message) -> Json
 {
-    return { { "n", message.round },
-             { "f", packIds(message.refused) },
-             { "c", packIds(message.granted) },
-             { "b", packIds(message.held) } };
+    Json map = { { "n", message.round },
+                 { "f", packIds(message.refused) },
+                 { "c", packIds(message.granted) },
+                 { "b", packIds(message.held) } };
+    if (!message.knowledge.empty()) {
+        auto &knowledge = map["k"] = Json::array();
+        for (const auto &entry : message.knowledge) {
+            knowledge.push_back(pack(entry));
+        }
+    }
+    return map;
+}
+
+auto pack(const ClaimRelease &message) -> Json
+{
+    return { { "i", message.claim }, { "c", packIds(message.cells) } };
 }
 
 auto pack(const KeyLookup &message) -> Json
@@ -247,12 +272,47 @@
     message.voters = reader.ids<HostId>(reader.field(map, "v"), listMax);
 }
 
+auto unpackKnowledge(WireReader &reader, const Json &value) -> CellKnowledge
+{
+    constexpr auto lastState = static_cast<std::uint64_t>(KeyState::Unknown);
+    CellKnowledge knowledge;
+    const auto *fields = reader.tuple(value, knowledgeFields);
+    if (fields == nullptr) {
+        return knowledge;
+    }
+    const auto &at = *fields;
+    knowledge.cell = CellId(reader.number(at[0]));
+    knowledge.knownSinceUs = reader.signedNumber(at[1]);
+    knowledge.tables = { reader.number(at[2]) };
+    for (const auto &entry : reader.list(at[3], config::handoverKeysMax)) {
+        const auto *key = reader.tuple(entry, handedKeyFields);
+        if (key == nullptr) {
+            return knowledge;
+        }
+        knowledge.keys.push_back({ reader.number((*key)[0]),
+                                   static_cast<KeyState>(reader.number((*key)[1], lastState)),
+                                   reader.signedNumber((*key)[2]) });
+    }
+    return knowledge;
+}
+
 auto unpack(WireReader &reader, const Json &map, ClaimGrant &message) -> void
 {
     message.round = reader.number(reader.field(map, "n"));
     message.refused = reader.ids<CellId>(reader.field(map, "f"), listMax);
     message.granted = reader.ids<CellId>(reader.field(map, "c"), listMax);
     message.held = reader.ids<CellId>(reader.field(map, "b"), listMax);
+    if (map.contains("k")) {
+        for (const auto &entry : reader.list(map["k"], listMax)) {
+            message.knowledge.push_back(unpackKnowledge(reader, entry));
+        }
+    }
+}
+
+auto unpack(WireReader &reader, const Json &map, ClaimRelease &message) -> void
+{
+    message.claim = reader.number(reader.field(map, "i"));
+    message.cells = reader.ids<CellId>(reader.field(map, "c"), listMax);
 }
 
 auto unpack(WireReader &reader, const Json &map, KeyLookup &message) -> void
--- a/tests/unit/keytest.cpp
+++ b/tests/unit/keytest.cpp
@@ -282,3 +282,96 @@
     CHECK(keys.evictedUntil(cell) == WallTime(1007s));
     CHECK(keys.forgottenUntil(cell) == WallTime(1007s));
 }
+
+TEST_CASE("a new home runs what is newer than the former home's knowledge, but nothing it was told")
+{
+    KeyHome home(0s);
+    home.board.tenure.forgetFormer(home.former);
+    const auto now = home.board.now;
+    const auto done = home.keyBorn(500ms);
+    const auto lost = home.keyBorn(500ms);
+    const auto at = now.wall.time_since_epoch().count();
+    home.board.keys.inherit(
+            home.cell,
+            { { hashName(done), KeyState::Done, at }, { hashName(lost), KeyState::Running, at } },
+            now.mono);
+    home.board.tenure.begin(home.cell, { now.wall, {}, KnownFrom { now.wall - 3s, {} } });
+    CHECK(home.isSent(home.arrive(home.row, home.keyBorn(1900ms))));
+    CHECK(home.isUnknown(home.arrive(home.row, home.keyBorn(2100ms))));
+    CHECK(home.isRefused(home.arrive(home.row, done), RefusalReason::KeyUnknown, Verdict::Run));
+    CHECK(home.isUnknown(home.arrive(home.row, lost)));
+    home.pass(config::keyLifetime + 1s); // Forgotten, but not run either.
+    CHECK(home.isUnknown(home.arrive(home.row, done)));
+    CHECK(home.order.size() == 1);
+}
+
+TEST_CASE("a key that was handed over is asked for where the former home lives")
+{
+    KeyHome home(0s);
+    const auto now = home.board.now;
+    const auto key = home.keyBorn(500ms);
+    home.board.keys.inherit(
+            home.cell, { { hashName(key), KeyState::Done, now.wall.time_since_epoch().count() } },
+            now.mono);
+    home.board.tenure.begin(home.cell, { now.wall, home.former, KnownFrom { now.wall - 3s, {} } });
+    const auto asked = home.arrive(home.row, key);
+    REQUIRE(home.messages.size() == 1);
+    SECTION("running there")
+    {
+        home.tell(KeyState::Running, 1h);
+        CHECK(home.isRefused(asked, RefusalReason::KeyRunning, Verdict::Unknown));
+    }
+    SECTION("not known there any more")
+    {
+        home.tell(KeyState::Unknown, 1h);
+        CHECK(home.isRefused(asked, RefusalReason::KeyUnknown, Verdict::Run));
+    }
+    SECTION("proved there not to have been run")
+    {
+        home.tell(KeyState::Unseen, 1h);
+        CHECK(home.isSent(asked));
+    }
+    SECTION("no word")
+    {
+        home.pass(config::keyLookupTimeout + 100ms);
+        CHECK(home.isRefused(asked, RefusalReason::KeyUnknown, Verdict::Run));
+    }
+}
+
+TEST_CASE("what is handed over is bounded, and says so by its time")
+{
+    KeyRegistry keys;
+    const CellId cell(1);
+    Now now { MonoTime(1s), WallTime(1000s) };
+    for (std::uint64_t i = 1; i <= 10; ++i) {
+        const ExchangeId id(i);
+        now.wall += 1s;
+        keys.reserve({ i == 9 ? CellId(2) : cell, std::to_string(i) }, id);
+        keys.dispatched(id, 1, now);
+        if (i != 10) {
+            keys.finish(id, KeyState::Done, nullptr);
+        }
+    }
+    auto since = WallTime(900s);
+    const auto all = keys.handOver(cell, WallTime(1000s), 100, since);
+    CHECK(all.size() == 9);
+    CHECK(since == WallTime(900s));
+    CHECK(all.front().hash == hashName("10"));
+    CHECK(all.front().state == KeyState::Running);
+    CHECK(keys.handOver(cell, WallTime(1004s), 100, since).size() == 5);
+    CHECK(since == WallTime(1004s)); // The newest one left out.
+    CHECK(keys.handOver(cell, WallTime(1004s), 2, since).size() == 2);
+    CHECK(since == WallTime(1007s));
+
+    KeyRegistry next;
+    next.inherit(cell, all, now.mono);
+    since = WallTime(900s);
+    CHECK(next.handOver(cell, WallTime(1004s), 100, since).size() == 5);
+    CHECK(since == WallTime(1004s));
+    CHECK(next.inherited({ cell, "10" }) == KeyState::Unknown);
+    CHECK(next.inherited({ cell, "1" }) == KeyState::Done);
+    CHECK_FALSE(next.inherited({ CellId(2), "1" }));
+    next.expire(now.mono + config::keyLifetime);
+    CHECK_FALSE(next.inherited({ cell, "1" }));
+    CHECK(next.forgottenUntil(cell) == WallTime(1010s));
+}
--- a/tests/unit/messagecodectest.cpp
+++ b/tests/unit/messagecodectest.cpp
@@ -41,6 +41,18 @@
     return gossip;
 }
 
+/// Returns a grant that hands over `keys` keys of one cell.
+auto sampleGrant(std::size_t keys) -> ClaimGrant
+{
+    constexpr std::int64_t time = 1'764'700'000'000'000;
+    std::mt19937_64 random(1);
+    CellKnowledge knowledge { CellId(random()), time, { 12 }, {} };
+    for (std::size_t i = 0; i < keys; ++i) {
+        knowledge.keys.push_back({ random(), KeyState::Done, time + static_cast<int>(i) });
+    }
+    return { 5, { CellId(1) }, { CellId(2), knowledge.cell }, { knowledge.cell }, { knowledge } };
+}
+
 auto samples() -> std::vector<Message>
 {
     return { Hello { sampleMember("auckland-1-a", MemberState::Leaving), sampleGossip() },
@@ -54,6 +66,8 @@
              ClaimRequest { 5, { CellId(1), CellId(2) }, 6, { HostId(3) } },
              ClaimRequest {},
              ClaimGrant { 5, { CellId(1) }, { CellId(2), CellId(3) }, { CellId(2) } },
+             sampleGrant(3),
+             ClaimRelease { 6, { CellId(1), CellId(2) } },
              KeyLookup { 8, CellId(9), "018f-key" },
              KeyReport { 8, KeyState::Done, -1 } };
 }
@@ -97,6 +111,42 @@
     CHECK(std::get<KeyReport>(*report).tenureSinceUs == -1);
 }
 
+TEST_CASE("a grant hands over what its sender knows", "[codec]")
+{
+    const auto sent = sampleGrant(3);
+    const auto decoded = decode(encode(sent));
+    REQUIRE(decoded);
+    const auto &grant = std::get<ClaimGrant>(*decoded);
+    REQUIRE(grant.knowledge.size() == 1);
+    const auto &knowledge = grant.knowledge.front();
+    CHECK(knowledge.cell == sent.knowledge.front().cell);
+    CHECK(knowledge.knownSinceUs == sent.knowledge.front().knownSinceUs);
+    CHECK(knowledge.tables.number == 12);
+    REQUIRE(knowledge.keys.size() == 3);
+    for (std::size_t i = 0; i < 3; ++i) {
+        CHECK(knowledge.keys[i].hash == sent.knowledge.front().keys[i].hash);
+        CHECK(knowledge.keys[i].state == KeyState::Done);
+        CHECK(knowledge.keys[i].dispatchedUs == sent.knowledge.front().keys[i].dispatchedUs);
+    }
+    const auto release = decode(encode(ClaimRelease { 6, { CellId(1), CellId(2) } }));
+    REQUIRE(release);
+    CHECK(std::get<ClaimRelease>(*release).claim == 6);
+    CHECK(std::get<ClaimRelease>(*release).cells.size() == 2);
+}
+
+TEST_CASE("a grant stays small and bounded", "[codec]")
+{
+    const auto few = encode(sampleGrant(100)).size();
+    const auto most = encode(sampleGrant(config::handoverKeysMax)).size();
+    WARN("100 keys: " << few << " bytes; " << config::handoverKeysMax << " keys: " << most);
+    CHECK(few <= 2200);
+    CHECK(most <= config::peerMessageMax / 8);
+    CHECK_FALSE(decode(encode(sampleGrant(config::handoverKeysMax + 1))));
+    auto strange = sampleGrant(1);
+    strange.knowledge.front().keys.front().state = static_cast<KeyState>(9);
+    CHECK_FALSE(decode(encode(strange)));
+}
+
 TEST_CASE("a probe without news stays small", "[codec]")
 {
     CHECK(encode(Ping { 1000, Gossip {} }).size() <= 40);
--- a/tests/unit/virtualfleet.cpp
+++ b/tests/unit/virtualfleet.cpp
@@ -88,7 +88,9 @@
         this->hosts[host].backlog.push_back([this, host, event] { this->give(host, event); });
         return;
     }
-    const auto actions = this->hosts[host].balancer->handle(this->clock, std::move(event));
+    auto reading = this->clock;
+    reading.wall += this->skews[host];
+    const auto actions = this->hosts[host].balancer->handle(reading, std::move(event));
     for (const auto &action : actions) {
         this->perform(host, action);
     }
--- a/tests/unit/virtualfleet.h
+++ b/tests/unit/virtualfleet.h
@@ -91,8 +91,9 @@
 
     std::function<Behaviour(UpstreamId)> behaviour = [](UpstreamId) { return Behaviour::Answer; };
     Duration serviceTime = std::chrono::milliseconds(20);
-    std::set<std::size_t> blind; ///< Hosts that the platform does not answer.
-    std::set<std::size_t> mute;  ///< Hosts cut off from all other hosts.
+    std::map<std::size_t, Duration> skews; ///< Of hosts' wall clocks against callers'.
+    std::set<std::size_t> blind;           ///< Hosts that the platform does not answer.
+    std::set<std::size_t> mute;            ///< Hosts cut off from all other hosts.
     std::vector<UpstreamRun> runs;
     std::vector<UpstreamRun> opened; ///< Feeds opened, in order.
     std::map<ExchangeId, UpstreamRun> feeds;
