--- a/tests/unit/handovertest.cpp
+++ b/tests/unit/handovertest.cpp
@@ -1,5 +1,6 @@
 /// Planned changes of home under non-idempotent requests: none is refused `unknown`, none runs
 /// twice.
+#include "peerfleet.h"
 #include "sampletable.h"
 #include "virtualfleet.h"
 
@@ -263,3 +264,131 @@
     }
     fleet.judge();
 }
+
+TEST_CASE("a table that moves votes while a host joins lets none run twice", "[handover]")
+{
+    const auto joining = GENERATE(0, 1, 2);
+    const auto apart = GENERATE(1ms, 200ms, 600ms, 1200ms);
+    const auto joinsFirst = GENERATE(false, true);
+    VotedFleet fleet;
+    fleet.vote(500ms);
+    fleet.stop(static_cast<std::size_t>(joining));
+    fleet.vote(4s);
+    const auto moved = rowsText() + upstreamText("pa1", "packs", "a", 1)
+                       + upstreamText("pb1", "packs", "b", 11)
+                       + upstreamText("pb2", "packs", "b", 12);
+    for (const auto &text : { moved, sampleTable(), moved }) {
+        if (joinsFirst) {
+            fleet.start(static_cast<std::size_t>(joining));
+            fleet.vote(apart);
+            fleet.fleet.publish(text);
+        } else {
+            fleet.fleet.publish(text);
+            fleet.vote(apart);
+            fleet.start(static_cast<std::size_t>(joining));
+        }
+        fleet.vote(3s);
+        fleet.stop(static_cast<std::size_t>(joining));
+    }
+    fleet.judge();
+}
+
+namespace {
+
+/// A host that was home of a cell and is asked for it while a request runs there.
+class AskedHome
+{
+public:
+    AskedHome() : fleet(1)
+    {
+        this->fleet.publish(1, "first");
+        for (const auto *name : { "a1", "a2", "a3" }) {
+            this->fleet.add(name, "a");
+        }
+        REQUIRE(this->fleet.runUntil([&] { return this->fleet.isHomed(); }, 6s));
+        this->fleet.run(1s);
+        this->claimant = HostId::ofName(this->fleet.homes("a").front());
+        const auto *name = this->fleet.homes("a").front() == "a1" ? "a2" : "a1";
+        this->board = &this->fleet.board(name);
+        this->board->tenure.begin(this->cell, { this->board->now.wall - 1h, {} });
+        const RunningRequest running { ExchangeId(1), 1, this->cell, this->row.id };
+        this->board->cells.enqueue(this->cell, this->row, running.exchange);
+        this->board->cells.start(running);
+    }
+
+    /// Has `claim` asked for. @returns the grant, if one is sent.
+    auto ask(std::uint64_t claim) -> std::optional<ClaimGrant>
+    {
+        const auto zone = this->board->init.self.zone;
+        ClaimRequest request { claim, { this->cell }, claim, this->board->membership.voters(zone) };
+        this->board->outbox.clear();
+        this->grantor.requested(*this->board, this->own, this->claimant, request);
+        return this->grant();
+    }
+    /// Has time pass until the request that runs is waited for no more.
+    auto wait() -> std::optional<ClaimGrant>
+    {
+        this->board->now.mono += config::handoverTimeout;
+        this->board->outbox.clear();
+        this->grantor.advance(*this->board);
+        return this->grant();
+    }
+
+    const CellId cell = cellOf(ServiceId::ofName("pack"), ZoneId::ofName("a"));
+    HostId claimant;
+    Grantor grantor;
+
+private:
+    auto grant() -> std::optional<ClaimGrant>
+    {
+        for (const auto &action : this->board->outbox) {
+            const auto *sent = std::get_if<SendPeer>(&action);
+            const auto *grant = sent ? std::get_if<ClaimGrant>(&sent->message) : nullptr;
+            if (grant != nullptr && !grant->granted.empty()) {
+                return *grant;
+            }
+        }
+        return std::nullopt;
+    }
+
+    PeerFleet fleet;
+    Row row;
+    Claimant own;
+    Blackboard *board = nullptr;
+};
+
+} // namespace
+
+TEST_CASE("a home hands its knowledge over once, and not if it may not have been the last home",
+          "[handover]")
+{
+    AskedHome home;
+    REQUIRE_FALSE(home.ask(1));
+    SECTION("granted when the request was waited for")
+    {
+        const auto grant = home.wait();
+        REQUIRE(grant);
+        CHECK(grant->held.size() == 1);
+        CHECK(grant->knowledge.size() == 1);
+        CHECK(home.ask(1)->knowledge.size() == 1); // The same claim asks again.
+        CHECK(home.ask(2)->knowledge.empty());     // The first one may have been home.
+    }
+    SECTION("the claim is given up unbegun")
+    {
+        REQUIRE(home.wait());
+        home.grantor.released(home.claimant, { 1, { home.cell } });
+        CHECK(home.ask(2)->knowledge.size() == 1);
+        home.grantor.released(home.claimant, { 1, { home.cell } }); // Not the last one.
+        CHECK(home.ask(3)->knowledge.empty());
+    }
+    SECTION("paused, cut off or held to be dead meanwhile")
+    {
+        home.grantor.disown();
+        const auto grant = home.wait();
+        REQUIRE(grant);
+        CHECK(grant->held.empty());
+        CHECK(grant->knowledge.empty());
+        home.grantor.released(home.claimant, { 1, { home.cell } });
+        CHECK(home.ask(2)->knowledge.empty());
+    }
+}
--- a/tests/unit/keytest.cpp
+++ b/tests/unit/keytest.cpp
@@ -1,5 +1,6 @@
 /// Keys: each is run at most once, and what is said of it is true.
 #include "cellhome.h"
+#include "core/keyfreshness.h"
 
 #include <catch2/catch.hpp>
 
@@ -375,3 +376,31 @@
     CHECK_FALSE(next.inherited({ cell, "1" }));
     CHECK(next.forgottenUntil(cell) == WallTime(1010s));
 }
+
+TEST_CASE("a home tells knowledge from no earlier than a table that moved keys to its cell")
+{
+    KeyHome home;
+    const auto now = home.board.now.wall;
+    const KnownFrom atBegin { now - 1h, {} };
+    const auto told = [&](const KnownFrom &known) {
+        return knownFromNow(home.board, home.cell, known).since;
+    };
+    CHECK(told(atBegin) == now - 1h);
+    CHECK(knownFromNow(home.board, home.cell, atBegin).tables == home.board.config.revision);
+    auto &past = home.board.config.past;
+    past.push_back({ nullptr, { 5 }, now - 2s, now - 3s });
+    CHECK(told(atBegin) == now - 2s); // What held before this host's start is not known here,
+    CHECK(told({ now - 1h, { 4 } }) == now - 2s);
+    CHECK(told({ now - 1h, { 5 } }) == now - 1h); // but the former home knew it.
+    past.push_back({ home.board.config.table, { 6 }, now - 1s, now - 1s });
+    CHECK(told({ now - 1h, { 5 } }) == now - 1h); // No key was moved.
+    auto upstreams = home.upstreams;
+    upstreams.front().slots = 7;
+    past.push_back({ std::make_shared<const Table>(home.rows, upstreams, std::vector<TokenKey>()),
+                     { 7 },
+                     now - 500ms,
+                     now - 600ms });
+    CHECK(told({ now - 1h, { 7 } }) == now - 500ms);
+    past.back().left.reset();
+    CHECK(told({ now - 1h, { 7 } }) == ConfigState::neverPlaced);
+}
--- a/tests/unit/messagecodectest.cpp
+++ b/tests/unit/messagecodectest.cpp
@@ -138,7 +138,7 @@
 {
     const auto few = encode(sampleGrant(100)).size();
     const auto most = encode(sampleGrant(config::handoverKeysMax)).size();
-    WARN("100 keys: " << few << " bytes; " << config::handoverKeysMax << " keys: " << most);
+    INFO("100 keys: " << few << " bytes; " << config::handoverKeysMax << " keys: " << most);
     CHECK(few <= 2200);
     CHECK(most <= config::peerMessageMax / 8);
     CHECK_FALSE(decode(encode(sampleGrant(config::handoverKeysMax + 1))));
