--- a/src/core/claimant.h
+++ b/src/core/claimant.h
@@ -42,6 +42,8 @@
         MonoTime sentAt;
     };
 
+    /// Returns a number that no life of this host used before.
+    auto nextNumber(const Blackboard &board) -> std::uint64_t;
     auto request(Blackboard &board, Claim &claim) -> void;
     auto begin(Blackboard &board, Claim &claim) -> void;
     /// Gives up claiming `cells` and tells the voters.
--- a/tests/scenarios/steprunner.cpp
+++ b/tests/scenarios/steprunner.cpp
@@ -36,7 +36,8 @@
 /// Returns the fields of `step` that a stand-in takes.
 auto withoutOwnFields(nlohmann::json step) -> nlohmann::json
 {
-    for (const char *field : { "do", "row", "via", "eq", "ne", "ge", "le", "as", "wait" }) {
+    for (const char *field :
+         { "do", "row", "via", "eq", "ne", "ge", "le", "as", "wait", "one_way" }) {
         step.erase(field);
     }
     return step;
@@ -118,15 +119,16 @@
     if (!value.is_string()) {
         return result;
     }
+    // In the order of falling names, so that a name goes before the names that it begins with.
     auto text = value.get<std::string>();
-    for (const auto &[name, variable] : this->variables) {
-        const std::string mark = "$" + name;
+    for (auto it = this->variables.rbegin(); it != this->variables.rend(); ++it) {
+        const std::string mark = "$" + it->first;
         if (text == mark) {
-            return variable;
+            return it->second;
         }
         const auto at = text.find(mark);
         if (at != std::string::npos) {
-            text.replace(at, mark.size(), variable.get<std::string>());
+            text.replace(at, mark.size(), it->second.get<std::string>());
         }
     }
     return text;
@@ -140,6 +142,9 @@
     }
     if (!step.contains("host")) {
         this->fleet.startHosts();
+        if (step.value("settled", true)) {
+            this->fleet.waitSettled();
+        }
         return;
     }
     const std::string host = step.at("host");
@@ -199,12 +204,9 @@
     command["kind"] = step.at("do");
     command["from"] = expand("from");
     command["to"] = expand("to");
-    auto &numbers = this->faults[step.value("as", "")];
-    numbers.push_back(this->fleet.fabric().proxy().call(command).at("fault"));
-    if (!step.value("one_way", false) && command["from"] != command["to"]) {
-        std::swap(command["from"], command["to"]);
-        numbers.push_back(this->fleet.fabric().proxy().call(command).at("fault"));
-    }
+    command["both_ways"] = !step.value("one_way", false);
+    const auto answer = this->fleet.fabric().proxy().call(command);
+    this->faults[step.value("as", "")].push_back(answer.at("fault"));
 }
 
 auto StepRunner::doHeal(const Step &step) -> void
@@ -421,6 +423,13 @@
     if (values.empty()) {
         throw std::runtime_error("nothing to look at");
     }
+    if (step.value("sum", false)) {
+        nlohmann::json sum;
+        for (const auto &value : values) {
+            harness::addNumbers(sum, value);
+        }
+        return { sum };
+    }
     return values;
 }
 
