Send nothing to a home that is known to be out of reach

Cause: a vote was relayed to a home behind a cut zone; the fabric took the connection and reset it, so that the caller was told unknown although a refusal as not run was at hand. Ruled out: taking a reset right after sending for not sent: bytes may have arrived. Change: a home that is suspected, dead or without a peer connection gets no relay; the exchange waits and is then refused as not run.

--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -58,13 +58,13 @@
     if (!home.isValid()) {
         return PlaceNowhere { RefusalReason::NoHome, false };
     }
-    if (home != board.init.self.id) {
-        return PlaceAt { cell, zone, home };
-    }
     if (!isReachable(board, home, cell)) {
-        return PlaceNowhere { RefusalReason::NoHome, true };
+        return PlaceNowhere { RefusalReason::NoHome, true }; // Surely not run, unlike a lost relay.
+    }
+    if (home == board.init.self.id) {
+        return PlaceHere { cell };
     }
-    return PlaceHere { cell };
+    return PlaceAt { cell, zone, home };
 }
 
 auto isOpenFor(const Blackboard &board, UpstreamId upstream, ServiceId service) -> bool
--- a/tests/unit/outcometest.cpp
+++ b/tests/unit/outcometest.cpp
@@ -113,6 +113,24 @@
     CHECK(fleet.host(0).stats().exchanges == 0);
 }
 
+TEST_CASE("a vote whose home is cut off is not sent there, and is told as not run")
+{
+    VirtualFleet fleet({ { "a1", "a" }, { "b1", "b" } }, sampleTable());
+    fleet.settle();
+    fleet.mute = { 1 };
+    fleet.give(0, PeerDown { HostId::ofName("b1"), PeerLoss::Closed });
+    const auto relayed = fleet.host(0).stats().relayed;
+    const auto vote = fleet.call(0, voteAddress, {}, "b." + fleet.newKey());
+    const auto read = fleet.call(0, readAddress);
+    fleet.advance(2s);
+    REQUIRE(fleet.result(vote).refusal);
+    CHECK(fleet.result(vote).refusal->reason == RefusalReason::NoHome);
+    CHECK(fleet.result(vote).refusal->verdict == Verdict::NotRun);
+    CHECK(fleet.result(vote).refusal->retryAfter > 0ms);
+    CHECK(fleet.result(read).answered);
+    CHECK(fleet.host(0).stats().relayed == relayed);
+}
+
 TEST_CASE("idempotent requests leave a home that is given up; others wait for it")
 {
     VirtualFleet fleet({ { "a1", "a" }, { "a2", "a" }, { "b1", "b" }, { "b2", "b" } },
