Keep the number of live hosts instead of counting it for each upstream of a new feed

Cause: the quota of each upstream counted all members anew: 14 x 11,000 look-ups a new feed. Change: the count is made where the other counts of members are, when a member changes. Conclusion: a new feed's cost does not grow with the fleet.

--- a/src/core/membershipstate.cpp
+++ b/src/core/membershipstate.cpp
@@ -65,15 +65,6 @@
     return found != nullptr && found->connected;
 }
 
-auto MembershipState::aliveCount() const -> std::size_t
-{
-    const auto isAlive = [](const auto &entry) {
-        const auto state = entry.second.member.state;
-        return state == MemberState::Alive || state == MemberState::Leaving;
-    };
-    return static_cast<std::size_t>(std::count_if(this->byId.begin(), this->byId.end(), isAlive));
-}
-
 auto MembershipState::isIsolated(MonoTime now) const -> bool
 {
     if (this->undead <= 1) {
@@ -115,6 +106,7 @@
         return;
     }
     this->stale = false;
+    this->alive = 0;
     this->undead = 0;
     this->connected = 0;
     std::unordered_map<ZoneId, std::vector<HostId>> newCandidates;
@@ -124,6 +116,7 @@
         if (record.member.state == MemberState::Dead) {
             continue;
         }
+        this->alive += record.member.state <= MemberState::Leaving ? 1 : 0;
         ++this->undead;
         newVoters[record.member.zone].push_back(id);
         if (!record.leaving && record.member.state != MemberState::Leaving) {
--- a/src/core/membershipstate.h
+++ b/src/core/membershipstate.h
@@ -33,7 +33,7 @@
     [[nodiscard]] auto isConnected(HostId host) const -> bool;
 
     /// Returns the number of hosts held to be alive, this one included.
-    [[nodiscard]] auto aliveCount() const -> std::size_t;
+    [[nodiscard]] auto aliveCount() const -> std::size_t { return this->alive; }
 
     /// Returns the hosts of `zone` that may be at work: all that are not dead. A host asks all of
     /// them but itself before it becomes home of a cell.
@@ -89,6 +89,7 @@
     std::map<HostId, MemberRecord> byId;
     std::unordered_map<ZoneId, std::vector<HostId>> candidatesByZone;
     std::unordered_map<ZoneId, std::vector<HostId>> votersByZone;
+    std::size_t alive = 0; ///< Alive or leaving.
     std::size_t undead = 0;
     std::size_t connected = 0;
     std::uint64_t changes = 0;
