--- a/bench/fleet/controlcost.cpp
+++ b/bench/fleet/controlcost.cpp
@@ -16,13 +16,14 @@
 
 namespace {
 
-constexpr Millis calmTime { 4000 }; ///< From the start to the first measure.
-constexpr Millis idleTime { 8000 }; ///< Longer than the periods of probes and host list.
+constexpr Millis calmTime { 4000 };   ///< From the start to the first measure...
+constexpr Millis calmPerHost { 400 }; ///< ...and for each host, as its joining is told to all.
+constexpr Millis idleTime { 6000 };   ///< Longer than the periods of probes and host list.
 constexpr Millis editsTime { 6000 };
 constexpr Millis editPeriod { 1000 }; ///< 14 times the letter's rate, so that edits stand out.
 constexpr Millis churnTime { 6000 };
 constexpr int rollouts = 3;
-constexpr std::size_t editHosts = 6; ///< Of the fleet on which edits of large tables are measured.
+constexpr std::size_t editHosts = 12; ///< Four a zone: two read the platform, two ask others.
 
 auto deploymentOf(std::size_t hosts) -> harness::Deployment
 {
@@ -87,7 +88,7 @@
 {
     BareFleet fleet(loop, deploymentOf(hosts));
     fleet.startHosts();
-    loop.runFor(calmTime);
+    loop.runFor(calmTime + calmPerHost * hosts);
     nlohmann::json measured { { "hosts", hosts } };
     measured["idle"] = measureIdle(loop, fleet).toJson();
     measured["rollout_seconds_max"] = measureRollouts(loop, fleet);
@@ -140,18 +141,22 @@
 auto measureEditCost(harness::Loop &loop, const Progress &progress) -> nlohmann::json
 {
     auto measured = nlohmann::json::array();
-    for (const int upstreams : { 0, 500, 2000 }) {
+    for (const int upstreams : { 0, 1000, 4000 }) {
         BareFleet fleet(loop, deploymentOf(editHosts));
         fleet.addIdleUpstreams(upstreams);
         fleet.startHosts();
-        loop.runFor(calmTime);
+        loop.runFor(calmTime + calmPerHost * editHosts);
         const auto idle = measureIdle(loop, fleet);
+        const auto rollout = measureRollouts(loop, fleet);
         const auto edits = measureEdits(loop, fleet);
         measured.push_back({ { "table_bytes", fleet.tableBytes() },
+                             { "hosts", editHosts },
+                             { "rollout_seconds_max", rollout },
                              { "idle", idle.toJson() },
                              { "edits", edits.toJson() } });
-        progress.say("table of " + std::to_string(fleet.tableBytes()) + " bytes: "
-                     + std::to_string(edits.bytesSent.mean) + " bytes/s sent a host under edits");
+        progress.say("table of " + std::to_string(fleet.tableBytes())
+                     + " bytes: " + std::to_string(edits.bytesSent.mean)
+                     + " bytes/s sent a host under edits, in force after " + rollout.dump() + " s");
     }
     return measured;
 }
--- a/bench/fleet/main.cpp
+++ b/bench/fleet/main.cpp
@@ -1,6 +1,7 @@
 /// Measures real hosts and writes a report. Usage: bench-fleet REPORT [PART...]
 #include "controlcost.h"
 #include "directbench.h"
+#include "feedbench.h"
 #include "policybench.h"
 #include "progress.h"
 
@@ -34,6 +35,7 @@
     return {
         { "direct", [&] { return measureDirect(loop, progress); } },
         { "policies", [&] { return measurePolicies(loop, progress); } },
+        { "feeds", [&] { return measureFeeds(loop, progress); } },
         { "control", [&, sizes] { return measureControlCost(loop, progress, sizes); } },
         { "edits", [&] { return measureEditCost(loop, progress); } },
     };
--- a/bench/fleet/policybench.cpp
+++ b/bench/fleet/policybench.cpp
@@ -61,12 +61,13 @@
         this->change(situation, "set");
         const auto before = readLedger(this->fleet);
         const auto names = this->startLoads(situation.at("level"));
-        this->loop.runFor(Millis(this->settings.at("seconds").get<int>() * 1000));
+        const int seconds = situation.value("seconds", this->settings.at("seconds").get<int>());
+        this->loop.runFor(Millis(seconds * 1000));
         const auto rows = this->finishLoads(names);
         const auto after = readLedger(this->fleet);
         this->change(situation, "heal");
         this->loop.runFor(pauseBetween);
-        auto measured = this->measureRows(rows);
+        auto measured = this->measureRows(rows, seconds);
         measureUpstreams(measured, before, after);
         measured["situation"] = situation.at("name");
         return measured;
@@ -132,7 +133,8 @@
         return reports;
     }
 
-    auto measureRows(const std::map<std::string, nlohmann::json> &rows) -> nlohmann::json
+    auto measureRows(const std::map<std::string, nlohmann::json> &rows, int seconds)
+            -> nlohmann::json
     {
         nlohmann::json measured { { "rows", nlohmann::json::object() } };
         std::vector<Demand> demands;
@@ -164,8 +166,8 @@
             imbalance = std::max(imbalance, deviation(report.at("answered"), expected[index++]));
         }
         measured["imbalance_rows"] = imbalance;
-        measured["sent_per_second"] = sent / this->settings.at("seconds").get<double>();
-        measured["goodput_per_second"] = answered / this->settings.at("seconds").get<double>();
+        measured["sent_per_second"] = sent / seconds;
+        measured["goodput_per_second"] = answered / seconds;
         measured["share_within_deadline"] = sent > 0 ? answered / sent : 0;
         measured["latency_ms_worst_row"] = { { "p50", p50 }, { "p99", p99 }, { "p999", p999 } };
         return measured;
