Replace a silent connection between hosts while it is still up

Cause: a silent connection was noticed after 3 to 4 s, told as a loss, and only then replaced. Ruled out: a shorter silence timeout, which takes a paused host for a lost one. Change: pings after 0.6 s, a second connection after 1.5 s that takes its place; a refusal of it means that the process is gone. A connection that the other host closed in favour of one still coming is not told as a loss.

--- a/src/net/peerhub.cpp
+++ b/src/net/peerhub.cpp
@@ -5,17 +5,16 @@
 #include "net/peerendpoints.h"
 #include "net/peerlink.h"
 
-#include <flamingograde/config.h>
-
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace flamingograde::net {
 
 namespace {
 
-/// A connection quiet for this long gives way to a new one, whoever dialled it.
-constexpr auto doubtfulQuiet = config::silenceTimeout / 2;
+/// How long a connection that the other host closed is waited for, while another is coming.
+constexpr Duration awaitTime = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -42,7 +41,14 @@
 
 auto PeerHub::connect(HostId host, Address address) -> void
 {
-    if (this->up.count(host) != 0 || this->dialled.count(host) != 0) {
+    if (this->up.count(host) == 0) {
+        this->dial(host, address);
+    }
+}
+
+auto PeerHub::dial(HostId host, Address address) -> void
+{
+    if (this->dialled.count(host) != 0) {
         return;
     }
     auto &link = this->add();
@@ -50,8 +56,18 @@
     link.dial(host, address);
 }
 
+auto PeerHub::replace(const PeerLink &link) -> void
+{
+    const auto &member = *link.peer();
+    if (this->linkOf(member.id) == &link && this->dialled.count(member.id) == 0) {
+        this->log(LogEvent::PeerSilent, member.name);
+        this->dial(member.id, member.peer);
+    }
+}
+
 auto PeerHub::drop(HostId host) -> void
 {
+    this->awaited.erase(host);
     for (auto *index : { &this->up, &this->dialled }) {
         const auto found = index->find(host);
         if (found != index->end()) {
@@ -85,7 +101,7 @@
     if (present.peer()->incarnation != coming.peer()->incarnation) {
         return coming.peer()->incarnation > present.peer()->incarnation;
     }
-    if (present.dialler() == coming.dialler() || present.quietFor() >= doubtfulQuiet) {
+    if (present.dialler() == coming.dialler() || present.isDoubtful()) {
         return true;
     }
     return coming.dialler() == std::min(this->self.id, coming.peer()->id);
@@ -98,15 +114,20 @@
     if (asked != this->dialled.end() && asked->second == link.linkId()) {
         this->dialled.erase(asked);
     }
-    auto *present = this->linkOf(host);
-    if (present != nullptr) {
+    if (auto *present = this->linkOf(host)) {
         this->chooseOne(*present, link);
         return;
     }
     this->up[host] = link.linkId();
     ++this->counters.connectionsOpened;
-    this->log(LogEvent::PeerConnected, link.peer()->name);
-    this->post(PeerUp { *link.peer() });
+    const auto awaited = this->awaited.find(host);
+    const auto isSameProcess = awaited != this->awaited.end()
+                               && awaited->second.incarnation == link.peer()->incarnation;
+    this->awaited.erase(host);
+    if (!isSameProcess) {
+        this->log(LogEvent::PeerConnected, link.peer()->name);
+        this->post(PeerUp { *link.peer() });
+    }
 }
 
 auto PeerHub::chooseOne(PeerLink &present, PeerLink &coming) -> void
@@ -125,17 +146,60 @@
 auto PeerHub::ended(PeerLink &link, PeerLoss loss) -> void
 {
     this->remove(link.linkId());
-    const auto host = link.peer() ? link.peer()->id : link.dialledHost();
-    auto &index = link.peer() ? this->up : this->dialled;
-    const auto found = index.find(host);
-    if (found == index.end() || found->second != link.linkId()) {
-        return; // Accepted and never introduced, or replaced by another.
+    if (link.peer()) {
+        this->lost(link, loss);
+    } else {
+        this->notIntroduced(link, loss);
+    }
+}
+
+auto PeerHub::lost(const PeerLink &link, PeerLoss loss) -> void
+{
+    const auto &member = *link.peer();
+    const auto found = this->up.find(member.id);
+    if (found == this->up.end() || found->second != link.linkId()) {
+        return; // Replaced by another.
     }
-    index.erase(found);
-    if (!link.peer() && this->up.count(host) != 0) {
-        return; // The other host's dialling came about.
+    this->up.erase(found);
+    if (loss != PeerLoss::Closed || !this->isComing(member.id)) {
+        this->post(PeerDown { member.id, loss });
+        return;
     }
-    this->post(PeerDown { host, loss });
+    auto giveUp = [this, host = member.id] {
+        this->awaited.erase(host);
+        this->post(PeerDown { host, PeerLoss::Closed });
+    };
+    this->awaited[member.id] = { member.incarnation, this->loop.after(awaitTime, giveUp) };
+}
+
+auto PeerHub::notIntroduced(const PeerLink &link, PeerLoss loss) -> void
+{
+    const auto host = link.dialledHost();
+    const auto found = this->dialled.find(host);
+    if (found == this->dialled.end() || found->second != link.linkId()) {
+        return; // Accepted.
+    }
+    this->dialled.erase(found);
+    const auto *present = this->linkOf(host);
+    if (present == nullptr) {
+        if (this->awaited.count(host) == 0) {
+            this->post(PeerDown { host, loss });
+        }
+        return;
+    }
+    if (loss == PeerLoss::Refused && present->isDoubtful()) {
+        this->remove(present->linkId());
+        this->up.erase(host);
+        this->post(PeerDown { host, loss });
+    }
+}
+
+auto PeerHub::isComing(HostId host) const -> bool
+{
+    return this->dialled.count(host) != 0
+           || std::any_of(this->links.begin(), this->links.end(), [](const auto &entry) {
+                  return !entry.second->peer() && !entry.second->dialledHost().isValid();
+              });
 }
 
 } // namespace flamingograde::net
--- a/src/net/peerhub.h
+++ b/src/net/peerhub.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "net/peertraffic.h"
+#include "net/timer.h"
 
 #include <flamingograde/address.h>
 #include <flamingograde/event.h>
@@ -59,13 +60,26 @@
     friend class PeerLink;
     using LinkId = std::uint64_t;
 
+    /// A host that closed its connection while another one with it may be coming: it has chosen
+    /// the other, of which this host does not know yet.
+    struct Awaited
+    {
+        std::uint64_t incarnation = 0;
+        Timer timer; ///< Until the host is held to be down.
+    };
+
     auto add() -> PeerLink &;
     auto remove(LinkId link) -> void;
     auto linkOf(HostId host) -> PeerLink *;
+    auto dial(HostId host, Address address) -> void;
+    auto replace(const PeerLink &link) -> void;
     auto introduced(PeerLink &link) -> void;
     auto keepsNew(const PeerLink &present, const PeerLink &coming) const -> bool;
     auto chooseOne(PeerLink &present, PeerLink &coming) -> void;
     auto ended(PeerLink &link, PeerLoss loss) -> void;
+    auto lost(const PeerLink &link, PeerLoss loss) -> void;
+    auto notIntroduced(const PeerLink &link, PeerLoss loss) -> void;
+    [[nodiscard]] auto isComing(HostId host) const -> bool;
 
     Loop &loop;
     Member self;
@@ -77,6 +91,7 @@
     std::unordered_map<LinkId, std::unique_ptr<PeerLink>> links;
     std::unordered_map<HostId, LinkId> up;      ///< With both `Hello`s.
     std::unordered_map<HostId, LinkId> dialled; ///< Still without.
+    std::unordered_map<HostId, Awaited> awaited;
     LinkId lastLink = 0;
 };
 
--- a/src/net/peerlink.cpp
+++ b/src/net/peerlink.cpp
@@ -8,13 +8,17 @@
 #include <flamingograde/config.h>
 
 #include <cerrno>
+#include <chrono>
 #include <utility>
 
 namespace flamingograde::net {
 
 namespace {
 
-constexpr auto watchPeriod = config::silenceTimeout / 3;
+constexpr Duration watchPeriod = std::chrono::milliseconds(500);
+constexpr Duration helloTimeout = std::chrono::milliseconds(1000);
+constexpr Duration pingQuiet =
+        std::chrono::milliseconds(600); ///< Then a sign of life is asked for.
 constexpr std::size_t backlogMax = 4 * config::peerMessageMax; ///< A peer that reads nothing.
 
 auto lossOf(int error) -> PeerLoss
@@ -130,19 +134,23 @@
 auto PeerLink::watch() -> void
 {
     const auto quiet = this->quietFor();
-    if (quiet >= config::silenceTimeout || (!this->member && quiet >= watchPeriod)) {
-        if (this->member) {
-            this->hub.log(LogEvent::PeerSilent, this->member->name);
-        }
+    if (quiet >= (this->member ? Duration(config::silenceTimeout) : helloTimeout)) {
         this->lose(PeerLoss::Silent);
         return;
     }
-    if (quiet >= watchPeriod / 2) {
+    if (this->isDoubtful()) {
+        this->hub.replace(*this);
+    } else if (quiet >= pingQuiet) {
         this->socket->ping();
     }
     this->timer = this->hub.loop.after(watchPeriod, [this] { this->watch(); });
 }
 
+auto PeerLink::isDoubtful() const -> bool
+{
+    return this->member && this->quietFor() >= config::silenceTimeout / 2;
+}
+
 auto PeerLink::dialler() const -> HostId
 {
     return this->expected.isValid() ? this->hub.self.id : this->member->id;
--- a/src/net/peerlink.h
+++ b/src/net/peerlink.h
@@ -47,6 +47,8 @@
     [[nodiscard]] auto peer() const -> const std::optional<Member> & { return this->member; }
     /// Returns the host that dialled. Precondition: the other's `Hello` came.
     [[nodiscard]] auto dialler() const -> HostId;
+    /// Returns whether the connection has probably gone silent, so that a new one takes its place.
+    [[nodiscard]] auto isDoubtful() const -> bool;
     /// Returns how long nothing has come.
     [[nodiscard]] auto quietFor() const -> Duration;
 
--- a/tests/net/peerhubtests.cpp
+++ b/tests/net/peerhubtests.cpp
@@ -12,6 +12,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <array>
 #include <memory>
 #include <string>
 #include <variant>
@@ -205,3 +206,146 @@
     a.hub->send(after.self.id, Ping { 5, {} });
     CHECK(runUntil(loop, [&] { return isPing(after, 5); }));
 }
+
+namespace {
+
+/// Passes bytes between its callers and a target, until it is silenced.
+class Relay
+{
+public:
+    Relay(Loop &owner, Address to) : loop(owner), target(to)
+    {
+        auto opened = Listener::open(loop, *Address::parse("127.0.0.1:0"),
+                                     [this](st_h2o_socket_t *accepted) { this->accept(accepted); });
+        REQUIRE(opened);
+        this->listener = std::move(*opened);
+    }
+    ~Relay()
+    {
+        for (const auto &pair : this->pairs) {
+            for (auto *socket : pair->sockets) {
+                if (socket != nullptr) {
+                    h2o_socket_close(socket);
+                }
+            }
+        }
+    }
+    Relay(const Relay &) = delete;
+    auto operator=(const Relay &) -> Relay & = delete;
+
+    /// Makes the connections that are open now go silent; new ones work.
+    auto silence() -> void
+    {
+        for (const auto &pair : this->pairs) {
+            pair->silent = true;
+        }
+    }
+
+    [[nodiscard]] auto address() const -> Address { return this->listener->bound(); }
+
+private:
+    struct Pair
+    {
+        std::array<st_h2o_socket_t *, 2> sockets {};
+        std::unique_ptr<Connector> connector;
+        bool silent = false;
+    };
+
+    auto accept(st_h2o_socket_t *accepted) -> void
+    {
+        this->pairs.push_back(std::make_unique<Pair>());
+        auto *pair = this->pairs.back().get();
+        pair->sockets[0] = accepted;
+        pair->connector = std::make_unique<Connector>(
+                this->loop, Address(), this->target, std::chrono::seconds(1),
+                [pair](st_h2o_socket_t *connected, int) {
+                    REQUIRE(connected != nullptr);
+                    pair->sockets[1] = connected;
+                    for (auto *socket : pair->sockets) {
+                        socket->data = pair;
+                        h2o_socket_read_start(socket, &Relay::pass);
+                    }
+                });
+    }
+
+    static auto pass(st_h2o_socket_t *from, const char *error) -> void
+    {
+        auto *pair = static_cast<Pair *>(from->data);
+        auto *to = pair->sockets[from == pair->sockets[0] ? 1 : 0];
+        if (error != nullptr) {
+            h2o_socket_read_stop(from);
+            return;
+        }
+        if (!pair->silent) {
+            // Small enough for the system's buffer, so that it is sent at once.
+            REQUIRE(::write(h2o_socket_get_fd(to), from->input->bytes, from->input->size) > 0);
+        }
+        h2o_buffer_consume(&from->input, from->input->size);
+    }
+
+    Loop &loop;
+    Address target;
+    std::unique_ptr<Listener> listener;
+    std::vector<std::unique_ptr<Pair>> pairs;
+};
+
+} // namespace
+
+TEST_CASE("a connection that goes silent is replaced without being down", "[peerhub]")
+{
+    Loop loop;
+    Side a(loop, "a");
+    Side b(loop, "b");
+    Relay relay(loop, b.self.peer);
+    a.hub->connect(b.self.id, relay.address());
+    REQUIRE(runUntil(loop, [&] { return a.count<PeerUp>() == 1 && b.count<PeerUp>() == 1; }));
+    relay.silence();
+    const auto replaced = [&] {
+        a.hub->send(b.self.id, Ping { 1, {} });
+        b.hub->send(a.self.id, Ping { 2, {} });
+        return a.count<PeerMessage>() > 0 && b.count<PeerMessage>() > 0;
+    };
+    const auto before = Loop::now().mono;
+    CHECK(runUntil(loop, replaced));
+    CHECK(Loop::now().mono - before < config::silenceTimeout);
+    CHECK(a.count<PeerDown>() == 0);
+    CHECK(b.count<PeerDown>() == 0);
+    runUntil(
+            loop, [] { return false; }, config::silenceTimeout);
+    CHECK(a.count<PeerDown>() == 0);
+    CHECK(b.count<PeerDown>() == 0);
+}
+
+TEST_CASE("a host that goes silent for good is down", "[peerhub]")
+{
+    Loop loop;
+    Side a(loop, "a");
+    Side b(loop, "b");
+    Relay relay(loop, b.self.peer);
+    a.hub->connect(b.self.id, relay.address());
+    REQUIRE(runUntil(loop, [&] { return a.count<PeerUp>() == 1 && b.count<PeerUp>() == 1; }));
+    relay.silence();
+    b.hub.reset();
+    const auto before = Loop::now().mono;
+    std::vector<st_h2o_socket_t *> held;
+    SECTION("its machine still accepts")
+    {
+        const auto peer = b.listener->bound();
+        b.listener.reset();
+        const auto mute = Listener::open(loop, peer,
+                                         [&](st_h2o_socket_t *socket) { held.push_back(socket); });
+        REQUIRE(mute);
+        REQUIRE(runUntil(loop, [&] { return a.count<PeerDown>() == 1; }));
+        CHECK(a.last<PeerDown>().loss == PeerLoss::Silent);
+    }
+    SECTION("its machine refuses")
+    {
+        b.listener.reset();
+        REQUIRE(runUntil(loop, [&] { return a.count<PeerDown>() == 1; }));
+        CHECK(a.last<PeerDown>().loss == PeerLoss::Refused);
+        CHECK(Loop::now().mono - before < config::silenceTimeout);
+    }
+    for (auto *socket : held) {
+        h2o_socket_close(socket);
+    }
+}
