--- a/tests/unit/peerfleet.h
+++ b/tests/unit/peerfleet.h
@@ -98,6 +98,7 @@
         std::uint64_t revision = 0;
         std::deque<Event> waiting; ///< Came while frozen.
         std::optional<Revision> watch;
+        std::uint64_t reads = 0; ///< Of the table, so that an old wait ends no new one.
         std::optional<std::pair<std::uint64_t, std::string>> served;
     };
     struct Pending
