--- a/src/wire/messageencoder.cpp
+++ b/src/wire/messageencoder.cpp
@@ -98,12 +98,35 @@
              { "v", packIds(message.voters) } };
 }
 
+auto pack(const CellKnowledge &knowledge) -> Json
+{
+    auto keys = Json::array();
+    for (const auto &key : knowledge.keys) {
+        keys.push_back(
+                Json::array({ key.hash, static_cast<std::uint8_t>(key.state), key.dispatchedUs }));
+    }
+    return Json::array({ knowledge.cell.value(), knowledge.knownSinceUs, knowledge.tables.number,
+                         std::move(keys) });
+}
+
 auto pack(const ClaimGrant &message) -> Json
 {
-    return { { "n", message.round },
-             { "f", packIds(message.refused) },
-             { "c", packIds(message.granted) },
-             { "b", packIds(message.held) } };
+    Json map = { { "n", message.round },
+                 { "f", packIds(message.refused) },
+                 { "c", packIds(message.granted) },
+                 { "b", packIds(message.held) } };
+    if (!message.knowledge.empty()) {
+        auto &knowledge = map["k"] = Json::array();
+        for (const auto &entry : message.knowledge) {
+            knowledge.push_back(pack(entry));
+        }
+    }
+    return map;
+}
+
+auto pack(const ClaimRelease &message) -> Json
+{
+    return { { "i", message.claim }, { "c", packIds(message.cells) } };
 }
 
 auto pack(const KeyLookup &message) -> Json
