--- a/tests/demo/demo.cpp
+++ b/tests/demo/demo.cpp
@@ -41,6 +41,7 @@
     std::cout << "starting " << this->fleet.plan().hosts.size() << " hosts and "
               << this->fleet.upstreamNames().size() << " upstreams" << std::endl;
     this->fleet.startHosts();
+    this->fleet.waitSettled();
     this->begin = std::chrono::steady_clock::now();
     this->startLoads();
     for (const auto &change : this->settings.at("change")) {
