Leave no files of the killed demo

Cause: the interruption test left the killed demo's folder behind. Ruled out: removing by name pattern: others may run at the same time. Change: the demo's temporary folder lies in the test's own. Conclusion: done.

--- a/tests/scenarios/interruption.cpp
+++ b/tests/scenarios/interruption.cpp
@@ -6,6 +6,7 @@
 #include "harness/tempfolder.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <string>
 #include <vector>
@@ -41,6 +42,8 @@
     const int signal = GENERATE(SIGINT, SIGTERM, SIGKILL);
     harness::Loop loop;
     harness::TempFolder folder;
+    // A killed demo cannot remove its files: they go with this folder.
+    setenv("TMPDIR", folder.file("").c_str(), 1);
     bool loaded = false;
     harness::Process demo(
             loop, { harness::programPath("demo"), { FLAMINGOGRADE_DEMO }, folder.file("demo.log") },
@@ -53,6 +56,7 @@
 
     demo.kill(signal);
     REQUIRE(loop.waitUntil([&] { return demo.exitStatus().has_value(); }));
+    unsetenv("TMPDIR");
     for (const pid_t child : children) {
         CHECK(loop.waitUntil([&] { return isGone(child); }));
     }
