--- a/src/core/claimant.cpp
+++ b/src/core/claimant.cpp
@@ -167,13 +167,6 @@
     return this->lastNumber;
 }
 
-auto Claimant::nextNumber(const Blackboard &board) -> std::uint64_t
-{
-    const auto age = static_cast<std::uint64_t>(board.now.wall.time_since_epoch().count());
-    this->lastNumber = std::max(this->lastNumber + 1, age);
-    return this->lastNumber;
-}
-
 auto Claimant::request(Blackboard &board, Claim &claim) -> void
 {
     claim.nextRequest = board.now.mono + config::probePeriod;
--- a/src/core/claimant.h
+++ b/src/core/claimant.h
@@ -43,13 +43,11 @@
     };
 
     /// Returns a number that no life of this host used before.
-    auto nextNumber(const Blackboard &board) -> std::uint64_t;
+    [[nodiscard]] auto nextNumber(const Blackboard &board) -> std::uint64_t;
     auto request(Blackboard &board, Claim &claim) -> void;
     auto begin(Blackboard &board, Claim &claim) -> void;
     /// Gives up claiming `cells` and tells the voters.
     auto release(Blackboard &board, Claim &claim, const std::vector<CellId> &cells) -> void;
-    /// Returns a number that this host has not used, nor in an earlier life.
-    [[nodiscard]] auto nextNumber(const Blackboard &board) -> std::uint64_t;
     [[nodiscard]] static auto isGranted(const Blackboard &board, const Claim &claim, CellId cell)
             -> bool;
 
--- a/src/core/configcontroller.cpp
+++ b/src/core/configcontroller.cpp
@@ -6,6 +6,7 @@
 #include "core/overloaded.h"
 #include "core/rendezvous.h"
 #include "core/tableadoption.h"
+#include "core/tablespread.h"
 
 #include <flamingograde/tableparser.h>
 
@@ -23,7 +24,6 @@
 constexpr Duration peerRequestTimeout = 1s; ///< A host is given this long to send its table.
 constexpr Duration startupHostPeriod = 500ms; ///< Period of the host list until it names this host.
 constexpr Duration startupReads = 10s;        ///< How long that period holds.
-constexpr std::size_t announcedMax = 16;      ///< Hosts told at once of a new table.
 
 /// The key under which the readers of a zone are drawn.
 const auto readerKey = hashName("platform reader");
@@ -49,55 +49,6 @@
     return Duration(draw(board.random));
 }
 
-/// Returns whether a dead host's process has surely ended: its machine refuses connections, while
-/// other hosts of its zone are reached.
-auto isGone(const Blackboard &board, const MemberRecord &record) -> bool
-{
-    return record.member.state == MemberState::Dead && record.refusals >= config::refusalsOfDead
-           && !board.membership.voters(record.member.zone).empty();
-}
-
-/// Returns whether this host would hear from a host that is at work.
-auto isHeardDirectly(const Blackboard &board, const MemberRecord &record) -> bool
-{
-    return board.membership.records().size() <= config::flatMembershipHosts || record.connected
-           || record.member.zone == board.init.self.zone;
-}
-
-/// Notes whether all hosts have the table in force. A silent one may go on with an older.
-auto reviewSettled(Blackboard &board) -> void
-{
-    const auto revision = board.config.revision;
-    const auto now = board.now.mono;
-    if (!(board.config.settled < revision) || !board.membership.knowsFleet(now)
-        || board.membership.isIsolated(now)) {
-        return;
-    }
-    const auto &records = board.membership.records();
-    const auto hasIt = [&](const auto &entry) {
-        const auto &record = entry.second;
-        return entry.first == board.membership.self || !(record.revision < revision)
-               || isGone(board, record) || !isHeardDirectly(board, record);
-    };
-    if (std::all_of(records.begin(), records.end(), hasIt)) {
-        board.config.noteSettled(revision, board.now.wall);
-    }
-}
-
-/// Tells hosts that have an older table of the one in force.
-auto announce(Blackboard &board) -> void
-{
-    std::size_t told = 0;
-    for (auto &[id, record] : board.membership.records()) {
-        if (told == announcedMax) {
-            return;
-        }
-        if (record.connected && record.revision < board.config.revision) {
-            told += sendPeer(board, id, Ping { 0, makeGossip(board, id) }) ? 1 : 0;
-        }
-    }
-}
-
 } // namespace
 
 auto ConfigController::handle(Blackboard &board, const Event &event) -> void
@@ -264,7 +215,7 @@
         return;
     }
     adoptTable(board, std::move(*parsed), revision, text);
-    announce(board);
+    announceTable(board);
 }
 
 auto ConfigController::refuseTable(Blackboard &board, Revision revision, const Findings &findings)
--- a/src/core/failuredetector.cpp
+++ b/src/core/failuredetector.cpp
@@ -2,6 +2,7 @@
 #include "core/failuredetector.h"
 
 #include "core/blackboard.h"
+#include "core/deathevidence.h"
 #include "core/dialer.h"
 #include "core/gossip.h"
 #include "core/membermerge.h"
@@ -20,7 +21,6 @@
 constexpr Duration indirectPeriod = 400ms; ///< Others are asked this often about a silent host.
 constexpr Duration contactPeriod = 300ms;  ///< Without an answer this long, more hosts are probed.
 constexpr std::size_t contactProbes = 3;   ///< Hosts probed then beside those of the own zone.
-constexpr Duration lastOtherAfter = 10s;   ///< All others are dead for this long.
 
 /// Returns whether `host` can be asked to probe `record`'s host, and would be connected with it.
 auto isHelper(const Blackboard &board, const MemberRecord &helper, const MemberRecord &record)
@@ -58,49 +58,6 @@
     return helpers;
 }
 
-/// Returns whether all hosts beside this one and that of `record` are dead, and not just now: a cut
-/// that comes in steps shall not look like this.
-auto isLastOther(const Blackboard &board, const MemberRecord &record) -> bool
-{
-    const auto &records = board.membership.records();
-    return std::all_of(records.begin(), records.end(), [&](const auto &entry) {
-        const auto &[id, other] = entry;
-        return id == board.membership.self || id == record.member.id
-               || (other.member.state == MemberState::Dead
-                   && board.now.mono - other.changed >= lastOtherAfter);
-    });
-}
-
-/// Returns whether anything beside this host's own failure speaks for the death of a silent host.
-auto isDeathCredible(const Blackboard &board, const MemberRecord &record) -> bool
-{
-    const auto &membership = board.membership;
-    const auto refused = record.refusals >= config::refusalsOfDead;
-    if (refused && isLastOther(board, record)) {
-        return true;
-    }
-    const auto unlisted = !record.listed && membership.listedAt > record.unansweredSince;
-    if (unlisted && record.everListed && membership.connectedCount() == 0) {
-        return true;
-    }
-    if (!record.confirmed || board.now.mono - membership.isolatedAt < config::refusedTimeout) {
-        return false;
-    }
-    const auto neighbour = record.member.zone == board.init.self.zone;
-    return !neighbour || refused || knowsUs(board, record) || (unlisted && membership.listedSelf);
-}
-
-/// Returns whether a silent host has been silent for long enough to be dead.
-auto isSilentLongEnough(const Blackboard &board, const MemberRecord &record) -> bool
-{
-    const auto now = board.now.mono;
-    const auto silence = now - std::max({ record.heard, record.vouched, record.unansweredSince });
-    if (record.refusals >= config::refusalsOfDead) {
-        return silence >= config::refusedTimeout;
-    }
-    return now - record.changed >= config::suspicionTimeout && silence >= config::suspicionTimeout;
-}
-
 } // namespace
 
 auto FailureDetector::tick(Blackboard &board, const Dialer &dialer) -> void
--- a/src/core/membermerge.cpp
+++ b/src/core/membermerge.cpp
@@ -2,6 +2,7 @@
 #include "core/membermerge.h"
 
 #include "core/blackboard.h"
+#include "core/deathevidence.h"
 #include "core/gossip.h"
 
 #include <algorithm>
@@ -14,9 +15,6 @@
 /// Each change is told this often, times the logarithm of the fleet's size.
 constexpr std::uint32_t tellingsFactor = 3;
 
-/// A host that answers knows after this that the one that asked is alive.
-constexpr Duration refutationGrace = std::chrono::milliseconds(500);
-
 auto markChanged(Blackboard &board, MemberRecord &record) -> void
 {
     const auto hosts = static_cast<double>(board.membership.records().size());
@@ -62,37 +60,6 @@
     }
 }
 
-/// Returns whether this host itself has nothing against the death of a member that `from` tells.
-auto mayBeDead(const Blackboard &board, HostId from, const MemberRecord &record) -> bool
-{
-    const auto now = board.now.mono;
-    const auto since = std::max(record.heard, board.membership.isolatedAt);
-    if (now - since < config::refusedTimeout) {
-        return false;
-    }
-    if (record.member.zone != board.init.self.zone) {
-        return true;
-    }
-    if (!record.unanswered || now - record.unansweredSince < config::refusedTimeout) {
-        return false;
-    }
-    const auto *sender = board.membership.find(from);
-    const auto isNeighbour = sender != nullptr && sender->zone == board.init.self.zone;
-    return isNeighbour || record.refusals >= config::refusalsOfDead || knowsUs(board, record);
-}
-
-/// Returns whether every known host of the zone answered this host lately, so that none of them
-/// can hold it to be dead.
-auto isHeardInZone(const Blackboard &board) -> bool
-{
-    const auto &records = board.membership.records();
-    return std::all_of(records.begin(), records.end(), [&](const auto &entry) {
-        const auto &record = entry.second;
-        return entry.first == board.membership.self || record.member.zone != board.init.self.zone
-               || board.now.mono - record.acked < config::pauseThreshold;
-    });
-}
-
 /// Answers what others say of this host.
 auto refute(Blackboard &board, MemberRecord &self, const Member &update) -> void
 {
@@ -173,12 +140,6 @@
     }
 }
 
-auto knowsUs(const Blackboard &board, const MemberRecord &record) -> bool
-{
-    const auto &membership = board.membership;
-    return record.acked > std::max(membership.isolatedAt, membership.pausedAt) + refutationGrace;
-}
-
 auto changeMember(Blackboard &board, MemberRecord &record, MemberState state) -> void
 {
     record.member.state = state;
--- a/src/core/membermerge.h
+++ b/src/core/membermerge.h
@@ -23,11 +23,6 @@
 /// host: otherwise it may go on as the only home of the zone.
 auto mergeMember(Blackboard &board, HostId from, const Member &update) -> void;
 
-/// Returns whether the member answered this host long enough after this one started, woke or came
-/// back from being cut off: then it counts this host among those that would take over its cells,
-/// and gives them up when it is itself cut off.
-[[nodiscard]] auto knowsUs(const Blackboard &board, const MemberRecord &record) -> bool;
-
 /// Changes a member's state at its present incarnation, and has it told to others.
 auto changeMember(Blackboard &board, MemberRecord &record, MemberState state) -> void;
 
--- /dev/null
+++ b/src/wire/messageencoder.cpp
@@ -0,0 +1,153 @@
+/// The form of each message on the wire.
+///
+/// Keys are one letter. Members, loads and the like are lists with a fixed order. Ids of members
+/// and zones are not sent: they are made from the names.
+#include "wire/messagecodec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace flamingograde {
+
+namespace {
+
+using Json = nlohmann::json;
+
+template<typename Id>
+auto packIds(const std::vector<Id> &ids) -> Json
+{
+    auto list = Json::array();
+    for (const auto id : ids) {
+        list.push_back(id.value());
+    }
+    return list;
+}
+
+auto pack(const Member &member) -> Json
+{
+    return Json::array({ member.name, member.zoneName, member.peer.ip, member.peer.port,
+                         member.relay.ip, member.relay.port, member.incarnation,
+                         static_cast<std::uint8_t>(member.state) });
+}
+
+auto pack(const CellLoad &load) -> Json
+{
+    return Json::array({ load.cell.value(), load.slots, load.running, load.queued });
+}
+
+auto pack(const Gossip &gossip) -> Json
+{
+    Json map = { { "r", gossip.revision.number },
+                 { "d", gossip.tableDigest },
+                 { "a", gossip.platformAgeMs },
+                 { "s", gossip.settled.number } };
+    if (!gossip.updates.empty()) {
+        auto &updates = map["u"] = Json::array();
+        for (const auto &member : gossip.updates) {
+            updates.push_back(pack(member));
+        }
+    }
+    if (!gossip.loads.empty()) {
+        auto &loads = map["l"] = Json::array();
+        for (const auto &load : gossip.loads) {
+            loads.push_back(pack(load));
+        }
+    }
+    return map;
+}
+
+auto pack(const Hello &message) -> Json
+{
+    return { { "m", pack(message.self) }, { "g", pack(message.gossip) } };
+}
+
+auto pack(const Ping &message) -> Json
+{
+    return { { "s", message.sequence }, { "g", pack(message.gossip) } };
+}
+
+auto pack(const Ack &message) -> Json
+{
+    return { { "s", message.sequence }, { "g", pack(message.gossip) } };
+}
+
+auto pack(const PingRequest &message) -> Json
+{
+    return { { "s", message.sequence }, { "h", message.target.value() } };
+}
+
+auto pack(const PingReport &message) -> Json
+{
+    return { { "s", message.sequence }, { "h", message.target.value() }, { "a", message.alive } };
+}
+
+auto pack(const TableRequest &message) -> Json
+{
+    return { { "r", message.have.number } };
+}
+
+auto pack(const TableBody &message) -> Json
+{
+    return { { "r", message.revision.number }, { "x", message.text } };
+}
+
+auto pack(const ClaimRequest &message) -> Json
+{
+    return { { "n", message.round },
+             { "c", packIds(message.cells) },
+             { "i", message.claim },
+             { "v", packIds(message.voters) } };
+}
+
+auto pack(const CellKnowledge &knowledge) -> Json
+{
+    auto keys = Json::array();
+    for (const auto &key : knowledge.keys) {
+        keys.push_back(
+                Json::array({ key.hash, static_cast<std::uint8_t>(key.state), key.dispatchedUs }));
+    }
+    return Json::array({ knowledge.cell.value(), knowledge.knownSinceUs, knowledge.tables.number,
+                         std::move(keys) });
+}
+
+auto pack(const ClaimGrant &message) -> Json
+{
+    Json map = { { "n", message.round },
+                 { "f", packIds(message.refused) },
+                 { "c", packIds(message.granted) },
+                 { "b", packIds(message.held) } };
+    if (!message.knowledge.empty()) {
+        auto &knowledge = map["k"] = Json::array();
+        for (const auto &entry : message.knowledge) {
+            knowledge.push_back(pack(entry));
+        }
+    }
+    return map;
+}
+
+auto pack(const ClaimRelease &message) -> Json
+{
+    return { { "i", message.claim }, { "c", packIds(message.cells) } };
+}
+
+auto pack(const KeyLookup &message) -> Json
+{
+    return { { "s", message.sequence }, { "c", message.cell.value() }, { "k", message.key } };
+}
+
+auto pack(const KeyReport &message) -> Json
+{
+    return { { "s", message.sequence },
+             { "k", static_cast<std::uint8_t>(message.state) },
+             { "b", message.tenureSinceUs } };
+}
+
+} // namespace
+
+auto encode(const Message &message) -> std::vector<std::uint8_t>
+{
+    auto map = std::visit([](const auto &it) { return pack(it); }, message);
+    map["t"] = message.index();
+    return Json::to_cbor(map);
+}
+
+} // namespace flamingograde
