Mend a merge of the numbering of claims

Cause: conflict marks of a merge were committed. Change: one of the two equal bodies stays. Conclusion: the tree builds again.

--- a/src/core/claimant.cpp
+++ b/src/core/claimant.cpp
@@ -162,13 +162,8 @@
 
 auto Claimant::nextNumber(const Blackboard &board) -> std::uint64_t
 {
-<<<<<<< HEAD
     const auto age = static_cast<std::uint64_t>(board.now.wall.time_since_epoch().count());
     this->lastNumber = std::max(this->lastNumber + 1, age);
-=======
-    const auto wall = static_cast<std::uint64_t>(board.now.wall.time_since_epoch().count());
-    this->lastNumber = std::max(this->lastNumber + 1, wall);
->>>>>>> refs/heads/net
     return this->lastNumber;
 }
 
