Place a key by the table of its birth

Cause: an edit that changes a zone's active slots moved keys at once, also those that callers had already sent; their homes had to answer "unknown". Change: a key is placed by the newest table published config::placementDelay (10 s) before its birth. Hosts keep the active slots of replaced tables for keyLifetime, hand them on with TableBody and compare their digests by gossip; a move of keys is believed once all hosts have the same placements. A home refuses keys of another zone as WrongHome, not run. The test of moved keys asks the history now; a restarted host knows by the others which keys stayed, where it had to take them all for unknown before.

--- a/include/flamingograde/config.h
+++ b/include/flamingograde/config.h
@@ -67,6 +67,9 @@
 
 // Keys of non-idempotent requests.
 inline constexpr auto keyLifetime           = 600s;   ///< How long a key is remembered.
+inline constexpr auto placementDelay        = 10s;    ///< Keys are placed by a table from this time after its publication; longer than until all hosts have it and know so.
+inline constexpr std::size_t placementTablesMax = 32; ///< Tables whose placement of keys is remembered.
+inline constexpr std::size_t placementCellsMax = 32768; ///< Cells of all these tables.
 inline constexpr std::size_t keysMax        = 200000; ///< Keys remembered by a host.
 inline constexpr std::size_t keyBytesMax    = 128;    ///< Longest key.
 inline constexpr std::size_t storedAnswerMax = 65536; ///< Largest answer kept for a repeat of its request.
--- a/include/flamingograde/event.h
+++ b/include/flamingograde/event.h
@@ -120,6 +120,7 @@
 {
     Revision revision;
     std::string text;
+    std::optional<WallTime> published; ///< When it was published, if the platform tells.
 };
 
 /// The platform said that there is nothing newer.
--- a/include/flamingograde/message.h
+++ b/include/flamingograde/message.h
@@ -1,9 +1,11 @@
 /// The messages between hosts. Each travels as one CBOR map in one websocket message.
 #pragma once
 
+#include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
 #include <flamingograde/member.h>
 #include <flamingograde/revision.h>
+#include <flamingograde/tableplacement.h>
 
 #include <cstdint>
 #include <string>
@@ -29,8 +31,9 @@
     Revision revision;             ///< The sender's table.
     std::uint64_t tableDigest = 0; ///< Hash of the table's text.
     std::uint32_t platformAgeMs =
-            0;        ///< Time since the sender, or whom it heard, last heard the platform.
-    Revision settled; ///< The newest table that the sender knows all hosts to have had, or a newer.
+            0; ///< Time since the sender, or whom it heard, last heard the platform.
+    std::uint64_t placements = 0; ///< Digest of the placements of keys that the sender knows.
+    bool agreed = false;          ///< The sender knows all hosts to have had these placements.
 };
 
 /// The first message on a connection, both ways.
@@ -69,17 +72,19 @@
     bool alive = false;
 };
 
-/// Asks for the receiver's table where it is newer than `have`.
+/// Asks for the receiver's table where it is newer than `have`, and for its placements of keys.
 struct TableRequest
 {
     Revision have;
 };
 
-/// A table's text.
+/// A table and the placements of keys that the sender knows.
 struct TableBody
 {
     Revision revision;
-    std::string text;
+    std::string text;                       ///< Empty where the receiver has it.
+    WallTime published;                     ///< When the platform published it.
+    std::vector<TablePlacement> placements; ///< By revision; the last one is that of the table.
 };
 
 /// Asks a host of the zone to give up being home of whatever rendezvous now gives to the sender.
--- a/src/core/arrivalcontroller.cpp
+++ b/src/core/arrivalcontroller.cpp
@@ -3,7 +3,7 @@
 
 #include "core/blackboard.h"
 #include "core/idempotencykey.h"
-#include "core/keyplacement.h"
+#include "core/placement.h"
 #include "core/refuse.h"
 #include "core/token.h"
 
@@ -204,10 +204,17 @@
             return false;
         }
     }
-    if (row->idempotent) {
+    return row->idempotent || !arrived.key.empty();
+}
+
+/// Returns whether the key of a relayed request belongs to this host's zone.
+auto isKeyOfZone(const Blackboard &board, const RelayArrived &arrived, const Row &row) -> bool
+{
+    if (row.idempotent) {
         return true;
     }
-    return !arrived.key.empty() && zoneOfKey(table, row->service, arrived.key) == zone;
+    const auto birth = keyBirthOf(arrived.key);
+    return placementOfKey(board, row.service, arrived.key, birth).zone == board.init.self.zone;
 }
 
 auto takeRelay(Blackboard &board, const RelayArrived &arrived) -> void
@@ -223,6 +230,9 @@
     if (!fitsTable(board, arrived, row)) {
         return refuseFor(RefusalReason::OldTable);
     }
+    if (!isKeyOfZone(board, arrived, *row)) {
+        return refuseFor(RefusalReason::WrongHome);
+    }
     if (objectionOfLoad(board, *row)) {
         return refuseFor(RefusalReason::Overloaded);
     }
--- a/src/core/blackboard.h
+++ b/src/core/blackboard.h
@@ -32,7 +32,9 @@
 class Blackboard
 {
 public:
-    explicit Blackboard(Init start) : init(std::move(start)), random(this->init.seed) {}
+    explicit Blackboard(Init start)
+        : init(std::move(start)), random(this->init.seed), config(this->init.clockBound)
+    {}
 
     Init init;                  ///< The settings; constant.
     Now now;                    ///< The time of the current event.
--- a/src/core/cellhomeplacement.cpp
+++ b/src/core/cellhomeplacement.cpp
@@ -2,7 +2,7 @@
 #include "core/cellhomeplacement.h"
 
 #include "core/blackboard.h"
-#include "core/keyplacement.h"
+#include "core/idempotencykey.h"
 
 #include <algorithm>
 
@@ -55,6 +55,15 @@
     }
 }
 
+/// Returns whether the home of a cell will find its zone for the key made here: it does not yet
+/// where a table has just added the zone.
+auto isOwnKeyPlaced(const Blackboard &board, const Exchange &exchange, const CellChoice &choice)
+        -> bool
+{
+    const auto key = keyInZone(zoneNameOf(board, choice.cell), exchange.key);
+    return placementOfKey(board, exchange.service, key, exchange.keyBirth).zone == choice.zone;
+}
+
 auto placeByLoad(Blackboard &board, const Exchange &exchange) -> Placed
 {
     auto choices = cellChoices(board, exchange.service);
@@ -62,6 +71,11 @@
         const auto hasZones = !board.table().zonesOf(exchange.service).empty();
         return PlaceNowhere { hasZones ? RefusalReason::NoHome : RefusalReason::NoUpstream, false };
     }
+    if (exchange.ownKey) {
+        dropUnlessLast(choices, [&](const CellChoice &choice) {
+            return !isOwnKeyPlaced(board, exchange, choice);
+        });
+    }
     dropUnlessLast(choices, [](const CellChoice &choice) { return !choice.reachable; });
     dropUnlessLast(choices,
                    [&](const CellChoice &choice) { return choice.cell == exchange.avoid; });
@@ -70,7 +84,7 @@
 
 auto placeByKey(const Blackboard &board, const Exchange &exchange) -> Placed
 {
-    const auto zone = zoneOfKey(board.table(), exchange.service, exchange.key);
+    const auto zone = placementOfKey(board, exchange.service, exchange.key, exchange.keyBirth).zone;
     if (!zone.isValid()) {
         return PlaceNowhere { RefusalReason::NoUpstream, false };
     }
--- a/src/core/configcontroller.cpp
+++ b/src/core/configcontroller.cpp
@@ -21,6 +21,7 @@
 constexpr Duration readSlack = 5s;          ///< A read unanswered this long after its wait failed.
 constexpr Duration platformStale = 3s;      ///< A host that hears no newer word reads for itself.
 constexpr Duration peerRequestTimeout = 1s; ///< A host is given this long to send its table.
+constexpr Duration placementRequestPeriod = 500ms; ///< Between requests for placements.
 constexpr Duration startupHostPeriod = 500ms; ///< Period of the host list until it names this host.
 constexpr Duration startupReads = 10s;        ///< How long that period holds.
 constexpr std::size_t announcedMax = 16;      ///< Hosts told at once of a new table.
@@ -64,23 +65,36 @@
            || record.member.zone == board.init.self.zone;
 }
 
-/// Notes whether all hosts have the table in force. A silent one may go on with an older.
-auto reviewSettled(Blackboard &board) -> void
+/// Notes whether all hosts place keys as this one. A silent one may go on with an older table.
+auto reviewPlacements(Blackboard &board) -> void
 {
-    const auto revision = board.config.revision;
+    auto &placements = board.config.placements;
     const auto now = board.now.mono;
-    if (!(board.config.settled < revision) || !board.membership.knowsFleet(now)
+    placements.expire(board.now.wall);
+    if (placements.isAgreed() || !board.membership.knowsFleet(now)
         || board.membership.isIsolated(now)) {
         return;
     }
     const auto &records = board.membership.records();
-    const auto hasIt = [&](const auto &entry) {
+    const auto agrees = [&](const auto &entry) {
         const auto &record = entry.second;
-        return entry.first == board.membership.self || !(record.revision < revision)
+        return entry.first == board.membership.self || record.placements == placements.digest()
                || isGone(board, record) || !isHeardDirectly(board, record);
     };
-    if (std::all_of(records.begin(), records.end(), hasIt)) {
-        board.config.noteSettled(revision, board.now.wall);
+    if (std::all_of(records.begin(), records.end(), agrees)) {
+        placements.agree(board.now.wall);
+    }
+}
+
+/// Sends a host what it lacks of the table and the placements of keys.
+auto sendTable(Blackboard &board, HostId host, Revision have) -> void
+{
+    const auto &config = board.config;
+    if (config.revision.isValid() && !(config.revision < have)) {
+        const auto text = have == config.revision ? std::string() : config.text;
+        sendPeer(
+                board, host,
+                TableBody { config.revision, text, config.published, config.placements.entries() });
     }
 }
 
@@ -122,7 +136,8 @@
     this->tableAsked = false;
     this->platformAnswered(board);
     const auto newest = this->newestSeen(board);
-    this->offer(board, fetched.revision, fetched.text);
+    const auto published = fetched.published.value_or(board.now.wall);
+    this->offer(board, { fetched.revision, fetched.text, published });
     const auto fruitless = !(newest < fetched.revision);
     this->backoff = fruitless ? std::clamp<Duration>(this->backoff * 2, config::platformRetryMin,
                                                      config::platformRetryMax)
@@ -168,14 +183,17 @@
         return;
     }
     if (const auto *request = std::get_if<TableRequest>(&received.message)) {
-        if (request->have < board.config.revision) {
-            sendPeer(board, received.from, TableBody { board.config.revision, board.config.text });
-        }
+        sendTable(board, received.from, request->have);
         return;
     }
     if (const auto *body = std::get_if<TableBody>(&received.message)) {
         this->nextPeerRequest = board.now.mono;
-        this->offer(board, body->revision, body->text);
+        if (!body->text.empty()) {
+            this->offer(board, { body->revision, body->text, body->published });
+        }
+        if (body->revision == board.config.revision) {
+            board.config.placements.merge(body->placements, board.now.wall);
+        }
     }
 }
 
@@ -188,9 +206,7 @@
     }
     if (auto *record = board.membership.record(from)) {
         record->revision = std::max(record->revision, gossip.revision);
-    }
-    if (board.config.settled < gossip.settled) {
-        board.config.noteSettled(gossip.settled, board.now.wall);
+        record->placements = gossip.placements;
     }
     if (gossip.revision.isValid() && gossip.revision == board.config.revision
         && gossip.tableDigest != board.config.digest && this->conflicting != gossip.revision) {
@@ -200,6 +216,24 @@
     if (this->newestSeen(board) < gossip.revision && board.now.mono >= this->nextPeerRequest) {
         this->requestTable(board, from);
     }
+    if (gossip.revision.isValid() && gossip.revision == board.config.revision) {
+        this->comparePlacements(board, from, gossip);
+    }
+}
+
+auto ConfigController::comparePlacements(Blackboard &board, HostId from, const Gossip &gossip)
+        -> void
+{
+    if (gossip.placements == board.config.placements.digest()) {
+        if (gossip.agreed) {
+            board.config.placements.agree(board.now.wall);
+        }
+        return;
+    }
+    if (board.now.mono >= this->nextPlacementRequest) {
+        this->nextPlacementRequest = board.now.mono + placementRequestPeriod;
+        this->requestTable(board, from);
+    }
 }
 
 auto ConfigController::requestTable(Blackboard &board, HostId from) -> void
@@ -218,7 +252,7 @@
     if (this->hostsAsked && now >= this->hostsGivenUp) {
         this->on(board, PlatformFailed { PlatformRead::Hosts, "no answer" });
     }
-    reviewSettled(board);
+    reviewPlacements(board);
     this->readPlatform(board);
 }
 
@@ -238,8 +272,10 @@
     }
 }
 
-auto ConfigController::offer(Blackboard &board, Revision revision, const std::string &text) -> void
+auto ConfigController::offer(Blackboard &board, const TableSource &source) -> void
 {
+    const auto revision = source.revision;
+    const auto &text = source.text;
     if (!revision.isValid() || revision == this->refused) {
         return;
     }
@@ -263,7 +299,7 @@
         this->refuseTable(board, revision, parsed.error());
         return;
     }
-    adoptTable(board, std::move(*parsed), revision, text);
+    adoptTable(board, std::move(*parsed), source);
     announce(board);
 }
 
--- a/src/core/configcontroller.h
+++ b/src/core/configcontroller.h
@@ -13,7 +13,7 @@
 namespace flamingograde {
 
 class Blackboard;
-class Table;
+struct TableSource;
 
 /// Reads and watches the platform, spreads tables between hosts and puts them in force.
 ///
@@ -35,8 +35,9 @@
     auto on(Blackboard &board, const Tick &tick) -> void;
     auto noteGossip(Blackboard &board, HostId from, const Gossip &gossip) -> void;
     auto requestTable(Blackboard &board, HostId from) -> void;
+    auto comparePlacements(Blackboard &board, HostId from, const Gossip &gossip) -> void;
 
-    auto offer(Blackboard &board, Revision revision, const std::string &text) -> void;
+    auto offer(Blackboard &board, const TableSource &source) -> void;
     auto refuseTable(Blackboard &board, Revision revision, const Findings &findings) -> void;
     auto readPlatform(Blackboard &board) -> void;
     auto readTable(Blackboard &board, Duration wait) -> void;
@@ -52,11 +53,12 @@
     MonoTime hostsGivenUp;     ///< When the read under way counts as failed.
     MonoTime nextTableRead;
     MonoTime nextHostRead;
-    Duration backoff { 0 };   ///< Pause after the next failed or fruitless read of the table.
-    Revision refused;         ///< The newest table that had findings.
-    Revision conflicting;     ///< The last revision seen with two texts.
-    Revision olderLogged;     ///< The last older revision that was logged.
-    MonoTime nextPeerRequest; ///< A table asked of a host is waited for until then.
+    Duration backoff { 0 };        ///< Pause after the next failed or fruitless read of the table.
+    Revision refused;              ///< The newest table that had findings.
+    Revision conflicting;          ///< The last revision seen with two texts.
+    Revision olderLogged;          ///< The last older revision that was logged.
+    MonoTime nextPlacementRequest; ///< Placements are not asked for before this.
+    MonoTime nextPeerRequest;      ///< A table asked of a host is waited for until then.
 };
 
 } // namespace flamingograde
--- a/src/core/configstate.cpp
+++ b/src/core/configstate.cpp
@@ -1,8 +1,6 @@
 /// Questions on the table in force and its forerunners.
 #include "core/configstate.h"
 
-#include "core/keyplacement.h"
-
 #include <algorithm>
 
 namespace flamingograde {
@@ -13,27 +11,6 @@
     return found != this->quarantinedUntil.end() && now < found->second;
 }
 
-auto ConfigState::keyPlacedSince(ServiceId service, const std::string &key) const -> WallTime
-{
-    const auto zone = zoneOfKey(*this->table, service, key);
-    for (auto it = this->past.rbegin(); it != this->past.rend(); ++it) {
-        if (it->table == nullptr || zoneOfKey(*it->table, service, key) != zone) {
-            return it->left.value_or(neverPlaced);
-        }
-    }
-    return {};
-}
-
-auto ConfigState::noteSettled(Revision newest, WallTime now) -> void
-{
-    this->settled = std::max(this->settled, newest);
-    for (auto &entry : this->past) {
-        if (!entry.left && !(this->settled < entry.next)) {
-            entry.left = std::max(now, entry.until);
-        }
-    }
-}
-
 auto ConfigState::platformAge(MonoTime now) const -> Duration
 {
     return this->platformKnown ? now - this->platformHeard : Duration::max();
--- a/src/core/configstate.h
+++ b/src/core/configstate.h
@@ -1,6 +1,8 @@
 /// The table in force.
 #pragma once
 
+#include "core/placementhistory.h"
+
 #include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
 #include <flamingograde/revision.h>
@@ -8,10 +10,8 @@
 
 #include <cstdint>
 #include <memory>
-#include <optional>
 #include <string>
 #include <unordered_map>
-#include <vector>
 
 namespace flamingograde {
 
@@ -20,43 +20,24 @@
 class ConfigState
 {
 public:
+    /// @param clockBound largest difference between two clocks.
+    explicit ConfigState(Duration clockBound) : placements(clockBound) {}
+
     std::shared_ptr<const Table> table = std::make_shared<const Table>(); ///< Never null.
     Revision revision;        ///< Of `table`; invalid before the first.
     std::uint64_t digest = 0; ///< Hash of `text`.
     std::string text;         ///< The text of `table`.
+    WallTime published;       ///< When the platform published it.
 
     /// Returns whether the address of `upstream` waits because it lately belonged to another
     /// service.
     [[nodiscard]] auto isQuarantined(UpstreamId upstream, MonoTime now) const -> bool;
 
-    /// Returns the wall time from which every host leads `key` to the same cell as now: when the
-    /// last change of the table that moved it had come to all hosts, or the epoch.
-    ///
-    /// While a host may still have the table before that change, this is `neverPlaced`: the old
-    /// cell may still run the key.
-    [[nodiscard]] auto keyPlacedSince(ServiceId service, const std::string &key) const -> WallTime;
-
-    /// Later than the time of any key.
-    static constexpr WallTime neverPlaced = WallTime(Duration::max() / 2);
-
-    /// A table that was in force before.
-    struct Past
-    {
-        std::shared_ptr<const Table> table; ///< Null: before this host's start, so unknown.
-        Revision next;                      ///< The table that replaced it.
-        std::optional<WallTime> left;       ///< When it was in force nowhere any more.
-        WallTime until;                     ///< When it was replaced here.
-    };
-
-    std::vector<Past> past; ///< Oldest first; those of the last `config::keyLifetime`.
+    PlacementHistory placements;                               ///< Of `table` and those before it.
     std::unordered_map<UpstreamId, MonoTime> quarantinedUntil; ///< By upstream of `table`.
     MonoTime platformHeard;     ///< When this host, or one it heard from, last heard the platform.
     bool platformKnown = false; ///< Whether `platformHeard` was ever set.
 
-    Revision settled; ///< The newest table that all hosts are known to have had, or a newer.
-
-    /// Notes that all hosts have had `revision` or a newer one.
-    auto noteSettled(Revision revision, WallTime now) -> void;
     /// Returns how long ago the platform was last heard by this host or one it heard from.
     [[nodiscard]] auto platformAge(MonoTime now) const -> Duration;
     /// Notes that the platform was heard at `at`.
--- a/src/core/dump.cpp
+++ b/src/core/dump.cpp
@@ -68,7 +68,8 @@
     return { { "revision", board.config.revision.number },
              { "digest", hexOf(StrongId<struct DigestTag>(board.config.digest)) },
              { "platform_age_ms", platformAgeJson(board) },
-             { "past_tables", board.config.past.size() },
+             { "key_placements", board.config.placements.entries().size() },
+             { "key_placements_agreed", board.config.placements.isAgreed() },
              { "rows", board.table().rows().size() },
              { "upstreams", board.table().upstreams().size() } };
 }
--- a/src/core/explain.cpp
+++ b/src/core/explain.cpp
@@ -5,7 +5,6 @@
 #include "core/feedplacement.h"
 #include "core/hexid.h"
 #include "core/idempotencykey.h"
-#include "core/keyplacement.h"
 #include "core/placement.h"
 #include "core/token.h"
 
@@ -23,12 +22,6 @@
     return upstream == nullptr ? hexOf(id) : upstream->name;
 }
 
-auto zoneName(const Blackboard &board, CellId cell) -> std::string
-{
-    const auto &indices = board.table().upstreamsOf(cell);
-    return indices.empty() ? std::string() : board.table().upstreams()[indices.front()].zoneName;
-}
-
 auto hostName(const Blackboard &board, HostId host) -> std::string
 {
     const auto *member = board.membership.find(host);
@@ -66,13 +59,13 @@
 
 auto explainKey(const Blackboard &board, const Row &row, const std::string &key) -> json
 {
-    const auto zone = zoneOfKey(board.table(), row.service, key);
+    const auto zone = placementOfKey(board, row.service, key, keyBirthOf(key)).zone;
     if (!zone.isValid()) {
         return { { "why", "the service has no active upstream" } };
     }
     const auto cell = cellOf(row.service, zone);
     return { { "why", "the idempotency key decides the zone" },
-             { "zone", zoneName(board, cell) },
+             { "zone", zoneNameOf(board, cell) },
              { "home", hostName(board, board.membership.homeOf(cell, zone)) },
              { "key_has_birth", keyBirthOf(key).has_value() } };
 }
@@ -82,7 +75,7 @@
     auto candidates = json::array();
     for (const auto &choice : cellChoices(board, row.service)) {
         const auto load = board.cells.loadOf(choice.cell, board.now.mono).value_or(CellLoad {});
-        candidates.push_back({ { "zone", zoneName(board, choice.cell) },
+        candidates.push_back({ { "zone", zoneNameOf(board, choice.cell) },
                                { "home", hostName(board, choice.home) },
                                { "reachable", choice.reachable },
                                { "weight", choice.slots },
--- a/src/core/gossip.cpp
+++ b/src/core/gossip.cpp
@@ -33,7 +33,8 @@
     gossip.loads = board.cells.ownLoads();
     gossip.revision = board.config.revision;
     gossip.tableDigest = board.config.digest;
-    gossip.settled = board.config.settled;
+    gossip.placements = board.config.placements.digest();
+    gossip.agreed = board.config.placements.isAgreed();
     gossip.platformAgeMs = platformAgeMs(board);
     return gossip;
 }
--- a/src/core/idempotencykey.cpp
+++ b/src/core/idempotencykey.cpp
@@ -90,6 +90,11 @@
     return key.substr(0, key.size() - uuid.size() - 1);
 }
 
+auto keyInZone(const std::string &zoneName, std::string_view key) -> std::string
+{
+    return zoneName + '.' + std::string(uuidPartOf(key));
+}
+
 auto makeUuidV7(std::mt19937_64 &random, WallTime wall) -> std::string
 {
     using std::chrono::duration_cast;
--- a/src/core/idempotencykey.h
+++ b/src/core/idempotencykey.h
@@ -22,6 +22,10 @@
 /// @remarks Thread safe.
 [[nodiscard]] auto keyZoneNameOf(std::string_view key) -> std::string_view;
 
+/// Returns `ZONE.UUID` for a key that is or ends in a UUID.
+/// @remarks Thread safe.
+[[nodiscard]] auto keyInZone(const std::string &zoneName, std::string_view key) -> std::string;
+
 /// Returns a new UUIDv7 of the time `wall`.
 [[nodiscard]] auto makeUuidV7(std::mt19937_64 &random, WallTime wall) -> std::string;
 
--- a/src/core/keyfreshness.cpp
+++ b/src/core/keyfreshness.cpp
@@ -2,6 +2,7 @@
 #include "core/keyfreshness.h"
 
 #include "core/blackboard.h"
+#include "core/placement.h"
 
 #include <algorithm>
 
@@ -30,8 +31,8 @@
 
 auto isProvedBy(const Blackboard &board, const Exchange &exchange, WallTime toldSince) -> bool
 {
-    const auto placed = board.config.keyPlacedSince(exchange.service, exchange.key);
-    auto from = std::max(toldSince, placed);
+    const auto placed = placementOfKey(board, exchange.service, exchange.key, exchange.keyBirth);
+    auto from = std::max(toldSince, placed.since);
     if (exchange.keyBirth.has_value()) {
         from = std::max(from, board.keys.forgottenUntil(exchange.cell));
     }
--- a/src/core/keyplacement.cpp
+++ b/src/core/keyplacement.cpp
@@ -6,8 +6,29 @@
 
 #include <flamingograde/table.h>
 
+#include <algorithm>
+#include <map>
+#include <utility>
+
 namespace flamingograde {
 
+namespace {
+
+/// Orders the active slots by service only.
+struct ServiceOrder
+{
+    auto operator()(const ZoneSlots &entry, ServiceId service) const -> bool
+    {
+        return entry.service < service;
+    }
+    auto operator()(ServiceId service, const ZoneSlots &entry) const -> bool
+    {
+        return service < entry.service;
+    }
+};
+
+} // namespace
+
 auto activeSlots(const Table &table, ServiceId service, ZoneId zone) -> double
 {
     double slots = 0;
@@ -20,23 +41,50 @@
     return slots;
 }
 
-auto zoneOfKey(const Table &table, ServiceId service, std::string_view key) -> ZoneId
+auto activeZones(const Table &table) -> std::vector<ZoneSlots>
 {
-    const auto zoneName = keyZoneNameOf(key);
-    if (!zoneName.empty()) {
-        const auto zone = ZoneId::ofName(zoneName);
-        if (activeSlots(table, service, zone) > 0) {
-            return zone;
+    std::map<std::pair<ServiceId, ZoneId>, double> sums;
+    for (const auto &upstream : table.upstreams()) {
+        if (upstream.state == UpstreamState::Active) {
+            sums[{ upstream.service, upstream.zone }] += upstream.slots;
         }
     }
-    const auto &zones = table.zonesOf(service);
-    std::vector<RendezvousNode> nodes;
-    nodes.reserve(zones.size());
-    for (const auto zone : zones) {
-        nodes.push_back({ zone.value(), activeSlots(table, service, zone) });
+    std::vector<ZoneSlots> zones;
+    zones.reserve(sums.size());
+    for (const auto &[place, slots] : sums) {
+        zones.push_back({ place.first, place.second, slots });
+    }
+    return zones;
+}
+
+auto isActive(const std::vector<ZoneSlots> &zones, ServiceId service, ZoneId zone) -> bool
+{
+    const auto [first, last] =
+            std::equal_range(zones.begin(), zones.end(), service, ServiceOrder {});
+    return std::any_of(first, last, [zone](const auto &entry) { return entry.zone == zone; });
+}
+
+auto zoneOfKey(const std::vector<ZoneSlots> &zones, ServiceId service, std::string_view key)
+        -> ZoneId
+{
+    const auto zoneName = keyZoneNameOf(key);
+    if (!zoneName.empty() && isActive(zones, service, ZoneId::ofName(zoneName))) {
+        return ZoneId::ofName(zoneName);
     }
+    const auto [first, last] =
+            std::equal_range(zones.begin(), zones.end(), service, ServiceOrder {});
+    std::vector<RendezvousNode> nodes;
+    nodes.reserve(static_cast<std::size_t>(last - first));
+    std::transform(first, last, std::back_inserter(nodes), [](const auto &entry) {
+        return RendezvousNode { entry.zone.value(), entry.slots };
+    });
     const auto winner = rendezvousPick(hashName(key), nodes);
-    return winner == rendezvousNone ? ZoneId() : zones[winner];
+    return winner == rendezvousNone ? ZoneId() : ZoneId(nodes[winner].id);
+}
+
+auto zoneOfKey(const Table &table, ServiceId service, std::string_view key) -> ZoneId
+{
+    return zoneOfKey(activeZones(table), service, key);
 }
 
 } // namespace flamingograde
--- a/src/core/memberrecord.h
+++ b/src/core/memberrecord.h
@@ -13,17 +13,18 @@
 struct MemberRecord
 {
     Member member;
-    MonoTime changed;           ///< When its state or incarnation last changed.
-    MonoTime heard;             ///< When it last sent anything; when it was added, before that.
-    MonoTime acked;             ///< When the newest probe that it answered was sent.
-    MonoTime vouched;           ///< When another host last said that it reaches it.
-    MonoTime unansweredSince;   ///< Since when it does not answer this host, if `unanswered`.
-    MonoTime nextDial;          ///< Not dialled before this.
-    MonoTime nextIndirect;      ///< Others are not asked about it before this.
-    Duration backoff { 0 };     ///< Pause after the next failed dial.
-    Revision revision;          ///< Its table, as it last said.
-    std::uint32_t refusals = 0; ///< Refused dials in a row.
-    std::uint32_t tellings = 0; ///< How often its last change is still to be gossiped.
+    MonoTime changed;             ///< When its state or incarnation last changed.
+    MonoTime heard;               ///< When it last sent anything; when it was added, before that.
+    MonoTime acked;               ///< When the newest probe that it answered was sent.
+    MonoTime vouched;             ///< When another host last said that it reaches it.
+    MonoTime unansweredSince;     ///< Since when it does not answer this host, if `unanswered`.
+    MonoTime nextDial;            ///< Not dialled before this.
+    MonoTime nextIndirect;        ///< Others are not asked about it before this.
+    Duration backoff { 0 };       ///< Pause after the next failed dial.
+    Revision revision;            ///< Its table, as it last said.
+    std::uint64_t placements = 0; ///< Digest of its placements of keys, as it last said.
+    std::uint32_t refusals = 0;   ///< Refused dials in a row.
+    std::uint32_t tellings = 0;   ///< How often its last change is still to be gossiped.
     bool everHeard = false;
     bool connected = false;
     bool listed = false;     ///< In the platform's last host list.
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -57,6 +57,18 @@
     return PlaceHere { cell };
 }
 
+auto zoneNameOf(const Blackboard &board, CellId cell) -> std::string
+{
+    const auto &indices = board.table().upstreamsOf(cell);
+    return indices.empty() ? std::string() : board.table().upstreams()[indices.front()].zoneName;
+}
+
+auto placementOfKey(const Blackboard &board, ServiceId service, const std::string &key,
+                    std::optional<WallTime> birth) -> KeyPlacement
+{
+    return board.config.placements.find({ service, key, birth, board.now.wall });
+}
+
 auto isOpenFor(const Blackboard &board, UpstreamId upstream, ServiceId service) -> bool
 {
     const auto *entry = board.table().upstream(upstream);
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -1,10 +1,15 @@
 /// Where an exchange goes from its entry host.
 #pragma once
 
+#include "core/placementhistory.h"
+
+#include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
 #include <flamingograde/refusal.h>
 
 #include <cstddef>
+#include <optional>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -61,6 +66,14 @@
 /// Returns the zone and home of `cell` in `zone` as a placement of this host.
 [[nodiscard]] auto placeInZone(const Blackboard &board, ServiceId service, ZoneId zone) -> Placed;
 
+/// Returns the name of the zone of `cell`; empty where the table does not have the cell.
+[[nodiscard]] auto zoneNameOf(const Blackboard &board, CellId cell) -> std::string;
+
+/// Returns where `key` of `service` is run, by the table of the time of its `birth`.
+[[nodiscard]] auto placementOfKey(const Blackboard &board, ServiceId service,
+                                  const std::string &key, std::optional<WallTime> birth)
+        -> KeyPlacement;
+
 /// Returns whether `upstream` may take new work of `service` now.
 [[nodiscard]] auto isOpenFor(const Blackboard &board, UpstreamId upstream, ServiceId service)
         -> bool;
--- a/src/core/steeringcontroller.cpp
+++ b/src/core/steeringcontroller.cpp
@@ -3,6 +3,7 @@
 
 #include "core/blackboard.h"
 #include "core/dispatch.h"
+#include "core/idempotencykey.h"
 #include "core/overloaded.h"
 #include "core/refuse.h"
 
@@ -27,12 +28,10 @@
     if (!exchange.ownKey) {
         return;
     }
-    const auto &indices = board.table().upstreamsOf(cell);
-    if (indices.empty()) {
-        return;
+    const auto zoneName = zoneNameOf(board, cell);
+    if (!zoneName.empty()) {
+        exchange.key = keyInZone(zoneName, exchange.key);
     }
-    const auto uuid = exchange.key.substr(exchange.key.rfind('.') + 1);
-    exchange.key = board.table().upstreams()[indices.front()].zoneName + '.' + uuid;
 }
 
 auto relay(Blackboard &board, Exchange &exchange, const Row &row, const PlaceAt &place) -> void
--- a/src/core/tableadoption.cpp
+++ b/src/core/tableadoption.cpp
@@ -2,8 +2,8 @@
 #include "core/tableadoption.h"
 
 #include "core/blackboard.h"
+#include "core/keyplacement.h"
 
-#include <algorithm>
 #include <map>
 #include <set>
 
@@ -11,9 +11,6 @@
 
 namespace {
 
-/// Most tables remembered for the placement of keys.
-constexpr std::size_t pastTablesMax = 16;
-
 /// Opens and closes the addresses in which two tables differ.
 auto moveListeners(Blackboard &board, const Table &before, const Table &after) -> void
 {
@@ -61,38 +58,24 @@
     return until;
 }
 
-/// Remembers the table in force as a past one and forgets those that no key can depend on.
-auto keepPast(Blackboard &board, Revision next) -> void
-{
-    auto &past = board.config.past;
-    const auto known = board.config.revision.isValid();
-    past.push_back({ known ? board.config.table : nullptr, next, {}, board.now.wall });
-    const auto oldest = board.now.wall - config::keyLifetime;
-    const auto isOver = [oldest](const auto &entry) { return entry.left && *entry.left < oldest; };
-    past.erase(std::remove_if(past.begin(), past.end(), isOver), past.end());
-    if (past.size() > pastTablesMax) {
-        past.erase(past.begin());
-        past.front().table = nullptr;
-    }
-}
-
 } // namespace
 
-auto adoptTable(Blackboard &board, Table table, Revision revision, const std::string &text) -> void
+auto adoptTable(Blackboard &board, Table table, const TableSource &source) -> void
 {
     const auto before = board.config.table;
     const auto after = std::make_shared<const Table>(std::move(table));
     board.config.quarantinedUntil = quarantineOf(board, *before, *after);
-    keepPast(board, revision);
     board.config.table = after;
-    board.config.revision = revision;
-    board.config.text = text;
-    board.config.digest = hashName(text);
-    board.stats.revision = revision.number;
+    board.config.revision = source.revision;
+    board.config.text = source.text;
+    board.config.published = source.published;
+    board.config.digest = hashName(source.text);
+    board.config.placements.merge(
+            { { source.revision, source.published, activeZones(*after), {} } }, board.now.wall);
+    board.stats.revision = source.revision.number;
     ++board.stats.tablesAccepted;
-    board.config.noteSettled(board.config.settled, board.now.wall);
     moveListeners(board, *before, *after);
-    board.log(LogEvent::TableAccepted, "revision " + std::to_string(revision.number));
+    board.log(LogEvent::TableAccepted, "revision " + std::to_string(source.revision.number));
 }
 
 } // namespace flamingograde
--- a/src/table/servicediff.cpp
+++ b/src/table/servicediff.cpp
@@ -37,10 +37,12 @@
 /// Returns the share of idempotency keys that another zone runs; measured on a sample.
 auto movedKeys(const Table &before, const Table &after, ServiceId service) -> double
 {
+    const auto oldZones = activeZones(before);
+    const auto newZones = activeZones(after);
     std::size_t moved = 0;
     for (std::size_t i = 0; i < sampleKeys; ++i) {
         const auto key = "sample-" + std::to_string(i);
-        if (zoneOfKey(before, service, key) != zoneOfKey(after, service, key)) {
+        if (zoneOfKey(oldZones, service, key) != zoneOfKey(newZones, service, key)) {
             ++moved;
         }
     }
--- a/src/wire/messagecodec.cpp
+++ b/src/wire/messagecodec.cpp
@@ -22,10 +22,12 @@
 
 using Json = nlohmann::json;
 
-constexpr std::size_t depthMax = 8;     ///< Deeper nesting is no message.
-constexpr std::size_t listMax = 100000; ///< Longer lists are no message.
-constexpr std::size_t memberFields = 8; ///< Entries of a member's list.
-constexpr std::size_t loadFields = 4;   ///< Entries of a load's list.
+constexpr std::size_t depthMax = 8;        ///< Deeper nesting is no message.
+constexpr std::size_t listMax = 100000;    ///< Longer lists are no message.
+constexpr std::size_t memberFields = 8;    ///< Entries of a member's list.
+constexpr std::size_t loadFields = 4;      ///< Entries of a load's list.
+constexpr std::size_t zoneFields = 3;      ///< Entries of a list of active slots.
+constexpr std::size_t placementFields = 4; ///< Entries of a placement's list.
 constexpr std::uint64_t max32 = std::numeric_limits<std::uint32_t>::max();
 constexpr std::uint64_t max16 = std::numeric_limits<std::uint16_t>::max();
 
@@ -56,7 +58,8 @@
     Json map = { { "r", gossip.revision.number },
                  { "d", gossip.tableDigest },
                  { "a", gossip.platformAgeMs },
-                 { "s", gossip.settled.number } };
+                 { "p", gossip.placements },
+                 { "s", gossip.agreed } };
     if (!gossip.updates.empty()) {
         auto &updates = map["u"] = Json::array();
         for (const auto &member : gossip.updates) {
@@ -72,6 +75,26 @@
     return map;
 }
 
+auto packTime(WallTime time) -> std::int64_t
+{
+    return time.time_since_epoch().count();
+}
+
+/// Of a placement that is not agreed the time is missing.
+auto pack(const TablePlacement &placement) -> Json
+{
+    auto zones = Json::array();
+    for (const auto &zone : placement.zones) {
+        zones.push_back({ zone.service.value(), zone.zone.value(),
+                          static_cast<std::uint64_t>(zone.slots) });
+    }
+    auto agreed = Json::array();
+    if (placement.agreed) {
+        agreed.push_back(packTime(*placement.agreed));
+    }
+    return Json::array({ placement.revision.number, packTime(placement.published), agreed, zones });
+}
+
 auto pack(const Hello &message) -> Json
 {
     return { { "m", pack(message.self) }, { "g", pack(message.gossip) } };
@@ -104,7 +127,14 @@
 
 auto pack(const TableBody &message) -> Json
 {
-    return { { "r", message.revision.number }, { "x", message.text } };
+    Json map = { { "r", message.revision.number },
+                 { "x", message.text },
+                 { "b", packTime(message.published) } };
+    auto &placements = map["p"] = Json::array();
+    for (const auto &placement : message.placements) {
+        placements.push_back(pack(placement));
+    }
+    return map;
 }
 
 auto pack(const ClaimRequest &message) -> Json
@@ -173,6 +203,41 @@
              static_cast<std::uint32_t>(reader.number(at[3], max32)) };
 }
 
+auto unpackTime(WireReader &reader, const Json &value) -> WallTime
+{
+    return WallTime(Duration(reader.signedNumber(value)));
+}
+
+auto unpackZone(WireReader &reader, const Json &value) -> ZoneSlots
+{
+    const auto *fields = reader.tuple(value, zoneFields);
+    if (fields == nullptr) {
+        return {};
+    }
+    const auto &at = *fields;
+    return { ServiceId(reader.number(at[0])), ZoneId(reader.number(at[1])),
+             static_cast<double>(reader.number(at[2], max32)) };
+}
+
+auto unpackPlacement(WireReader &reader, const Json &value) -> TablePlacement
+{
+    TablePlacement placement;
+    const auto *fields = reader.tuple(value, placementFields);
+    if (fields == nullptr) {
+        return placement;
+    }
+    const auto &at = *fields;
+    placement.revision = { reader.number(at[0]) };
+    placement.published = unpackTime(reader, at[1]);
+    for (const auto &agreed : reader.list(at[2], 1)) {
+        placement.agreed = unpackTime(reader, agreed);
+    }
+    for (const auto &zone : reader.list(at[3], config::placementCellsMax)) {
+        placement.zones.push_back(unpackZone(reader, zone));
+    }
+    return placement;
+}
+
 auto unpackGossip(WireReader &reader, const Json &map) -> Gossip
 {
     Gossip gossip;
@@ -183,7 +248,8 @@
     gossip.revision = { reader.number(reader.field(map, "r")) };
     gossip.tableDigest = reader.number(reader.field(map, "d"));
     gossip.platformAgeMs = static_cast<std::uint32_t>(reader.number(reader.field(map, "a"), max32));
-    gossip.settled = { reader.number(reader.field(map, "s")) };
+    gossip.placements = reader.number(reader.field(map, "p"));
+    gossip.agreed = reader.flag(reader.field(map, "s"));
     if (map.contains("u")) {
         for (const auto &entry : reader.list(map["u"], listMax)) {
             gossip.updates.push_back(unpackMember(reader, entry));
@@ -237,6 +303,10 @@
 {
     message.revision = { reader.number(reader.field(map, "r")) };
     message.text = reader.text(reader.field(map, "x"), config::tableBytesMax);
+    message.published = unpackTime(reader, reader.field(map, "b"));
+    for (const auto &entry : reader.list(reader.field(map, "p"), config::placementTablesMax)) {
+        message.placements.push_back(unpackPlacement(reader, entry));
+    }
 }
 
 auto unpack(WireReader &reader, const Json &map, ClaimRequest &message) -> void
--- a/tests/unit/cellhome.h
+++ b/tests/unit/cellhome.h
@@ -6,6 +6,7 @@
 #include "core/blackboard.h"
 #include "core/idempotencykey.h"
 #include "core/keycontroller.h"
+#include "core/keyplacement.h"
 #include "core/outcomecontroller.h"
 #include "core/upstreamcontroller.h"
 
@@ -83,6 +84,14 @@
         this->board.config.table =
                 std::make_shared<const Table>(this->rows, this->upstreams, std::vector<TokenKey>());
         ++this->board.config.revision.number;
+        auto &placements = this->board.config.placements;
+        const auto longAgo = this->board.now.wall - 2h;
+        placements.merge({ { this->board.config.revision,
+                             longAgo,
+                             activeZones(*this->board.config.table),
+                             {} } },
+                         this->board.now.wall);
+        placements.agree(longAgo);
         this->run(Tick {});
     }
 
--- a/tests/unit/configtest.cpp
+++ b/tests/unit/configtest.cpp
@@ -149,7 +149,16 @@
     const auto service = ServiceId::ofName("pack");
     const auto &config = fleet.board("c1").config;
     const auto before = config.table;
-    CHECK(config.keyPlacedSince(service, "k") < fleet.board("c1").now.wall);
+    // Of a key that is made when the table of the last edit places keys.
+    const auto since = [&](const std::string &host, const std::string &key) {
+        const auto &board = fleet.board(host);
+        const auto birth = board.now.wall + config::placementDelay;
+        return board.config.placements.find({ service, key, birth, board.now.wall }).since;
+    };
+    const auto isKnown = [&](const std::string &host, const std::string &key) {
+        return since(host, key) < fleet.board(host).now.wall;
+    };
+    CHECK(isKnown("c1", "k"));
     fleet.fault({ "a1", "a2" }, { "b1", "b2", "c1", "c2" }, LinkFault::Silent);
     fleet.platformDown = { "a1", "a2" };
     fleet.run(5s);
@@ -164,18 +173,21 @@
     for (int i = 0; !isMoved(moved) || isMoved(stayed); ++i) {
         (isMoved("k" + std::to_string(i)) ? moved : stayed) = "k" + std::to_string(i);
     }
-    CHECK(config.keyPlacedSince(service, moved) == ConfigState::neverPlaced);
-    CHECK(config.keyPlacedSince(service, stayed) < fleet.board("c1").now.wall);
+    CHECK(since("c1", moved) == PlacementHistory::never);
+    CHECK(isKnown("c1", stayed));
     fleet.kill("c2");
     fleet.start("c2");
     fleet.run(5s);
-    CHECK(fleet.board("c2").config.keyPlacedSince(service, stayed) == ConfigState::neverPlaced);
+    // A host that starts knows by the others which keys the edit moved.
+    CHECK(since("c2", moved) == PlacementHistory::never);
+    CHECK(isKnown("c2", stayed));
+    CHECK(since("c2", stayed) == since("c1", stayed));
     fleet.heal();
     fleet.platformDown.clear();
     fleet.run(5s);
-    CHECK(config.keyPlacedSince(service, moved) < fleet.board("c1").now.wall);
-    CHECK(config.keyPlacedSince(service, moved) > config.keyPlacedSince(service, stayed));
-    CHECK(fleet.board("c2").config.keyPlacedSince(service, moved) < fleet.board("c2").now.wall);
+    CHECK(isKnown("c1", moved));
+    CHECK(since("c1", moved) > since("c1", stayed));
+    CHECK(isKnown("c2", moved));
     CHECK(fleet.faults.empty());
 }
 
--- a/tests/unit/messagecodectest.cpp
+++ b/tests/unit/messagecodectest.cpp
@@ -37,10 +37,22 @@
     gossip.revision = { 12 };
     gossip.tableDigest = ~0ULL;
     gossip.platformAgeMs = 1500;
-    gossip.settled = { 11 };
+    gossip.placements = ~0ULL - 1;
+    gossip.agreed = true;
     return gossip;
 }
 
+auto sampleBody(const std::string &text) -> TableBody
+{
+    const ZoneSlots zone { ServiceId(~0ULL), ZoneId(4), 28 };
+    const WallTime published(std::chrono::seconds(1764700000));
+    return { Revision { 12 },
+             text,
+             published,
+             { { Revision { 11 }, published, { zone, zone }, published + std::chrono::seconds(2) },
+               { Revision { 12 }, published, {}, {} } } };
+}
+
 auto samples() -> std::vector<Message>
 {
     return { Hello { sampleMember("auckland-1-a", MemberState::Leaving), sampleGossip() },
@@ -50,7 +62,7 @@
              PingRequest { 3, HostId(4) },
              PingReport { 3, HostId(4), true },
              TableRequest { Revision { 11 } },
-             TableBody { Revision { 12 }, std::string("a\0b\n", 4) },
+             sampleBody(std::string("a\0b\n", 4)),
              ClaimRequest { 5, { CellId(1), CellId(2) }, 6, { HostId(3) } },
              ClaimRequest {},
              ClaimGrant { 5, { CellId(1) }, { CellId(2), CellId(3) }, { CellId(2) } },
@@ -84,7 +96,8 @@
     CHECK(gossip.updates.size() == 2);
     CHECK(gossip.loads.back().queued == 4000000000U);
     CHECK(gossip.platformAgeMs == 1500);
-    CHECK(gossip.settled.number == 11);
+    CHECK(gossip.placements == ~0ULL - 1);
+    CHECK(gossip.agreed);
 
     const auto grant = decode(
             encode(ClaimGrant { 5, { CellId(1) }, { CellId(2), CellId(3) }, { CellId(2) } }));
--- a/tests/unit/virtualfleet.cpp
+++ b/tests/unit/virtualfleet.cpp
@@ -32,6 +32,7 @@
     : table(std::move(text))
 {
     this->clock = { MonoTime(Duration(100s)), startOfTime };
+    this->publishedAt[this->revision.number] = this->clock.mono;
     std::uint16_t port = 1;
     for (const auto &[name, zone] : names) {
         Init init;
@@ -71,14 +72,45 @@
 {
     this->table = std::move(text);
     ++this->revision.number;
+    this->publishedAt[this->revision.number] = this->clock.mono;
     for (std::size_t i = 0; i < this->hosts.size(); ++i) {
         if (this->blind.count(i) == 0 && this->hosts[i].watch) {
             this->hosts[i].watch.reset();
-            this->give(i, TableFetched { this->revision, this->table });
+            this->sendTable(i);
         }
     }
 }
 
+auto VirtualFleet::sendTable(std::size_t host) -> void
+{
+    const TableFetched fetched { this->revision, this->table, this->publishedWall() };
+    const auto delay = this->tableDelay(host, this->revision);
+    if (delay <= oneWay) {
+        return this->give(host, fetched);
+    }
+    this->later(delay, [=] { this->give(host, fetched); });
+}
+
+auto VirtualFleet::publishedWall() const -> std::optional<WallTime>
+{
+    const auto found = this->publishedAt.find(this->revision.number);
+    if (!this->tellsPublished || found == this->publishedAt.end()) {
+        return std::nullopt;
+    }
+    const auto exact = this->clock.wall - (this->clock.mono - found->second);
+    return std::chrono::floor<std::chrono::seconds>(exact);
+}
+
+auto VirtualFleet::tableDelay(std::size_t host, Revision of) const -> Duration
+{
+    const auto lag = this->tableLag.find(host);
+    const auto published = this->publishedAt.find(of.number);
+    if (lag == this->tableLag.end() || published == this->publishedAt.end()) {
+        return oneWay;
+    }
+    return std::max(oneWay, published->second + lag->second - this->clock.mono);
+}
+
 auto VirtualFleet::give(std::size_t host, Event event) -> void
 {
     if (this->hosts[host].dead) {
@@ -373,7 +405,9 @@
     if (this->isCut(host, to)) {
         return;
     }
-    this->later(oneWay, [=] {
+    const auto *body = std::get_if<TableBody>(&action.message);
+    const auto delay = body == nullptr ? oneWay : this->tableDelay(to, body->revision);
+    this->later(delay, [=] {
         this->give(to, PeerMessage { this->hosts[host].member.id, action.message });
     });
 }
@@ -393,7 +427,7 @@
         if (action.after == this->revision) {
             return this->give(host, TableUnchanged { this->revision });
         }
-        this->give(host, TableFetched { this->revision, this->table });
+        this->sendTable(host);
     });
 }
 
--- a/tests/unit/virtualfleet.h
+++ b/tests/unit/virtualfleet.h
@@ -93,6 +93,8 @@
     Duration serviceTime = std::chrono::milliseconds(20);
     std::set<std::size_t> blind; ///< Hosts that the platform does not answer.
     std::set<std::size_t> mute;  ///< Hosts cut off from all other hosts.
+    bool tellsPublished = true;  ///< The platform tells when a table was published, in seconds.
+    std::map<std::size_t, Duration> tableLag; ///< How much later a host gets each new table.
     std::vector<UpstreamRun> runs;
     std::vector<UpstreamRun> opened; ///< Feeds opened, in order.
     std::map<ExchangeId, UpstreamRun> feeds;
@@ -147,10 +149,16 @@
             -> bool;
     auto end(ExchangeId exchange) -> CallerResult &;
     [[nodiscard]] auto senderOf(ExchangeId exchange) const -> const Sender *;
+    /// Gives the table now published to `host`, late by its lag.
+    auto sendTable(std::size_t host) -> void;
+    [[nodiscard]] auto publishedWall() const -> std::optional<WallTime>;
+    /// Returns how long the table `revision` still takes to `host`; at least one way.
+    [[nodiscard]] auto tableDelay(std::size_t host, Revision revision) const -> Duration;
 
     std::vector<Host> hosts;
     std::string table;
     Revision revision { 1 };
+    std::map<std::uint64_t, MonoTime> publishedAt; ///< By revision.
     Now clock;
     std::priority_queue<Pending> pending;
     std::uint64_t order = 0;
