--- a/src/core/cellhomeplacement.cpp
+++ b/src/core/cellhomeplacement.cpp
@@ -76,7 +76,7 @@
             return !isOwnKeyPlaced(board, exchange, choice);
         });
     }
-    dropUnlessLast(choices, [](const CellChoice &choice) { return !choice.reachable; });
+    dropUnlessLast(choices, [](const CellChoice &choice) { return !choice.ready; });
     dropUnlessLast(choices,
                    [&](const CellChoice &choice) { return choice.cell == exchange.avoid; });
     return placeInZone(board, exchange.service, lessLoaded(board, choices).zone);
--- a/src/table/servicediff.cpp
+++ b/src/table/servicediff.cpp
@@ -90,8 +90,8 @@
     if (moved > 0) {
         changes.add(subject + ": about " + percentText(moved)
                             + " of its idempotency keys move to another zone",
-                    "a repeat of a request sent before the change may be answered \"unknown\"; "
-                    "change as few zones as can be at a time of little work");
+                    "a repeat of a request sent before the change may be answered \"unknown\" while "
+                    "a host is cut off; change as few zones as can be at a time of little work");
     }
 }
 
