--- a/src/core/configcontroller.cpp
+++ b/src/core/configcontroller.cpp
@@ -6,6 +6,7 @@
 #include "core/overloaded.h"
 #include "core/rendezvous.h"
 #include "core/tableadoption.h"
+#include "core/tablespread.h"
 
 #include <flamingograde/tableparser.h>
 
@@ -24,7 +25,6 @@
 constexpr Duration placementRequestPeriod = 500ms; ///< Between requests for placements.
 constexpr Duration startupHostPeriod = 500ms; ///< Period of the host list until it names this host.
 constexpr Duration startupReads = 10s;        ///< How long that period holds.
-constexpr std::size_t announcedMax = 16;      ///< Hosts told at once of a new table.
 
 /// The key under which the readers of a zone are drawn.
 const auto readerKey = hashName("platform reader");
@@ -50,42 +50,6 @@
     return Duration(draw(board.random));
 }
 
-/// Returns whether a dead host's process has surely ended: its machine refuses connections, while
-/// other hosts of its zone are reached.
-auto isGone(const Blackboard &board, const MemberRecord &record) -> bool
-{
-    return record.member.state == MemberState::Dead && record.refusals >= config::refusalsOfDead
-           && !board.membership.voters(record.member.zone).empty();
-}
-
-/// Returns whether this host would hear from a host that is at work.
-auto isHeardDirectly(const Blackboard &board, const MemberRecord &record) -> bool
-{
-    return board.membership.records().size() <= config::flatMembershipHosts || record.connected
-           || record.member.zone == board.init.self.zone;
-}
-
-/// Notes whether all hosts place keys as this one. A silent one may go on with an older table.
-auto reviewPlacements(Blackboard &board) -> void
-{
-    auto &placements = board.config.placements;
-    const auto now = board.now.mono;
-    placements.expire(board.now.wall);
-    if (placements.isAgreed() || !board.membership.knowsFleet(now)
-        || board.membership.isIsolated(now)) {
-        return;
-    }
-    const auto &records = board.membership.records();
-    const auto agrees = [&](const auto &entry) {
-        const auto &record = entry.second;
-        return entry.first == board.membership.self || record.placements == placements.digest()
-               || isGone(board, record) || !isHeardDirectly(board, record);
-    };
-    if (std::all_of(records.begin(), records.end(), agrees)) {
-        placements.agree(board.now.wall);
-    }
-}
-
 /// Sends a host what it lacks of the table and the placements of keys.
 auto sendTable(Blackboard &board, HostId host, Revision have) -> void
 {
@@ -98,20 +62,6 @@
     }
 }
 
-/// Tells hosts that have an older table of the one in force.
-auto announce(Blackboard &board) -> void
-{
-    std::size_t told = 0;
-    for (auto &[id, record] : board.membership.records()) {
-        if (told == announcedMax) {
-            return;
-        }
-        if (record.connected && record.revision < board.config.revision) {
-            told += sendPeer(board, id, Ping { 0, makeGossip(board, id) }) ? 1 : 0;
-        }
-    }
-}
-
 } // namespace
 
 auto ConfigController::handle(Blackboard &board, const Event &event) -> void
@@ -193,6 +143,7 @@
         }
         if (body->revision == board.config.revision) {
             board.config.placements.merge(body->placements, board.now.wall);
+            this->agreementTaken = board.config.placements.isAgreed();
         }
     }
 }
@@ -228,7 +179,9 @@
         if (gossip.agreed) {
             board.config.placements.agree(board.now.wall);
         }
-        return;
+        if (!gossip.agreed || this->agreementTaken) {
+            return;
+        }
     }
     if (board.now.mono >= this->nextPlacementRequest) {
         this->nextPlacementRequest = board.now.mono + placementRequestPeriod;
@@ -300,7 +253,7 @@
         return;
     }
     adoptTable(board, std::move(*parsed), source);
-    announce(board);
+    announceTable(board);
 }
 
 auto ConfigController::refuseTable(Blackboard &board, Revision revision, const Findings &findings)
--- a/src/core/configcontroller.h
+++ b/src/core/configcontroller.h
@@ -57,6 +57,7 @@
     Revision refused;              ///< The newest table that had findings.
     Revision conflicting;          ///< The last revision seen with two texts.
     Revision olderLogged;          ///< The last older revision that was logged.
+    bool agreementTaken = false;   ///< Another host told since when all agree on the placements.
     MonoTime nextPlacementRequest; ///< Placements are not asked for before this.
     MonoTime nextPeerRequest;      ///< A table asked of a host is waited for until then.
 };
--- a/src/core/keyplacement.cpp
+++ b/src/core/keyplacement.cpp
@@ -64,6 +64,14 @@
     return std::any_of(first, last, [zone](const auto &entry) { return entry.zone == zone; });
 }
 
+auto placesAlike(const std::vector<ZoneSlots> &a, const std::vector<ZoneSlots> &b,
+                 ServiceId service) -> bool
+{
+    const auto [firstA, lastA] = std::equal_range(a.begin(), a.end(), service, ServiceOrder {});
+    const auto [firstB, lastB] = std::equal_range(b.begin(), b.end(), service, ServiceOrder {});
+    return std::equal(firstA, lastA, firstB, lastB);
+}
+
 auto zoneOfKey(const std::vector<ZoneSlots> &zones, ServiceId service, std::string_view key)
         -> ZoneId
 {
--- a/src/core/keyplacement.h
+++ b/src/core/keyplacement.h
@@ -24,6 +24,12 @@
 [[nodiscard]] auto isActive(const std::vector<ZoneSlots> &zones, ServiceId service, ZoneId zone)
         -> bool;
 
+/// Returns whether two tables lead every key of `service` to the same zone.
+/// Precondition: both are sorted.
+/// @remarks Thread safe. May say no where they do.
+[[nodiscard]] auto placesAlike(const std::vector<ZoneSlots> &a, const std::vector<ZoneSlots> &b,
+                               ServiceId service) -> bool;
+
 /// Returns the zone in which `key` is run; a function of the active slots and the key alone, so
 /// that all hosts with one table agree. Invalid where the service has no active upstream.
 ///
--- a/src/core/placementhistory.cpp
+++ b/src/core/placementhistory.cpp
@@ -146,6 +146,21 @@
     return placed;
 }
 
+auto PlacementHistory::movedSince(ServiceId service, Revision told) const -> WallTime
+{
+    if (this->list.empty()) {
+        return never;
+    }
+    const auto &first = this->list.front();
+    auto since = told < first.revision ? first.agreed.value_or(never) : WallTime();
+    for (std::size_t i = 1; i < this->list.size(); ++i) {
+        if (!placesAlike(this->list[i - 1].zones, this->list[i].zones, service)) {
+            since = std::max(since, this->list[i].agreed.value_or(never));
+        }
+    }
+    return since;
+}
+
 auto PlacementHistory::merge(std::vector<TablePlacement> others, WallTime now) -> void
 {
     if (others.empty()) {
@@ -204,6 +219,12 @@
         --index;
     }
     const auto &moving = this->list[index];
+    // What the oldest table moved was told by the former home, if all know no older one either.
+    const auto time = question.birth.value_or(question.now);
+    if (index == 0 && moving.agreed && !(question.told < moving.revision)
+        && time >= placedFrom(moving)) {
+        return { zone, WallTime() };
+    }
     const auto agreed = moving.agreed.value_or(never);
     const auto isSwitched = index > 0 && !question.birth;
     return { zone, isSwitched ? std::max(agreed, placedFrom(moving)) : agreed };
--- a/src/core/placementhistory.h
+++ b/src/core/placementhistory.h
@@ -21,6 +21,7 @@
     const std::string &key;
     std::optional<WallTime> birth; ///< Of a key that has one.
     WallTime now;
+    Revision told = {}; ///< Moves of keys by tables up to this one are allowed for elsewhere.
 };
 
 /// Where a key is run.
@@ -48,6 +49,11 @@
     /// Returns where a key is run. Precondition: none.
     [[nodiscard]] auto find(const KeyQuestion &question) const -> KeyPlacement;
 
+    /// Returns the latest time, or a later one, before which a key of `service` may have been run
+    /// in another zone than that in which it is run now.
+    /// @param told as in `KeyQuestion`; for tables before the oldest one known.
+    [[nodiscard]] auto movedSince(ServiceId service, Revision told) const -> WallTime;
+
     /// Takes in placements: of a table that comes into force, or all that another host knows.
     ///
     /// A placement that was not known here before, or not in this order, is not agreed any more.
