--- a/src/core/keyfreshness.cpp
+++ b/src/core/keyfreshness.cpp
@@ -30,8 +30,9 @@
 
 auto isProvedBy(const Blackboard &board, const Exchange &exchange, const KnownFrom &told) -> bool
 {
-    const auto placed = board.config.keyPlacedSince(exchange.service, exchange.key, told.tables);
-    auto from = std::max(told.since, placed);
+    const auto placed = board.config.placements.find(
+            { exchange.service, exchange.key, exchange.keyBirth, board.now.wall, told.tables });
+    auto from = std::max(told.since, placed.since);
     if (exchange.keyBirth.has_value()) {
         from = std::max(from, board.keys.forgottenUntil(exchange.cell));
     }
@@ -43,10 +44,10 @@
     const auto since = std::max(known.since, board.keys.forgottenUntil(cell));
     const auto &upstreams = board.table().upstreamsOf(cell);
     if (upstreams.empty()) {
-        return { ConfigState::neverPlaced, {} };
+        return { PlacementHistory::never, {} };
     }
     const auto service = board.table().upstreams()[upstreams.front()].service;
-    const auto placed = board.config.placedSince(service, known.tables);
+    const auto placed = board.config.placements.movedSince(service, known.tables);
     return { std::max(since, placed), board.config.revision };
 }
 
--- a/src/core/keyplacement.cpp
+++ b/src/core/keyplacement.cpp
@@ -7,9 +7,28 @@
 #include <flamingograde/table.h>
 
 #include <algorithm>
+#include <map>
+#include <utility>
 
 namespace flamingograde {
 
+namespace {
+
+/// Orders the active slots by service only.
+struct ServiceOrder
+{
+    auto operator()(const ZoneSlots &entry, ServiceId service) const -> bool
+    {
+        return entry.service < service;
+    }
+    auto operator()(ServiceId service, const ZoneSlots &entry) const -> bool
+    {
+        return service < entry.service;
+    }
+};
+
+} // namespace
+
 auto activeSlots(const Table &table, ServiceId service, ZoneId zone) -> double
 {
     double slots = 0;
@@ -22,34 +41,58 @@
     return slots;
 }
 
-auto placesAlike(const Table &a, const Table &b, ServiceId service) -> bool
+auto activeZones(const Table &table) -> std::vector<ZoneSlots>
 {
-    const auto isAlike = [&](ZoneId zone) {
-        return activeSlots(a, service, zone) == activeSlots(b, service, zone);
-    };
-    const auto &ofA = a.zonesOf(service);
-    const auto &ofB = b.zonesOf(service);
-    return std::all_of(ofA.begin(), ofA.end(), isAlike)
-           && std::all_of(ofB.begin(), ofB.end(), isAlike);
+    std::map<std::pair<ServiceId, ZoneId>, double> sums;
+    for (const auto &upstream : table.upstreams()) {
+        if (upstream.state == UpstreamState::Active) {
+            sums[{ upstream.service, upstream.zone }] += upstream.slots;
+        }
+    }
+    std::vector<ZoneSlots> zones;
+    zones.reserve(sums.size());
+    for (const auto &[place, slots] : sums) {
+        zones.push_back({ place.first, place.second, slots });
+    }
+    return zones;
 }
 
-auto zoneOfKey(const Table &table, ServiceId service, std::string_view key) -> ZoneId
+auto isActive(const std::vector<ZoneSlots> &zones, ServiceId service, ZoneId zone) -> bool
+{
+    const auto [first, last] =
+            std::equal_range(zones.begin(), zones.end(), service, ServiceOrder {});
+    return std::any_of(first, last, [zone](const auto &entry) { return entry.zone == zone; });
+}
+
+auto placesAlike(const std::vector<ZoneSlots> &a, const std::vector<ZoneSlots> &b,
+                 ServiceId service) -> bool
+{
+    const auto [firstA, lastA] = std::equal_range(a.begin(), a.end(), service, ServiceOrder {});
+    const auto [firstB, lastB] = std::equal_range(b.begin(), b.end(), service, ServiceOrder {});
+    return std::equal(firstA, lastA, firstB, lastB);
+}
+
+auto zoneOfKey(const std::vector<ZoneSlots> &zones, ServiceId service, std::string_view key)
+        -> ZoneId
 {
     const auto zoneName = keyZoneNameOf(key);
-    if (!zoneName.empty()) {
-        const auto zone = ZoneId::ofName(zoneName);
-        if (activeSlots(table, service, zone) > 0) {
-            return zone;
-        }
+    if (!zoneName.empty() && isActive(zones, service, ZoneId::ofName(zoneName))) {
+        return ZoneId::ofName(zoneName);
     }
-    const auto &zones = table.zonesOf(service);
+    const auto [first, last] =
+            std::equal_range(zones.begin(), zones.end(), service, ServiceOrder {});
     std::vector<RendezvousNode> nodes;
-    nodes.reserve(zones.size());
-    for (const auto zone : zones) {
-        nodes.push_back({ zone.value(), activeSlots(table, service, zone) });
-    }
+    nodes.reserve(static_cast<std::size_t>(last - first));
+    std::transform(first, last, std::back_inserter(nodes), [](const auto &entry) {
+        return RendezvousNode { entry.zone.value(), entry.slots };
+    });
     const auto winner = rendezvousPick(hashName(key), nodes);
-    return winner == rendezvousNone ? ZoneId() : zones[winner];
+    return winner == rendezvousNone ? ZoneId() : ZoneId(nodes[winner].id);
+}
+
+auto zoneOfKey(const Table &table, ServiceId service, std::string_view key) -> ZoneId
+{
+    return zoneOfKey(activeZones(table), service, key);
 }
 
 } // namespace flamingograde
--- a/src/core/tablespread.cpp
+++ b/src/core/tablespread.cpp
@@ -42,22 +42,23 @@
     }
 }
 
-auto reviewSettled(Blackboard &board) -> void
+auto reviewPlacements(Blackboard &board) -> void
 {
-    const auto revision = board.config.revision;
+    auto &placements = board.config.placements;
     const auto now = board.now.mono;
-    if (!(board.config.settled < revision) || !board.membership.knowsFleet(now)
+    placements.expire(board.now.wall);
+    if (placements.isAgreed() || !board.membership.knowsFleet(now)
         || board.membership.isIsolated(now)) {
         return;
     }
     const auto &records = board.membership.records();
-    const auto hasIt = [&](const auto &entry) {
+    const auto agrees = [&](const auto &entry) {
         const auto &record = entry.second;
-        return entry.first == board.membership.self || !(record.revision < revision)
+        return entry.first == board.membership.self || record.placements == placements.digest()
                || isGone(board, record) || !isHeardDirectly(board, record);
     };
-    if (std::all_of(records.begin(), records.end(), hasIt)) {
-        board.config.noteSettled(revision, board.now.wall);
+    if (std::all_of(records.begin(), records.end(), agrees)) {
+        placements.agree(board.now.wall);
     }
 }
 
--- a/src/wire/messagedecoder.cpp
+++ b/src/wire/messagedecoder.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t listMax = 100000;    ///< Longer lists are no message.
 constexpr std::size_t memberFields = 8;    ///< Entries of a member's list.
 constexpr std::size_t loadFields = 4;      ///< Entries of a load's list.
+constexpr std::size_t zoneFields = 3;      ///< Entries of a list of active slots.
+constexpr std::size_t placementFields = 4; ///< Entries of a placement's list.
 constexpr std::size_t knowledgeFields = 4; ///< Entries of a cell's knowledge.
 constexpr std::size_t handedKeyFields = 3; ///< Entries of a handed key.
 constexpr std::uint64_t max32 = std::numeric_limits<std::uint32_t>::max();
@@ -65,6 +67,41 @@
              static_cast<std::uint32_t>(reader.number(at[3], max32)) };
 }
 
+auto unpackTime(WireReader &reader, const Json &value) -> WallTime
+{
+    return WallTime(Duration(reader.signedNumber(value)));
+}
+
+auto unpackZone(WireReader &reader, const Json &value) -> ZoneSlots
+{
+    const auto *fields = reader.tuple(value, zoneFields);
+    if (fields == nullptr) {
+        return {};
+    }
+    const auto &at = *fields;
+    return { ServiceId(reader.number(at[0])), ZoneId(reader.number(at[1])),
+             static_cast<double>(reader.number(at[2], max32)) };
+}
+
+auto unpackPlacement(WireReader &reader, const Json &value) -> TablePlacement
+{
+    TablePlacement placement;
+    const auto *fields = reader.tuple(value, placementFields);
+    if (fields == nullptr) {
+        return placement;
+    }
+    const auto &at = *fields;
+    placement.revision = { reader.number(at[0]) };
+    placement.published = unpackTime(reader, at[1]);
+    for (const auto &agreed : reader.list(at[2], 1)) {
+        placement.agreed = unpackTime(reader, agreed);
+    }
+    for (const auto &zone : reader.list(at[3], config::placementCellsMax)) {
+        placement.zones.push_back(unpackZone(reader, zone));
+    }
+    return placement;
+}
+
 auto unpackGossip(WireReader &reader, const Json &map) -> Gossip
 {
     Gossip gossip;
@@ -75,7 +112,8 @@
     gossip.revision = { reader.number(reader.field(map, "r")) };
     gossip.tableDigest = reader.number(reader.field(map, "d"));
     gossip.platformAgeMs = static_cast<std::uint32_t>(reader.number(reader.field(map, "a"), max32));
-    gossip.settled = { reader.number(reader.field(map, "s")) };
+    gossip.placements = reader.number(reader.field(map, "p"));
+    gossip.agreed = reader.flag(reader.field(map, "s"));
     if (map.contains("u")) {
         for (const auto &entry : reader.list(map["u"], listMax)) {
             gossip.updates.push_back(unpackMember(reader, entry));
@@ -129,6 +167,10 @@
 {
     message.revision = { reader.number(reader.field(map, "r")) };
     message.text = reader.text(reader.field(map, "x"), config::tableBytesMax);
+    message.published = unpackTime(reader, reader.field(map, "b"));
+    for (const auto &entry : reader.list(reader.field(map, "p"), config::placementTablesMax)) {
+        message.placements.push_back(unpackPlacement(reader, entry));
+    }
 }
 
 auto unpack(WireReader &reader, const Json &map, ClaimRequest &message) -> void
--- a/src/wire/messageencoder.cpp
+++ b/src/wire/messageencoder.cpp
@@ -39,7 +39,8 @@
     Json map = { { "r", gossip.revision.number },
                  { "d", gossip.tableDigest },
                  { "a", gossip.platformAgeMs },
-                 { "s", gossip.settled.number } };
+                 { "p", gossip.placements },
+                 { "s", gossip.agreed } };
     if (!gossip.updates.empty()) {
         auto &updates = map["u"] = Json::array();
         for (const auto &member : gossip.updates) {
@@ -55,6 +56,26 @@
     return map;
 }
 
+auto packTime(WallTime time) -> std::int64_t
+{
+    return time.time_since_epoch().count();
+}
+
+/// Of a placement that is not agreed the time is missing.
+auto pack(const TablePlacement &placement) -> Json
+{
+    auto zones = Json::array();
+    for (const auto &zone : placement.zones) {
+        zones.push_back({ zone.service.value(), zone.zone.value(),
+                          static_cast<std::uint64_t>(zone.slots) });
+    }
+    auto agreed = Json::array();
+    if (placement.agreed) {
+        agreed.push_back(packTime(*placement.agreed));
+    }
+    return Json::array({ placement.revision.number, packTime(placement.published), agreed, zones });
+}
+
 auto pack(const Hello &message) -> Json
 {
     return { { "m", pack(message.self) }, { "g", pack(message.gossip) } };
@@ -87,7 +108,14 @@
 
 auto pack(const TableBody &message) -> Json
 {
-    return { { "r", message.revision.number }, { "x", message.text } };
+    Json map = { { "r", message.revision.number },
+                 { "x", message.text },
+                 { "b", packTime(message.published) } };
+    auto &placements = map["p"] = Json::array();
+    for (const auto &placement : message.placements) {
+        placements.push_back(pack(placement));
+    }
+    return map;
 }
 
 auto pack(const ClaimRequest &message) -> Json
