Give free requests to the cell that was given least for its slots

Cause: keys spread over zones at random, so a cell's share strays from its slots, and two choices by stale loads do not even it out. Ruled out: letting keys move (at most once needs one place); no affinity of flows to upstreams (the rest of the imbalance, 1,000 flows bound at random, but it is kept by the design). Change: a host counts what it gave each cell; requests that are free to move go to the cell given least, unless its load is above two a slot.

--- a/include/flamingograde/config.h
+++ b/include/flamingograde/config.h
@@ -52,6 +52,8 @@
 
 // Exchanges.
 inline constexpr auto defaultDeadline       = 5000ms; ///< Deadline of a row that names none.
+inline constexpr double placedLagMax        = 50.0;   ///< Placements a slot that a cell which was away catches up on.
+inline constexpr double crowdedShare        = 2.0;    ///< Work for each slot from which a cell's load outweighs its share.
 inline constexpr std::size_t relayAttempts  = 3;      ///< Placements of one exchange, each provably not run before the next.
 inline constexpr auto placeRetryMin         = 250ms;  ///< First pause before an exchange is placed again; doubles.
 inline constexpr auto relayMargin           = 60ms;   ///< A home's deadline is earlier by this, so that its truer refusal comes in time.
--- a/src/core/blackboard.h
+++ b/src/core/blackboard.h
@@ -7,6 +7,7 @@
 #include "core/feedstore.h"
 #include "core/keyregistry.h"
 #include "core/membershipstate.h"
+#include "core/placedshares.h"
 #include "core/retrybudget.h"
 #include "core/stopstate.h"
 #include "core/tenurestate.h"
@@ -49,6 +50,7 @@
     FeedStore feeds;            ///< Feeds held.
     CellStore cells;            ///< Queues and slots of the cells this host is home of.
     KeyRegistry keys;           ///< Keys this host has run.
+    PlacedShares placed;        ///< What each cell was given by this host.
     UpstreamStore upstreams;    ///< What is known of upstreams beside the table.
     RetryBudget retryBudget;    ///< Retries still allowed.
     StopState stop;             ///< The orderly stop.
--- a/src/core/cellhomeplacement.cpp
+++ b/src/core/cellhomeplacement.cpp
@@ -5,6 +5,7 @@
 #include "core/idempotencykey.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace flamingograde {
 
@@ -45,6 +46,35 @@
     return choices[isSecondLess ? second : first];
 }
 
+/// Returns the choice that was given least for its slots, of those that are not crowded; the less
+/// loaded of two drawn ones where all are.
+auto leastPlaced(Blackboard &board, const std::vector<CellChoice> &choices) -> const CellChoice &
+{
+    const CellChoice *least = nullptr;
+    for (const auto &choice : choices) {
+        const auto isLess =
+                least == nullptr || board.placed.of(choice.cell) < board.placed.of(least->cell);
+        if (isLess && loadShare(board, choice) <= config::crowdedShare) {
+            least = &choice;
+        }
+    }
+    return least == nullptr ? lessLoaded(board, choices) : *least;
+}
+
+/// Counts a placement of `service` at `cell`.
+auto countPlaced(Blackboard &board, ServiceId service, CellId cell) -> void
+{
+    auto slots = 0.0;
+    auto least = std::numeric_limits<double>::max();
+    for (const auto &choice : cellChoices(board, service)) {
+        slots = choice.cell == cell ? choice.slots : slots;
+        least = std::min(least, board.placed.of(choice.cell));
+    }
+    if (slots > 0) {
+        board.placed.count(cell, slots, least);
+    }
+}
+
 /// Removes the choices for which `isBad` holds, unless that would leave none.
 template<typename Predicate>
 auto dropUnlessLast(std::vector<CellChoice> &choices, Predicate isBad) -> void
@@ -79,7 +109,7 @@
     dropUnlessLast(choices, [](const CellChoice &choice) { return !choice.ready; });
     dropUnlessLast(choices,
                    [&](const CellChoice &choice) { return choice.cell == exchange.avoid; });
-    return placeInZone(board, exchange.service, lessLoaded(board, choices).zone);
+    return placeInZone(board, exchange.service, leastPlaced(board, choices).zone);
 }
 
 auto placeByKey(const Blackboard &board, const Exchange &exchange) -> Placed
@@ -91,9 +121,8 @@
     return placeInZone(board, exchange.service, zone);
 }
 
-} // namespace
-
-auto CellHomePlacement::place(Blackboard &board, Exchange &exchange) const -> Placed
+/// Returns where `exchange` goes by key, by flow or by share.
+auto placeUncounted(Blackboard &board, Exchange &exchange) -> Placed
 {
     if (!exchange.idempotent && !exchange.ownKey) {
         return placeByKey(board, exchange);
@@ -108,4 +137,17 @@
     return placeByLoad(board, exchange);
 }
 
+} // namespace
+
+auto CellHomePlacement::place(Blackboard &board, Exchange &exchange) const -> Placed
+{
+    const auto placed = placeUncounted(board, exchange);
+    if (const auto *here = std::get_if<PlaceHere>(&placed)) {
+        countPlaced(board, exchange.service, here->cell);
+    } else if (const auto *there = std::get_if<PlaceAt>(&placed)) {
+        countPlaced(board, exchange.service, there->cell);
+    }
+    return placed;
+}
+
 } // namespace flamingograde
