--- a/src/table/servicediff.cpp
+++ b/src/table/servicediff.cpp
@@ -88,10 +88,11 @@
     }
     const auto moved = movedKeys(before, after, service);
     if (moved > 0) {
-        changes.add(subject + ": about " + percentText(moved)
-                            + " of its idempotency keys move to another zone",
-                    "a repeat of a request sent before the change may be answered \"unknown\" while "
-                    "a host is cut off; change as few zones as can be at a time of little work");
+        changes.add(
+                subject + ": about " + percentText(moved)
+                        + " of its idempotency keys move to another zone",
+                "a repeat of a request sent before the change may be answered \"unknown\" while "
+                "a host is cut off; change as few zones as can be at a time of little work");
     }
 }
 
