--- a/scripts/benchpage/capacity.py
+++ b/scripts/benchpage/capacity.py
@@ -1,4 +1,4 @@
-"""What the system takes at the size of letter 1, worked out from the measures."""
+"""What the system takes at the design size, worked out from the measures."""
 from .report import Core
 from .text import number, percent, seconds, size, table
 
