--- a/tests/unit/keymovetest.cpp
+++ b/tests/unit/keymovetest.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <array>
 #include <random>
 
@@ -244,7 +245,32 @@
     }
 }
 
-TEST_CASE("a zone that is cut off with an old table makes no key run twice", "[keymove]")
+TEST_CASE("a zone that goes on alone with an old table makes no key run twice", "[keymove]")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        INFO("seed " << seed);
+        Voting voting(seed, zonesTable({ 4, 4, 4 }));
+        voting.settle();
+        voting.fleet.split = { 0, 1 };
+        voting.fleet.blind = { 0, 1 };
+        voting.vote(1s);
+        voting.fleet.publish(zonesTable({ 1, 4, 4 }, { 3, 0, 0 }));
+        voting.vote(20s);
+        const auto before = voting.fleet.runs.size();
+        voting.fleet.publish(zonesTable({ 4, 1, 4 }, { 0, 3, 0 }));
+        voting.vote(20s);
+        const auto isAlone = [](const UpstreamRun &run) { return run.host < 2; };
+        const auto &runs = voting.fleet.runs;
+        const auto during = runs.begin() + static_cast<std::ptrdiff_t>(before);
+        CHECK(std::count_if(during, runs.end(), isAlone) > 100);
+        voting.fleet.split.clear();
+        voting.fleet.blind.clear();
+        voting.vote(10s);
+        CHECK(voting.tally().doubleRuns == 0);
+    }
+}
+
+TEST_CASE("a host that is cut off with an old table makes no key run twice", "[keymove]")
 {
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
         INFO("seed " << seed);
--- a/tests/unit/virtualfleet.cpp
+++ b/tests/unit/virtualfleet.cpp
@@ -215,7 +215,8 @@
 
 auto VirtualFleet::isCut(std::size_t a, std::size_t b) const -> bool
 {
-    return this->hosts[b].dead || this->mute.count(a) > 0 || this->mute.count(b) > 0;
+    const auto isSplit = this->split.count(a) != this->split.count(b);
+    return this->hosts[b].dead || isSplit || this->mute.count(a) > 0 || this->mute.count(b) > 0;
 }
 
 auto VirtualFleet::progress(std::size_t host, ExchangeId exchange, std::uint32_t attempt,
--- a/tests/unit/virtualfleet.h
+++ b/tests/unit/virtualfleet.h
@@ -94,7 +94,8 @@
     std::map<std::size_t, Duration> skews; ///< Of hosts' wall clocks against callers'.
     std::set<std::size_t> blind;           ///< Hosts that the platform does not answer.
     std::set<std::size_t> mute;            ///< Hosts cut off from all other hosts.
-    bool tellsPublished = true; ///< The platform tells when a table was published, in seconds.
+    std::set<std::size_t> split; ///< Hosts cut off from the others, but not from each other.
+    bool tellsPublished = true;  ///< The platform tells when a table was published, in seconds.
     std::map<std::size_t, Duration> tableLag; ///< How much later a host gets each new table.
     std::vector<UpstreamRun> runs;
     std::vector<UpstreamRun> opened; ///< Feeds opened, in order.
