Begin the direct loads when the host is home; refresh parts of a report

Change: a pause after the start; ladders by kind; named parts are replaced in a report that is there.

--- a/bench/fleet/directbench.cpp
+++ b/bench/fleet/directbench.cpp
@@ -12,12 +12,14 @@
 namespace {
 
 constexpr const char *upstreamName = "echo-z1-1";
+constexpr Millis calmTime { 3000 }; ///< Until the host is home of its cells.
 constexpr Millis latencyTime { 3000 };
 constexpr Millis stepTime { 1500 };
 constexpr Millis finishLimit { 30000 };
 constexpr double latencyRate = 500;
-constexpr double loneRate = 20; ///< So few that a host is idle between two requests.
-constexpr double firstRate = 8000;
+constexpr double loneRate = 20;       ///< So few that a host is idle between two requests.
+constexpr double firstRate = 8000;    ///< Of requests on kept connections.
+constexpr double firstNewRate = 2000; ///< Of requests on new connections.
 constexpr double rateFactor = 1.4;
 constexpr double lastRate = 120000;
 constexpr double sustainedShare = 0.98; ///< Of the requests that were due, answered.
@@ -58,6 +60,7 @@
                                    std::string(FLAMINGOGRADE_BENCH) + "/direct.toml")))
     {
         this->fleet.startHosts();
+        this->loop.runFor(calmTime);
     }
 
     [[nodiscard]] auto straight() -> std::string
@@ -99,12 +102,12 @@
                  { "ratio", ratios(through, straight) } };
     }
 
-    /// Raises the rate until it is not sustained in either of two tries.
+    /// Raises the rate from that of `plan` until it is not sustained in either of two tries.
     /// @returns the last rate that was.
     auto largestRate(LoadPlan plan) -> double
     {
         double sustained = 0;
-        for (plan.rate = firstRate; plan.rate <= lastRate; plan.rate *= rateFactor) {
+        for (; plan.rate <= lastRate; plan.rate *= rateFactor) {
             if (!this->isSustained(plan) && !this->isSustained(plan)) {
                 break;
             }
@@ -168,14 +171,14 @@
     progress.say("latency through a host over straight, p50: lone "
                  + measured["lone"]["ratio"]["p50"].dump() + ", steady "
                  + measured["steady"]["ratio"]["p50"].dump());
-    const auto most = run.largestRate({ reads, 0, stepTime });
-    const auto mostStraight = run.largestRate({ run.straight(), 0, stepTime });
+    const auto most = run.largestRate({ reads, firstRate, stepTime });
+    const auto mostStraight = run.largestRate({ run.straight(), firstRate, stepTime });
     measured["requests_per_second"] = { { "through", most },
                                         { "straight", mostStraight },
                                         { "ratio", most / mostStraight } };
     progress.say("requests a second through a host " + std::to_string(most) + ", straight "
                  + std::to_string(mostStraight));
-    measured["new_flows_per_second"] = run.largestRate({ reads, 0, stepTime, 0, 1 });
+    measured["new_flows_per_second"] = run.largestRate({ reads, firstNewRate, stepTime, 0, 1 });
     measured["new_feeds_per_second"] = run.feedsPerSecond();
     progress.say("new flows a second " + measured["new_flows_per_second"].dump() + ", feeds "
                  + measured["new_feeds_per_second"].dump());
--- a/bench/fleet/main.cpp
+++ b/bench/fleet/main.cpp
@@ -1,4 +1,5 @@
 /// Measures real hosts and writes a report. Usage: bench-fleet REPORT [PART...]
+/// With names of parts only these are measured, and replaced in a report that is there.
 #include "controlcost.h"
 #include "directbench.h"
 #include "feedbench.h"
@@ -41,6 +42,13 @@
     };
 }
 
+/// Returns the report in `file`; an empty one where there is none.
+auto readReport(const std::string &file) -> nlohmann::json
+{
+    std::ifstream in(file);
+    return in ? nlohmann::json::parse(in) : nlohmann::json::object();
+}
+
 /// Runs the parts called `names`, or all, and writes the report after each.
 auto run(harness::Loop &loop, const std::string &file, const std::vector<std::string> &names)
         -> void
@@ -53,7 +61,7 @@
             throw std::runtime_error("no part " + name);
         }
     }
-    nlohmann::json report = nlohmann::json::object();
+    auto report = names.empty() ? nlohmann::json::object() : readReport(file);
     for (const auto &part : parts) {
         const auto isNamed = std::find(names.begin(), names.end(), part.name) != names.end();
         if (names.empty() || isNamed) {
