--- a/scripts/benchpage/capacity.py
+++ b/scripts/benchpage/capacity.py
@@ -123,7 +123,8 @@
         ["control: loads of cells", f"in each message, for at most {CELLS_EACH} homed cells",
          f"2 x (`probeMessage/0/10` - `probeMessage/0/0`) x {PROBES} a second",
          size(control[1]) + "/s", "", ""],
-        ["control: edits", "the text of the part, whole, from a host that has it",
+        ["control: edits", "text of the part and placements of keys, whole, "
+         "from a host that has them",
          "`bench-fleet edits`: slope of bytes received x `parsePart` text x 6,200 a day",
          size(control[2]) + "/s", "", ""],
         ["control: restarts of others", "the whole member list with each new connection",
