--- a/bench/core/flow_bench.cpp
+++ b/bench/core/flow_bench.cpp
@@ -1,6 +1,6 @@
 /// Costs of steering: tokens, the rendezvous hash, and arrivals as a whole.
 #include "core/rendezvous.h"
-#include "core/token.h"
+#include "core/requests/token.h"
 
 #include <flamingograde/balancer.h>
 
--- a/bench/core/requestbench.cpp
+++ b/bench/core/requestbench.cpp
@@ -1,7 +1,7 @@
 /// Requests through a balancer that is the home of their cell: arrival, dispatch, head, answer.
 #include "benchhost.h"
 
-#include "core/idempotencykey.h"
+#include "core/keys/idempotencykey.h"
 
 #include <benchmark/benchmark.h>
 
--- a/bench/core/steeringbench.cpp
+++ b/bench/core/steeringbench.cpp
@@ -3,7 +3,7 @@
 #include "benchhost.h"
 
 #include "core/rendezvous.h"
-#include "core/token.h"
+#include "core/requests/token.h"
 
 #include <flamingograde/tableparser.h>
 
--- a/src/core/admissioncontroller.cpp
+++ b/src/core/admission/admissioncontroller.cpp
@@ -1,14 +1,14 @@
 /// Admits requests to the slots of the cells that this host is home of.
-#include "core/admissioncontroller.h"
+#include "core/admission/admissioncontroller.h"
 
+#include "core/admission/fairorder.h"
+#include "core/admission/timeneeded.h"
+#include "core/admission/waitestimate.h"
 #include "core/blackboard.h"
-#include "core/dispatch.h"
-#include "core/fairorder.h"
-#include "core/giveback.h"
-#include "core/refuse.h"
-#include "core/timeneeded.h"
-#include "core/upstreamchoice.h"
-#include "core/waitestimate.h"
+#include "core/homes/giveback.h"
+#include "core/placement/upstreamchoice.h"
+#include "core/requests/dispatch.h"
+#include "core/requests/refuse.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/fairorder.cpp
+++ b/src/core/admission/fairorder.cpp
@@ -1,7 +1,7 @@
 /// The order in which the rows of a cell are served: start-time fair queueing by weight.
-#include "core/fairorder.h"
+#include "core/admission/fairorder.h"
 
-#include "core/cell.h"
+#include "core/homes/cell.h"
 
 #include <algorithm>
 
--- a/src/core/rowqueue.h
+++ b/src/core/admission/rowqueue.h
@@ -1,7 +1,7 @@
 /// The requests of one row that wait in a cell.
 #pragma once
 
-#include "core/servicetime.h"
+#include "core/admission/servicetime.h"
 
 #include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
--- a/src/core/servicetime.cpp
+++ b/src/core/admission/servicetime.cpp
@@ -1,5 +1,5 @@
 /// How long requests of one kind take at their upstreams.
-#include "core/servicetime.h"
+#include "core/admission/servicetime.h"
 
 #include <flamingograde/config.h>
 
--- a/src/core/timeneeded.cpp
+++ b/src/core/admission/timeneeded.cpp
@@ -1,9 +1,9 @@
 /// Whether a deadline can be met, as far as measured times tell.
-#include "core/timeneeded.h"
+#include "core/admission/timeneeded.h"
 
+#include "core/admission/waitestimate.h"
 #include "core/blackboard.h"
-#include "core/upstreamchoice.h"
-#include "core/waitestimate.h"
+#include "core/placement/upstreamchoice.h"
 
 #include <algorithm>
 
--- a/src/core/waitestimate.cpp
+++ b/src/core/admission/waitestimate.cpp
@@ -1,7 +1,7 @@
 /// How long a waiting request will wait.
-#include "core/waitestimate.h"
+#include "core/admission/waitestimate.h"
 
-#include "core/cell.h"
+#include "core/homes/cell.h"
 
 #include <flamingograde/config.h>
 
--- a/src/core/waitestimate.h
+++ b/src/core/admission/waitestimate.h
@@ -1,7 +1,7 @@
 /// How long a waiting request will wait.
 #pragma once
 
-#include "core/upstreamchoice.h"
+#include "core/placement/upstreamchoice.h"
 
 #include <flamingograde/clock.h>
 
--- a/src/core/balancer.cpp
+++ b/src/core/balancer.cpp
@@ -5,7 +5,7 @@
 #include "core/controllers.h"
 #include "core/dump.h"
 #include "core/explain.h"
-#include "core/token.h"
+#include "core/requests/token.h"
 
 namespace flamingograde {
 
--- a/src/core/blackboard.h
+++ b/src/core/blackboard.h
@@ -1,17 +1,17 @@
 /// The state of a host. Controllers read and write it; none calls another.
 #pragma once
 
-#include "core/cellstore.h"
-#include "core/configstate.h"
-#include "core/exchangestore.h"
-#include "core/feedstore.h"
-#include "core/keyregistry.h"
-#include "core/membershipstate.h"
-#include "core/placedshares.h"
-#include "core/retrybudget.h"
-#include "core/stopstate.h"
-#include "core/tenurestate.h"
-#include "core/upstreamstore.h"
+#include "core/configuration/configstate.h"
+#include "core/feeds/feedstore.h"
+#include "core/homes/cellstore.h"
+#include "core/homes/tenurestate.h"
+#include "core/keys/keyregistry.h"
+#include "core/membership/membershipstate.h"
+#include "core/placement/placedshares.h"
+#include "core/requests/exchangestore.h"
+#include "core/requests/retrybudget.h"
+#include "core/stop/stopstate.h"
+#include "core/upstreams/upstreamstore.h"
 
 #include <flamingograde/action.h>
 #include <flamingograde/clock.h>
--- a/src/core/configcontroller.cpp
+++ b/src/core/configuration/configcontroller.cpp
@@ -1,12 +1,12 @@
 /// When to read the platform, what to ask of other hosts, and which table to take.
-#include "core/configcontroller.h"
+#include "core/configuration/configcontroller.h"
 
 #include "core/blackboard.h"
-#include "core/gossip.h"
+#include "core/configuration/tableadoption.h"
+#include "core/configuration/tablespread.h"
+#include "core/membership/gossip.h"
 #include "core/overloaded.h"
 #include "core/rendezvous.h"
-#include "core/tableadoption.h"
-#include "core/tablespread.h"
 
 #include <flamingograde/tableparser.h>
 
--- a/src/core/configstate.cpp
+++ b/src/core/configuration/configstate.cpp
@@ -1,5 +1,5 @@
 /// Questions on the table in force and its forerunners.
-#include "core/configstate.h"
+#include "core/configuration/configstate.h"
 
 #include <algorithm>
 
--- a/src/core/configstate.h
+++ b/src/core/configuration/configstate.h
@@ -1,7 +1,7 @@
 /// The table in force.
 #pragma once
 
-#include "core/placementhistory.h"
+#include "core/keys/placementhistory.h"
 
 #include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
--- a/src/core/tableadoption.cpp
+++ b/src/core/configuration/tableadoption.cpp
@@ -1,8 +1,8 @@
 /// What changes in a host when another table comes into force.
-#include "core/tableadoption.h"
+#include "core/configuration/tableadoption.h"
 
 #include "core/blackboard.h"
-#include "core/keyplacement.h"
+#include "core/keys/keyplacement.h"
 
 #include <map>
 #include <set>
--- a/src/core/tablespread.cpp
+++ b/src/core/configuration/tablespread.cpp
@@ -1,8 +1,8 @@
 /// Who has the table in force, and who is to be told of it.
-#include "core/tablespread.h"
+#include "core/configuration/tablespread.h"
 
 #include "core/blackboard.h"
-#include "core/gossip.h"
+#include "core/membership/gossip.h"
 
 #include <algorithm>
 
--- a/src/core/controllers.h
+++ b/src/core/controllers.h
@@ -1,17 +1,17 @@
 /// The controllers in the order in which they run.
 #pragma once
 
-#include "core/admissioncontroller.h"
-#include "core/arrivalcontroller.h"
-#include "core/configcontroller.h"
-#include "core/feedcontroller.h"
-#include "core/keycontroller.h"
-#include "core/membershipcontroller.h"
-#include "core/outcomecontroller.h"
-#include "core/steeringcontroller.h"
-#include "core/stopcontroller.h"
-#include "core/tenurecontroller.h"
-#include "core/upstreamcontroller.h"
+#include "core/admission/admissioncontroller.h"
+#include "core/configuration/configcontroller.h"
+#include "core/feeds/feedcontroller.h"
+#include "core/homes/tenurecontroller.h"
+#include "core/keys/keycontroller.h"
+#include "core/membership/membershipcontroller.h"
+#include "core/placement/steeringcontroller.h"
+#include "core/requests/arrivalcontroller.h"
+#include "core/requests/outcomecontroller.h"
+#include "core/stop/stopcontroller.h"
+#include "core/upstreams/upstreamcontroller.h"
 
 #include <flamingograde/event.h>
 
--- a/src/core/dump.cpp
+++ b/src/core/dump.cpp
@@ -2,8 +2,8 @@
 #include "core/dump.h"
 
 #include "core/blackboard.h"
-#include "core/celldump.h"
 #include "core/hexid.h"
+#include "core/homes/celldump.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/core/explain.cpp
+++ b/src/core/explain.cpp
@@ -2,11 +2,11 @@
 #include "core/explain.h"
 
 #include "core/blackboard.h"
-#include "core/feedplacement.h"
+#include "core/feeds/feedplacement.h"
 #include "core/hexid.h"
-#include "core/idempotencykey.h"
-#include "core/placement.h"
-#include "core/token.h"
+#include "core/keys/idempotencykey.h"
+#include "core/placement/placement.h"
+#include "core/requests/token.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/core/feedcontroller.cpp
+++ b/src/core/feeds/feedcontroller.cpp
@@ -1,12 +1,12 @@
 /// Opens, reopens and ends feeds.
-#include "core/feedcontroller.h"
+#include "core/feeds/feedcontroller.h"
 
-#include "core/answermeaning.h"
 #include "core/blackboard.h"
-#include "core/feedplacement.h"
+#include "core/feeds/feedplacement.h"
 #include "core/overloaded.h"
-#include "core/refuse.h"
-#include "core/token.h"
+#include "core/requests/answermeaning.h"
+#include "core/requests/refuse.h"
+#include "core/requests/token.h"
 
 #include <algorithm>
 
--- a/src/core/feedplacement.cpp
+++ b/src/core/feeds/feedplacement.cpp
@@ -1,8 +1,8 @@
 /// Places feeds by weighted rendezvous of their flow, bounded by quotas.
-#include "core/feedplacement.h"
+#include "core/feeds/feedplacement.h"
 
 #include "core/blackboard.h"
-#include "core/placement.h"
+#include "core/placement/placement.h"
 #include "core/rendezvous.h"
 
 #include <algorithm>
--- a/src/core/feedstore.cpp
+++ b/src/core/feeds/feedstore.cpp
@@ -1,5 +1,5 @@
 /// The feeds held, by id, by upstream and by the time at which they are to be opened again.
-#include "core/feedstore.h"
+#include "core/feeds/feedstore.h"
 
 namespace flamingograde {
 
--- a/src/core/feedstore.h
+++ b/src/core/feeds/feedstore.h
@@ -1,7 +1,7 @@
 /// The feeds held by this host.
 #pragma once
 
-#include "core/feed.h"
+#include "core/feeds/feed.h"
 
 #include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
--- a/src/core/cell.h
+++ b/src/core/homes/cell.h
@@ -1,8 +1,8 @@
 /// One service's upstreams in one zone, as their home sees them.
 #pragma once
 
-#include "core/rowqueue.h"
-#include "core/runningrequest.h"
+#include "core/admission/rowqueue.h"
+#include "core/requests/runningrequest.h"
 
 #include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
--- a/src/core/celldump.cpp
+++ b/src/core/homes/celldump.cpp
@@ -1,5 +1,5 @@
 /// Writes queues, slots and health of upstreams as JSON.
-#include "core/celldump.h"
+#include "core/homes/celldump.h"
 
 #include "core/blackboard.h"
 
--- a/src/core/cellstore.cpp
+++ b/src/core/homes/cellstore.cpp
@@ -1,5 +1,5 @@
 /// The queues and slots of the cells that this host is home of, and hints of others' loads.
-#include "core/cellstore.h"
+#include "core/homes/cellstore.h"
 
 #include <flamingograde/config.h>
 #include <flamingograde/table.h>
--- a/src/core/cellstore.h
+++ b/src/core/homes/cellstore.h
@@ -1,8 +1,8 @@
 /// The queues and slots of the cells that this host is home of, and hints of others' loads.
 #pragma once
 
-#include "core/cell.h"
-#include "core/runningrequest.h"
+#include "core/homes/cell.h"
+#include "core/requests/runningrequest.h"
 
 #include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
--- a/src/core/claimant.cpp
+++ b/src/core/homes/claimant.cpp
@@ -1,8 +1,8 @@
 /// Claims, their requests and their votes.
-#include "core/claimant.h"
+#include "core/homes/claimant.h"
 
 #include "core/blackboard.h"
-#include "core/gossip.h"
+#include "core/membership/gossip.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/core/claimant.h
+++ b/src/core/homes/claimant.h
@@ -1,7 +1,7 @@
 /// Claims cells of the zone for this host.
 #pragma once
 
-#include "core/claim.h"
+#include "core/homes/claim.h"
 
 #include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
--- a/src/core/giveback.cpp
+++ b/src/core/homes/giveback.cpp
@@ -1,8 +1,8 @@
 /// What becomes of a request at a host that is not, or no longer, its cell's home.
-#include "core/giveback.h"
+#include "core/homes/giveback.h"
 
 #include "core/blackboard.h"
-#include "core/refuse.h"
+#include "core/requests/refuse.h"
 
 namespace flamingograde {
 
--- a/src/core/grantor.cpp
+++ b/src/core/homes/grantor.cpp
@@ -1,10 +1,10 @@
 /// Votes on claims.
-#include "core/grantor.h"
+#include "core/homes/grantor.h"
 
 #include "core/blackboard.h"
-#include "core/claimant.h"
-#include "core/gossip.h"
-#include "core/keyfreshness.h"
+#include "core/homes/claimant.h"
+#include "core/keys/keyfreshness.h"
+#include "core/membership/gossip.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/grantor.h
+++ b/src/core/homes/grantor.h
@@ -1,7 +1,7 @@
 /// Answers the claims of other hosts.
 #pragma once
 
-#include "core/handover.h"
+#include "core/homes/handover.h"
 
 #include <flamingograde/ids.h>
 #include <flamingograde/message.h>
--- a/src/core/handover.h
+++ b/src/core/homes/handover.h
@@ -1,7 +1,7 @@
 /// A cell that this host gives up.
 #pragma once
 
-#include "core/knownfrom.h"
+#include "core/homes/knownfrom.h"
 
 #include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
--- a/src/core/tenurecontroller.cpp
+++ b/src/core/homes/tenurecontroller.cpp
@@ -1,5 +1,5 @@
 /// When this host may be home of a cell, and when it must not be any more.
-#include "core/tenurecontroller.h"
+#include "core/homes/tenurecontroller.h"
 
 #include "core/blackboard.h"
 
--- a/src/core/tenurecontroller.h
+++ b/src/core/homes/tenurecontroller.h
@@ -1,8 +1,8 @@
 /// Makes one host at a time the home of each cell.
 #pragma once
 
-#include "core/claimant.h"
-#include "core/grantor.h"
+#include "core/homes/claimant.h"
+#include "core/homes/grantor.h"
 
 #include <flamingograde/event.h>
 #include <flamingograde/ids.h>
--- a/src/core/tenurestate.cpp
+++ b/src/core/homes/tenurestate.cpp
@@ -1,5 +1,5 @@
 /// Look-ups of the cells that this host is home of.
-#include "core/tenurestate.h"
+#include "core/homes/tenurestate.h"
 
 namespace flamingograde {
 
--- a/src/core/tenurestate.h
+++ b/src/core/homes/tenurestate.h
@@ -1,7 +1,7 @@
 /// The cells that this host is home of.
 #pragma once
 
-#include "core/knownfrom.h"
+#include "core/homes/knownfrom.h"
 
 #include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
--- a/src/core/idempotencykey.cpp
+++ b/src/core/keys/idempotencykey.cpp
@@ -1,5 +1,5 @@
 /// Reads and makes idempotency keys.
-#include "core/idempotencykey.h"
+#include "core/keys/idempotencykey.h"
 
 #include <flamingograde/config.h>
 
--- a/src/core/keycontroller.cpp
+++ b/src/core/keys/keycontroller.cpp
@@ -1,12 +1,12 @@
 /// Runs each idempotency key at most once.
-#include "core/keycontroller.h"
+#include "core/keys/keycontroller.h"
 
-#include "core/answermeaning.h"
 #include "core/blackboard.h"
-#include "core/giveback.h"
-#include "core/keyfreshness.h"
+#include "core/homes/giveback.h"
+#include "core/keys/keyfreshness.h"
 #include "core/overloaded.h"
-#include "core/refuse.h"
+#include "core/requests/answermeaning.h"
+#include "core/requests/refuse.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/keyfreshness.cpp
+++ b/src/core/keys/keyfreshness.cpp
@@ -1,5 +1,5 @@
 /// Whether a key that a home has not seen can have been run by anyone.
-#include "core/keyfreshness.h"
+#include "core/keys/keyfreshness.h"
 
 #include "core/blackboard.h"
 
--- a/src/core/keyplacement.cpp
+++ b/src/core/keys/keyplacement.cpp
@@ -1,7 +1,7 @@
 /// Places idempotency keys in zones by weighted rendezvous.
-#include "core/keyplacement.h"
+#include "core/keys/keyplacement.h"
 
-#include "core/idempotencykey.h"
+#include "core/keys/idempotencykey.h"
 #include "core/rendezvous.h"
 
 #include <flamingograde/table.h>
--- a/src/core/keyregistry.cpp
+++ b/src/core/keys/keyregistry.cpp
@@ -1,5 +1,5 @@
 /// The keys that this host has run as a home.
-#include "core/keyregistry.h"
+#include "core/keys/keyregistry.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/keyregistry.h
+++ b/src/core/keys/keyregistry.h
@@ -1,11 +1,11 @@
 /// The keys that this host has run as a home.
 #pragma once
 
-#include "core/inheritedkeys.h"
-#include "core/keyname.h"
-#include "core/keyrecord.h"
-#include "core/knownfrom.h"
-#include "core/pendinglookup.h"
+#include "core/homes/inheritedkeys.h"
+#include "core/homes/knownfrom.h"
+#include "core/keys/keyname.h"
+#include "core/keys/keyrecord.h"
+#include "core/keys/pendinglookup.h"
 
 #include <flamingograde/clock.h>
 #include <flamingograde/config.h>
--- a/src/core/placementhistory.cpp
+++ b/src/core/keys/placementhistory.cpp
@@ -1,7 +1,7 @@
 /// Places keys by the tables of the time when they were made.
-#include "core/placementhistory.h"
+#include "core/keys/placementhistory.h"
 
-#include "core/keyplacement.h"
+#include "core/keys/keyplacement.h"
 
 #include <flamingograde/config.h>
 
--- a/src/core/deathevidence.cpp
+++ b/src/core/membership/deathevidence.cpp
@@ -2,7 +2,7 @@
 ///
 /// Where a host is wrongly taken for dead, two hosts are home of its cells. It gives them up itself
 /// within `config::pauseThreshold` when it is cut off or paused, so nobody may take them earlier.
-#include "core/deathevidence.h"
+#include "core/membership/deathevidence.h"
 
 #include "core/blackboard.h"
 
--- a/src/core/dialer.cpp
+++ b/src/core/membership/dialer.cpp
@@ -1,5 +1,5 @@
 /// Whom to be connected with, and when to dial.
-#include "core/dialer.h"
+#include "core/membership/dialer.h"
 
 #include "core/blackboard.h"
 #include "core/rendezvous.h"
--- a/src/core/failuredetector.cpp
+++ b/src/core/membership/failuredetector.cpp
@@ -1,11 +1,11 @@
 /// Probes, indirect probes, suspicion and death.
-#include "core/failuredetector.h"
+#include "core/membership/failuredetector.h"
 
 #include "core/blackboard.h"
-#include "core/deathevidence.h"
-#include "core/dialer.h"
-#include "core/gossip.h"
-#include "core/membermerge.h"
+#include "core/membership/deathevidence.h"
+#include "core/membership/dialer.h"
+#include "core/membership/gossip.h"
+#include "core/membership/membermerge.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/core/gossip.cpp
+++ b/src/core/membership/gossip.cpp
@@ -1,5 +1,5 @@
 /// Chooses what messages to other hosts carry beside their purpose.
-#include "core/gossip.h"
+#include "core/membership/gossip.h"
 
 #include "core/blackboard.h"
 
--- a/src/core/membermerge.cpp
+++ b/src/core/membership/membermerge.cpp
@@ -1,9 +1,9 @@
 /// The precedence of what is said of members.
-#include "core/membermerge.h"
+#include "core/membership/membermerge.h"
 
 #include "core/blackboard.h"
-#include "core/deathevidence.h"
-#include "core/gossip.h"
+#include "core/membership/deathevidence.h"
+#include "core/membership/gossip.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/membermerge.h
+++ b/src/core/membership/membermerge.h
@@ -1,7 +1,7 @@
 /// How what is heard of a member changes what is known of it.
 #pragma once
 
-#include "core/memberrecord.h"
+#include "core/membership/memberrecord.h"
 
 #include <flamingograde/ids.h>
 #include <flamingograde/member.h>
--- a/src/core/membershipcontroller.cpp
+++ b/src/core/membership/membershipcontroller.cpp
@@ -1,9 +1,9 @@
 /// Events that concern the other hosts.
-#include "core/membershipcontroller.h"
+#include "core/membership/membershipcontroller.h"
 
 #include "core/blackboard.h"
-#include "core/gossip.h"
-#include "core/membermerge.h"
+#include "core/membership/gossip.h"
+#include "core/membership/membermerge.h"
 #include "core/overloaded.h"
 
 #include <vector>
--- a/src/core/membershipcontroller.h
+++ b/src/core/membership/membershipcontroller.h
@@ -1,8 +1,8 @@
 /// Knows which hosts of the fleet are at work.
 #pragma once
 
-#include "core/dialer.h"
-#include "core/failuredetector.h"
+#include "core/membership/dialer.h"
+#include "core/membership/failuredetector.h"
 
 #include <flamingograde/clock.h>
 #include <flamingograde/event.h>
--- a/src/core/membershipstate.cpp
+++ b/src/core/membership/membershipstate.cpp
@@ -1,5 +1,5 @@
 /// Look-ups over the members of the fleet.
-#include "core/membershipstate.h"
+#include "core/membership/membershipstate.h"
 
 #include "core/rendezvous.h"
 
--- a/src/core/membershipstate.h
+++ b/src/core/membership/membershipstate.h
@@ -1,7 +1,7 @@
 /// What is known of the other hosts.
 #pragma once
 
-#include "core/memberrecord.h"
+#include "core/membership/memberrecord.h"
 
 #include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
--- a/src/core/cellhomeplacement.cpp
+++ b/src/core/placement/cellhomeplacement.cpp
@@ -1,8 +1,8 @@
 /// Chooses a cell by key, by flow or by load.
-#include "core/cellhomeplacement.h"
+#include "core/placement/cellhomeplacement.h"
 
 #include "core/blackboard.h"
-#include "core/idempotencykey.h"
+#include "core/keys/idempotencykey.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/core/cellhomeplacement.h
+++ b/src/core/placement/cellhomeplacement.h
@@ -1,7 +1,7 @@
 /// Placement in cells that have one home each.
 #pragma once
 
-#include "core/placement.h"
+#include "core/placement/placement.h"
 
 namespace flamingograde {
 
--- a/src/core/leastloadedplacement.cpp
+++ b/src/core/placement/leastloadedplacement.cpp
@@ -1,5 +1,5 @@
 /// Baseline: placement by the own fewest requests.
-#include "core/leastloadedplacement.h"
+#include "core/placement/leastloadedplacement.h"
 
 #include "core/blackboard.h"
 
--- a/src/core/placedshares.cpp
+++ b/src/core/placement/placedshares.cpp
@@ -1,5 +1,5 @@
 /// Counts of placements by cell.
-#include "core/placedshares.h"
+#include "core/placement/placedshares.h"
 
 #include <flamingograde/config.h>
 
--- a/src/core/placement.cpp
+++ b/src/core/placement/placement.cpp
@@ -1,8 +1,8 @@
 /// What placement strategies share: the cells of a service and their homes.
-#include "core/placement.h"
+#include "core/placement/placement.h"
 
 #include "core/blackboard.h"
-#include "core/keyplacement.h"
+#include "core/keys/keyplacement.h"
 
 #include <algorithm>
 
--- a/src/core/placement.h
+++ b/src/core/placement/placement.h
@@ -1,7 +1,7 @@
 /// Where an exchange goes from its entry host.
 #pragma once
 
-#include "core/placementhistory.h"
+#include "core/keys/placementhistory.h"
 
 #include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
--- a/src/core/statichashplacement.cpp
+++ b/src/core/placement/statichashplacement.cpp
@@ -1,5 +1,5 @@
 /// Baseline: placement by a hash.
-#include "core/statichashplacement.h"
+#include "core/placement/statichashplacement.h"
 
 #include "core/blackboard.h"
 #include "core/rendezvous.h"
--- a/src/core/statichashplacement.h
+++ b/src/core/placement/statichashplacement.h
@@ -1,7 +1,7 @@
 /// Baseline: placement by a hash.
 #pragma once
 
-#include "core/placement.h"
+#include "core/placement/placement.h"
 
 namespace flamingograde {
 
--- a/src/core/steeringcontroller.cpp
+++ b/src/core/placement/steeringcontroller.cpp
@@ -1,11 +1,11 @@
 /// Places exchanges by the strategy in force.
-#include "core/steeringcontroller.h"
+#include "core/placement/steeringcontroller.h"
 
 #include "core/blackboard.h"
-#include "core/dispatch.h"
-#include "core/idempotencykey.h"
+#include "core/keys/idempotencykey.h"
 #include "core/overloaded.h"
-#include "core/refuse.h"
+#include "core/requests/dispatch.h"
+#include "core/requests/refuse.h"
 
 #include <algorithm>
 
--- a/src/core/steeringcontroller.h
+++ b/src/core/placement/steeringcontroller.h
@@ -1,11 +1,11 @@
 /// Decides where each request goes from its entry host.
 #pragma once
 
-#include "core/cellhomeplacement.h"
-#include "core/leastloadedplacement.h"
-#include "core/statichashplacement.h"
-#include "core/twochoicesplacement.h"
-#include "core/upstreamhomeplacement.h"
+#include "core/placement/cellhomeplacement.h"
+#include "core/placement/leastloadedplacement.h"
+#include "core/placement/statichashplacement.h"
+#include "core/placement/twochoicesplacement.h"
+#include "core/placement/upstreamhomeplacement.h"
 
 #include <flamingograde/event.h>
 #include <flamingograde/policy.h>
--- a/src/core/twochoicesplacement.cpp
+++ b/src/core/placement/twochoicesplacement.cpp
@@ -1,5 +1,5 @@
 /// Baseline: placement by two choices.
-#include "core/twochoicesplacement.h"
+#include "core/placement/twochoicesplacement.h"
 
 #include "core/blackboard.h"
 
--- a/src/core/twochoicesplacement.h
+++ b/src/core/placement/twochoicesplacement.h
@@ -1,7 +1,7 @@
 /// Baseline: placement by two choices.
 #pragma once
 
-#include "core/placement.h"
+#include "core/placement/placement.h"
 
 namespace flamingograde {
 
--- a/src/core/upstreamchoice.cpp
+++ b/src/core/placement/upstreamchoice.cpp
@@ -1,5 +1,5 @@
 /// Which upstream of a cell runs the next request.
-#include "core/upstreamchoice.h"
+#include "core/placement/upstreamchoice.h"
 
 #include "core/blackboard.h"
 
--- a/src/core/upstreamhomeplacement.cpp
+++ b/src/core/placement/upstreamhomeplacement.cpp
@@ -1,5 +1,5 @@
 /// Baseline: a queue of its own for each upstream.
-#include "core/upstreamhomeplacement.h"
+#include "core/placement/upstreamhomeplacement.h"
 
 #include "core/blackboard.h"
 #include "core/overloaded.h"
--- a/src/core/upstreamhomeplacement.h
+++ b/src/core/placement/upstreamhomeplacement.h
@@ -1,7 +1,7 @@
 /// Baseline: a queue of its own for each upstream.
 #pragma once
 
-#include "core/cellhomeplacement.h"
+#include "core/placement/cellhomeplacement.h"
 
 namespace flamingograde {
 
--- a/src/core/arrivalcontroller.cpp
+++ b/src/core/requests/arrivalcontroller.cpp
@@ -1,11 +1,11 @@
 /// Makes exchanges and feeds of arrivals, or refuses them as not run.
-#include "core/arrivalcontroller.h"
+#include "core/requests/arrivalcontroller.h"
 
 #include "core/blackboard.h"
-#include "core/idempotencykey.h"
-#include "core/placement.h"
-#include "core/refuse.h"
-#include "core/token.h"
+#include "core/keys/idempotencykey.h"
+#include "core/placement/placement.h"
+#include "core/requests/refuse.h"
+#include "core/requests/token.h"
 
 #include <algorithm>
 #include <optional>
--- a/src/core/dispatch.cpp
+++ b/src/core/requests/dispatch.cpp
@@ -1,10 +1,10 @@
 /// Sends waiting requests of a cell to its upstreams.
-#include "core/dispatch.h"
+#include "core/requests/dispatch.h"
 
+#include "core/admission/fairorder.h"
 #include "core/blackboard.h"
-#include "core/fairorder.h"
-#include "core/refuse.h"
-#include "core/upstreamchoice.h"
+#include "core/placement/upstreamchoice.h"
+#include "core/requests/refuse.h"
 
 #include <algorithm>
 
--- a/src/core/exchangestore.cpp
+++ b/src/core/requests/exchangestore.cpp
@@ -1,5 +1,5 @@
 /// The requests under way, by id and by deadline.
-#include "core/exchangestore.h"
+#include "core/requests/exchangestore.h"
 
 #include <utility>
 
--- a/src/core/exchangestore.h
+++ b/src/core/requests/exchangestore.h
@@ -1,7 +1,7 @@
 /// The requests under way in this host.
 #pragma once
 
-#include "core/exchange.h"
+#include "core/requests/exchange.h"
 
 #include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
--- a/src/core/outcomecontroller.cpp
+++ b/src/core/requests/outcomecontroller.cpp
@@ -1,11 +1,11 @@
 /// Outcomes of requests.
-#include "core/outcomecontroller.h"
+#include "core/requests/outcomecontroller.h"
 
-#include "core/answermeaning.h"
 #include "core/blackboard.h"
 #include "core/overloaded.h"
-#include "core/refuse.h"
-#include "core/token.h"
+#include "core/requests/answermeaning.h"
+#include "core/requests/refuse.h"
+#include "core/requests/token.h"
 
 #include <algorithm>
 
--- a/src/core/refuse.cpp
+++ b/src/core/requests/refuse.cpp
@@ -1,5 +1,5 @@
 /// Refuses and forgets exchanges.
-#include "core/refuse.h"
+#include "core/requests/refuse.h"
 
 #include "core/blackboard.h"
 
--- a/src/core/retrybudget.cpp
+++ b/src/core/requests/retrybudget.cpp
@@ -1,5 +1,5 @@
 /// A bucket that successes fill and retries empty.
-#include "core/retrybudget.h"
+#include "core/requests/retrybudget.h"
 
 #include <algorithm>
 
--- a/src/core/token.cpp
+++ b/src/core/requests/token.cpp
@@ -1,6 +1,6 @@
 /// Flow tokens. Layout in bytes: version 1, key id 1, service 8, upstream 8, flow 8 (all big
 /// endian), then the SipHash-2-4 code of 128 bits over all before it; the text is base64url.
-#include "core/token.h"
+#include "core/requests/token.h"
 
 #include <sodium.h>
 
--- a/src/core/stopcontroller.cpp
+++ b/src/core/stop/stopcontroller.cpp
@@ -1,8 +1,8 @@
 /// Steps of an orderly stop: notice, listeners closed, work finished, ready.
-#include "core/stopcontroller.h"
+#include "core/stop/stopcontroller.h"
 
 #include "core/blackboard.h"
-#include "core/refuse.h"
+#include "core/requests/refuse.h"
 
 #include <algorithm>
 
--- a/src/core/upstreamcontroller.cpp
+++ b/src/core/upstreams/upstreamcontroller.cpp
@@ -1,9 +1,9 @@
 /// Learns from traffic and probes how upstreams are.
-#include "core/upstreamcontroller.h"
+#include "core/upstreams/upstreamcontroller.h"
 
-#include "core/answermeaning.h"
 #include "core/blackboard.h"
 #include "core/overloaded.h"
+#include "core/requests/answermeaning.h"
 
 #include <algorithm>
 #include <string>
--- a/src/core/upstreamstore.cpp
+++ b/src/core/upstreams/upstreamstore.cpp
@@ -1,5 +1,5 @@
 /// What is known of upstreams beside the table.
-#include "core/upstreamstore.h"
+#include "core/upstreams/upstreamstore.h"
 
 #include <flamingograde/config.h>
 
--- a/src/core/upstreamstore.h
+++ b/src/core/upstreams/upstreamstore.h
@@ -1,7 +1,7 @@
 /// What is known of upstreams beside the table.
 #pragma once
 
-#include "core/upstreamhealth.h"
+#include "core/upstreams/upstreamhealth.h"
 
 #include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
--- a/src/table/servicediff.cpp
+++ b/src/table/servicediff.cpp
@@ -1,5 +1,5 @@
 /// Compares what two tables offer to each service.
-#include "core/keyplacement.h"
+#include "core/keys/keyplacement.h"
 #include "table/changelist.h"
 #include "table/entrydiff.h"
 #include "table/words.h"
--- a/tests/unit/cellhome.h
+++ b/tests/unit/cellhome.h
@@ -2,13 +2,13 @@
 /// scripted upstreams behind them.
 #pragma once
 
-#include "core/admissioncontroller.h"
+#include "core/admission/admissioncontroller.h"
 #include "core/blackboard.h"
-#include "core/idempotencykey.h"
-#include "core/keycontroller.h"
-#include "core/keyplacement.h"
-#include "core/outcomecontroller.h"
-#include "core/upstreamcontroller.h"
+#include "core/keys/idempotencykey.h"
+#include "core/keys/keycontroller.h"
+#include "core/keys/keyplacement.h"
+#include "core/requests/outcomecontroller.h"
+#include "core/upstreams/upstreamcontroller.h"
 
 #include <flamingograde/event.h>
 
--- a/tests/unit/configtest.cpp
+++ b/tests/unit/configtest.cpp
@@ -1,7 +1,7 @@
 /// One table everywhere, and never an older one.
 #include "peerfleet.h"
 
-#include "core/keyplacement.h"
+#include "core/keys/keyplacement.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/unit/flowtest.cpp
+++ b/tests/unit/flowtest.cpp
@@ -1,5 +1,5 @@
 /// Flows keep their upstream, whichever host their packets come to and whatever those know.
-#include "core/token.h"
+#include "core/requests/token.h"
 #include "sampletable.h"
 #include "virtualfleet.h"
 
--- a/tests/unit/keytest.cpp
+++ b/tests/unit/keytest.cpp
@@ -1,6 +1,6 @@
 /// Keys: each is run at most once, and what is said of it is true.
 #include "cellhome.h"
-#include "core/keyfreshness.h"
+#include "core/keys/keyfreshness.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/unit/peerfleet.h
+++ b/tests/unit/peerfleet.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "core/blackboard.h"
-#include "core/configcontroller.h"
-#include "core/membershipcontroller.h"
-#include "core/tenurecontroller.h"
+#include "core/configuration/configcontroller.h"
+#include "core/homes/tenurecontroller.h"
+#include "core/membership/membershipcontroller.h"
 
 #include <cstdint>
 #include <deque>
--- a/tests/unit/placementhistorytest.cpp
+++ b/tests/unit/placementhistorytest.cpp
@@ -1,5 +1,5 @@
 /// Which table places a key, and when a move of keys may be believed.
-#include "core/placementhistory.h"
+#include "core/keys/placementhistory.h"
 
 #include <flamingograde/config.h>
 
--- a/tests/unit/rendezvoustest.cpp
+++ b/tests/unit/rendezvoustest.cpp
@@ -1,7 +1,7 @@
 /// Shares and stability of the rendezvous hash, and the placement of keys.
 #include "core/rendezvous.h"
-#include "core/idempotencykey.h"
-#include "core/keyplacement.h"
+#include "core/keys/idempotencykey.h"
+#include "core/keys/keyplacement.h"
 #include "sampletable.h"
 
 #include <catch2/catch.hpp>
--- a/tests/unit/tokentest.cpp
+++ b/tests/unit/tokentest.cpp
@@ -1,5 +1,5 @@
 /// Flow tokens: what is accepted and what is not.
-#include "core/token.h"
+#include "core/requests/token.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/unit/virtualfleet.cpp
+++ b/tests/unit/virtualfleet.cpp
@@ -1,7 +1,7 @@
 /// Carries out the actions of hosts in virtual time.
 #include "virtualfleet.h"
 
-#include "core/idempotencykey.h"
+#include "core/keys/idempotencykey.h"
 #include "core/overloaded.h"
 
 #include <algorithm>
