--- a/include/flamingograde/action.h
+++ b/include/flamingograde/action.h
@@ -139,6 +139,21 @@
 struct ReadHosts
 {};
 
+/// Read the directory's changes, or all of it. Answered with `DirectoryRead` or
+/// `DirectoryReadFailed`; one read is under way at a time.
+struct ReadDirectory
+{
+    Revision after;         ///< Up to where this host has the changes; invalid: all is read.
+    Duration wait { 0 };    ///< How long the platform may hold the call until there is a change.
+    bool mayBeLate = false; ///< An answer that is some seconds old will do: it is cheaper.
+};
+
+/// Have a connection with whatever host takes connections at a seed's address.
+struct ConnectSeed
+{
+    Address address;
+};
+
 /// Take callers' connections for a row's address.
 struct Listen
 {
@@ -166,6 +181,7 @@
 
 using Action = std::variant<Dispatch, Relay, OpenFeed, PassAnswer, ReplayAnswer, Refuse, Cancel,
                             AbortAnswer, EndFeed, ProbeUpstream, ConnectPeer, DropPeer, SendPeer,
-                            ReadTable, ReadHosts, Listen, Unlisten, Log, StopReady>;
+                            ReadTable, ReadHosts, ReadDirectory, ConnectSeed, Listen, Unlisten, Log,
+                            StopReady>;
 
 } // namespace flamingograde
--- a/include/flamingograde/balancer.h
+++ b/include/flamingograde/balancer.h
@@ -6,6 +6,8 @@
 #include <flamingograde/clock.h>
 #include <flamingograde/event.h>
 #include <flamingograde/init.h>
+#include <flamingograde/packetdecision.h>
+#include <flamingograde/packethead.h>
 #include <flamingograde/stats.h>
 
 #include <memory>
@@ -37,9 +39,24 @@
     /// @returns the actions; the reference is valid until the next call.
     [[nodiscard]] auto handle(Now now, Event event) -> const std::vector<Action> &;
 
+    /// Decides on a batch of callers' packets, in their order.
+    /// @param now both clocks. Precondition: `now.mono` never falls.
+    /// @param heads the packets. Precondition: `Init::flowsTracked` is not 0.
+    /// @param decisions gets one for each packet; nothing is allocated where it has the capacity.
+    auto steer(Now now, const std::vector<PacketHead> &heads,
+               std::vector<PacketDecision> &decisions) -> void;
+
+    /// Returns what decided on a packet, as `key=value` words for the log.
+    /// Precondition: the decision is of the last call of `steer`.
+    [[nodiscard]] auto describe(const PacketHead &head, const PacketDecision &decision) const
+            -> std::string;
+
     /// Returns limits and version. Precondition: none.
     [[nodiscard]] auto caps() const -> Caps;
 
+    /// Returns whether this host knows what to serve and does not stop. Precondition: none.
+    [[nodiscard]] auto isServing() const -> bool;
+
     /// Returns the counters. Precondition: none.
     [[nodiscard]] auto stats() const -> Stats;
 
--- a/include/flamingograde/config.h
+++ b/include/flamingograde/config.h
@@ -50,6 +50,32 @@
 inline constexpr auto deadlineMax           = 3600s;  ///< Longest deadline of a row.
 inline constexpr auto addressQuarantine     = 5000ms; ///< Pause before an address is used for another service.
 
+// Directory.
+inline constexpr std::size_t directoryReadersPerZone = 1; ///< Hosts of a zone that watch the directory; another takes over once it is not reached.
+inline constexpr auto directoryWatchWait    = 2000ms; ///< How long a watch is held; bounds how long a silent connection hides a change.
+inline constexpr auto directoryGather       = 100ms;  ///< Pause after a watch with changes, so that those of a rollout share a call.
+inline constexpr auto directoryReadMargin   = 700ms;  ///< Longest answer beyond the wait asked for: 10 times a slow one of 60 ms.
+inline constexpr auto directoryRetryMin     = 100ms;  ///< First pause after a failed read.
+inline constexpr auto directoryRetryMax     = 1000ms; ///< Longest pause after failed reads: bounds the time to notice that the store is back.
+inline constexpr auto directoryStale        = 3500ms; ///< A host that hears nothing newer reads for itself: a watch, its margin and a round of gossip.
+inline constexpr auto directoryPeerTimeout  = 400ms;  ///< A host is given this long to send its changes.
+inline constexpr auto reappearTime          = 2200ms; ///< After an outage a missing upstream may register again within this.
+inline constexpr auto tombstoneTime         = 90s;    ///< A removed upstream is remembered this long; longer than any of its flows lives.
+inline constexpr std::size_t directoryBytesMax = 64U << 20U; ///< Largest answer of the store.
+
+// Packets.
+inline constexpr auto flowIdle              = 15000ms; ///< A flow without packets for this long may be dropped, where the rows name no other.
+inline constexpr std::size_t flowsTracked   = 16384;  ///< Flows whose load and answers are watched; 10,909 a host are open at the design size. A power of two.
+inline constexpr auto packetsHeldMax        = 500ms;  ///< A starting host leaves packets in the system's buffer this long for its directory; callers resend after 200 and 600 ms.
+inline constexpr std::size_t packetBatch    = 32;     ///< Packets read, decided and sent at once.
+inline constexpr auto handshakePatience     = 60ms;   ///< An opening packet without a second packet of its flow after this counts as unanswered: 8 round trips.
+inline constexpr std::uint32_t silentOpenings = 2;    ///< Unanswered openings since its last sign of life that make an upstream silent.
+inline constexpr auto trialPause            = 1000ms; ///< First pause before a new flow is also sent to a silent upstream; doubles.
+inline constexpr auto trialPauseMax         = 4000ms; ///< Longest such pause.
+inline constexpr auto busyForget            = 3000ms; ///< A request without any packet for this long is taken to be over.
+inline constexpr std::size_t placementScan  = 8;      ///< Up to this many upstreams are all compared for a new flow.
+inline constexpr std::size_t placementDraws = 4;      ///< Of more, this many are drawn and compared.
+
 // Exchanges.
 inline constexpr auto defaultDeadline       = 5000ms; ///< Deadline of a row that names none.
 inline constexpr double placedLagMax        = 50.0;   ///< Placements a slot that a cell which was away catches up on.
@@ -116,6 +142,8 @@
 inline constexpr auto feedMoveTime          = 2000ms; ///< Feeds are ended over this time after the listeners closed.
 inline constexpr auto closeGrace            = 500ms;  ///< A stop takes what was on its way when the listeners closed for this long.
 inline constexpr auto stopReportPeriod      = 1000ms; ///< Period of the log's word on what a stop waits for.
+inline constexpr auto fabricNotice          = 1600ms; ///< A fabric that checks twice a second has missed two checks of a stopping host by then.
+inline constexpr auto fabricQuiet           = 400ms;  ///< Without a packet for this long the fabric sends none any more: two of a caller's first resends.
 inline constexpr auto leaveNotice           = 1000ms; ///< Time between announcing a stop and closing the listeners.
 
 // clang-format on
--- a/include/flamingograde/event.h
+++ b/include/flamingograde/event.h
@@ -3,6 +3,7 @@
 
 #include <flamingograde/address.h>
 #include <flamingograde/clock.h>
+#include <flamingograde/directoryupdate.h>
 #include <flamingograde/ids.h>
 #include <flamingograde/member.h>
 #include <flamingograde/message.h>
@@ -148,6 +149,40 @@
     std::string why;
 };
 
+/// The directory was read.
+struct DirectoryRead
+{
+    DirectoryUpdate update;
+    bool late = false; ///< The answer may have been out of date when it was given.
+};
+
+/// Why a read of the directory failed.
+enum class DirectoryFailure : std::uint8_t {
+    Refused,     ///< Turned away: too many calls, or busy.
+    Unreachable, ///< No connection, or no answer in time.
+    Forgotten,   ///< The changes asked for are no longer kept.
+    Malformed,   ///< The answer cannot be read.
+};
+
+/// A read of the directory failed.
+struct DirectoryReadFailed
+{
+    DirectoryFailure failure = DirectoryFailure::Unreachable;
+    std::string why;
+};
+
+/// Some of what the directory published cannot be read. The rest of the answer is good.
+struct DirectoryItemsFaulty
+{
+    std::string what; ///< The items and what is wrong with them.
+};
+
+/// The settings name other seeds now.
+struct SeedsRead
+{
+    std::vector<Address> addresses; ///< Peer addresses of hosts whose names are not known.
+};
+
 /// Time passed. Comes every `config::tickPeriod`.
 struct Tick
 {};
@@ -156,8 +191,10 @@
 struct StopRequested
 {};
 
-using Event = std::variant<CallerArrived, RelayArrived, CallerLeft, ExchangeProgress,
-                           UpstreamReport, PeerMessage, PeerUp, PeerDown, TableFetched,
-                           TableUnchanged, HostsFetched, PlatformFailed, Tick, StopRequested>;
+using Event =
+        std::variant<CallerArrived, RelayArrived, CallerLeft, ExchangeProgress, UpstreamReport,
+                     PeerMessage, PeerUp, PeerDown, TableFetched, TableUnchanged, HostsFetched,
+                     PlatformFailed, DirectoryRead, DirectoryReadFailed, DirectoryItemsFaulty,
+                     SeedsRead, Tick, StopRequested>;
 
 } // namespace flamingograde
--- a/include/flamingograde/ids.h
+++ b/include/flamingograde/ids.h
@@ -13,6 +13,8 @@
 using CellId = StrongId<struct CellTag>;         ///< A service's upstreams in one zone.
 using FlowId = StrongId<struct FlowTag>;         ///< A flow: the packets that share a token.
 using ExchangeId = StrongId<struct ExchangeTag>; ///< One request and its answer in one host.
+using InstanceId =
+        StrongId<struct InstanceTag>; ///< One life of an upstream's process, by its number.
 
 /// Returns the id of the cell of `service` in `zone`.
 /// @remarks Thread safe.
--- a/include/flamingograde/init.h
+++ b/include/flamingograde/init.h
@@ -1,6 +1,7 @@
 /// What a host is told at its start.
 #pragma once
 
+#include <flamingograde/address.h>
 #include <flamingograde/clock.h>
 #include <flamingograde/config.h>
 #include <flamingograde/member.h>
@@ -15,8 +16,11 @@
 /// The settings of the deciding library. The defaults are those of `config.h`.
 struct Init
 {
-    Member self;                      ///< This host: name, zone and addresses.
-    std::vector<Member> seeds;        ///< Peers to ask first; may be incomplete or out of date.
+    Member self;                        ///< This host: name, zone and addresses.
+    std::vector<Member> seeds;          ///< Peers to ask first; may be incomplete or out of date.
+    std::vector<Address> seedAddresses; ///< Peer addresses of hosts whose names are not known.
+    bool readsDirectory = false;        ///< The platform publishes a directory in place of a table.
+    std::size_t flowsTracked = 0;     ///< Packet flows that are watched; 0: no packets are carried.
     std::uint64_t seed = 1;           ///< Of every random choice.
     Policy policy = Policy::CellHome; ///< How requests are placed on upstreams.
     Duration stopTimeout = config::stopTimeout;      ///< Longest wait of an orderly stop.
--- a/include/flamingograde/logevent.h
+++ b/include/flamingograde/logevent.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string_view>
 
 namespace flamingograde {
 
@@ -17,6 +18,7 @@
     PauseNoticed        = 104, ///< The process had been paused.
     SettingRefused      = 105, ///< A setting is wrong.
     ListenFailed        = 106, ///< A row's address cannot be listened on; tried again.
+    SettingsRead        = 107, ///< The settings file was read anew.
     // 2xx: configuration.
     TableAccepted       = 200, ///< A table is in force.
     TableRefused        = 201, ///< A table has findings; the last good one stays.
@@ -25,6 +27,8 @@
     PlatformLost        = 204, ///< The platform does not answer or answers nonsense.
     PlatformBack        = 205, ///< The platform answers again.
     AddressQuarantined  = 206, ///< An address is to be used for another service; waits.
+    RowsAccepted        = 207, ///< Another version of the packet rows is in force.
+    DirectoryRefused    = 208, ///< Something the platform published cannot be read.
     // 3xx: membership.
     MemberJoined        = 300,
     MemberSuspected     = 301,
@@ -53,10 +57,27 @@
     UpstreamShed        = 603,
     FeedReopened        = 604, ///< A feed was reopened at the same upstream.
     FeedMoved           = 605, ///< A feed's caller was asked to come back at another host.
+    UpstreamListed      = 606, ///< An upstream is new in the directory.
+    UpstreamLeaving     = 607, ///< An upstream gets no new flows: it leaves.
+    UpstreamMissing     = 608, ///< An upstream is missing after an outage; it may come back.
+    UpstreamRemoved     = 609, ///< An upstream has left the directory.
+    UpstreamSilent      = 610, ///< An upstream does not answer callers' packets.
+    UpstreamHeard       = 611, ///< A silent upstream answers again.
+    CookieShared        = 612, ///< Two upstreams have one cookie; the younger gets no flows.
+    // 7xx: packets.
+    FlowPlaced          = 700, ///< A new flow was given to an upstream.
+    FlowReset           = 701, ///< A flow was reset.
+    PacketDropped       = 702, ///< A packet was dropped.
+    PacketMalformed     = 703, ///< Bytes that are no packet.
+    LinesLeftOut        = 704, ///< Lines that were left out of the log.
 };
 
 // clang-format on
 
+/// Returns the event's name as it stands in the log.
+/// @remarks Thread safe.
+[[nodiscard]] auto toString(LogEvent event) -> std::string_view;
+
 /// Returns the event's number as it stands in the log.
 constexpr auto number(LogEvent event) -> std::uint16_t
 {
--- a/include/flamingograde/message.h
+++ b/include/flamingograde/message.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <flamingograde/clock.h>
+#include <flamingograde/directoryupdate.h>
 #include <flamingograde/ids.h>
 #include <flamingograde/member.h>
 #include <flamingograde/revision.h>
@@ -34,6 +35,7 @@
             0; ///< Time since the sender, or whom it heard, last heard the platform.
     std::uint64_t placements = 0; ///< Digest of the placements of keys that the sender knows.
     bool agreed = false;          ///< The sender knows all hosts to have had these placements.
+    Revision directory;           ///< The sender has all changes of the directory up to this.
 };
 
 /// The first message on a connection, both ways.
@@ -158,7 +160,14 @@
     std::int64_t tenureSinceUs = 0; ///< Wall time from which the sender knows every dispatch.
 };
 
+/// Asks for the directory's changes; answered with a `DirectoryUpdate`.
+struct DirectoryRequest
+{
+    Revision have; ///< Up to where the sender has them; invalid: it has none.
+};
+
 using Message = std::variant<Hello, Ping, Ack, PingRequest, PingReport, TableRequest, TableBody,
-                             ClaimRequest, ClaimGrant, KeyLookup, KeyReport, ClaimRelease>;
+                             ClaimRequest, ClaimGrant, KeyLookup, KeyReport, ClaimRelease,
+                             DirectoryRequest, DirectoryUpdate>;
 
 } // namespace flamingograde
--- a/include/flamingograde/stats.h
+++ b/include/flamingograde/stats.h
@@ -1,6 +1,8 @@
 /// Counters of the deciding library.
 #pragma once
 
+#include <flamingograde/latencyhistogram.h>
+
 #include <array>
 #include <cstdint>
 
@@ -9,7 +11,8 @@
 /// Counters since the start. Gauges are named so.
 struct Stats
 {
-    static constexpr std::size_t reasons = 17; ///< Number of `RefusalReason`s.
+    static constexpr std::size_t reasons = 17;       ///< Number of `RefusalReason`s.
+    static constexpr std::size_t packetReasons = 11; ///< Number of `PacketReason`s.
 
     std::uint64_t callersArrived = 0;              ///< Requests, feeds and uploads from callers.
     std::uint64_t relaysArrived = 0;               ///< Requests relayed to this host.
@@ -33,13 +36,25 @@
     std::uint64_t pauses = 0;                      ///< Pauses of the process.
     std::uint64_t tenuresBegun = 0;                ///< Times this host became home of a cell.
     std::uint64_t ejections = 0;                   ///< Upstreams taken out of rotation.
-    std::uint64_t revision = 0;                    ///< Gauge: the table in force.
-    std::uint64_t membersAlive = 0;                ///< Gauge: hosts held to be alive.
-    std::uint64_t exchanges = 0;                   ///< Gauge: requests under way.
-    std::uint64_t feeds = 0;                       ///< Gauge: feeds held.
-    std::uint64_t queued = 0;                      ///< Gauge: requests waiting in homed cells.
-    std::uint64_t running = 0;                     ///< Gauge: requests running in homed cells.
-    std::uint64_t keys = 0;                        ///< Gauge: remembered keys.
+    std::array<std::uint64_t, packetReasons> packets {}; ///< Packets by `PacketReason`.
+    LatencyHistogram handshakes; ///< From an opening packet to the second packet of its flow.
+    LatencyHistogram responses;  ///< From a request to the caller's acknowledgement of an answer.
+    std::uint64_t openingsUnanswered = 0;  ///< Opening packets without a second packet.
+    std::uint64_t upstreamsSilenced = 0;   ///< Times an upstream was held to be silent.
+    std::uint64_t upstreamsHeardAgain = 0; ///< Times a silent upstream showed life.
+    std::uint64_t directoryUpdates = 0;    ///< Updates that changed the directory.
+    std::uint64_t revision = 0;            ///< Gauge: the table in force.
+    std::uint64_t membersAlive = 0;        ///< Gauge: hosts held to be alive.
+    std::uint64_t exchanges = 0;           ///< Gauge: requests under way.
+    std::uint64_t feeds = 0;               ///< Gauge: feeds held.
+    std::uint64_t queued = 0;              ///< Gauge: requests waiting in homed cells.
+    std::uint64_t running = 0;             ///< Gauge: requests running in homed cells.
+    std::uint64_t keys = 0;                ///< Gauge: remembered keys.
+    std::uint64_t directoryRevision = 0;   ///< Gauge: the directory's newest change.
+    std::uint64_t rowsVersion = 0;         ///< Gauge: the operators' number of the rows.
+    std::uint64_t upstreams = 0;           ///< Gauge: upstreams in the directory.
+    std::uint64_t upstreamsSilent = 0;     ///< Gauge: upstreams held to be silent.
+    std::uint64_t flows = 0;               ///< Gauge: packet flows that are watched.
 };
 
 } // namespace flamingograde
--- a/include/flamingograde/upstream.h
+++ b/include/flamingograde/upstream.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <flamingograde/address.h>
+#include <flamingograde/clock.h>
 #include <flamingograde/ids.h>
 
 #include <cstdint>
@@ -28,6 +29,9 @@
     std::uint32_t slots = 2;          ///< Requests and uploads it runs at once.
     std::uint32_t connections = 2000; ///< Feeds it holds at once.
     UpstreamState state = UpstreamState::Active;
+    InstanceId instance;    ///< Needed to reach it with packets; invalid: not reached so.
+    Duration warmup { 0 };  ///< How much longer it was slow after its start, when it said so.
+    std::string version;    ///< Of its software; empty where it does not say.
     std::uint32_t line = 0; ///< Where the table's text has it.
 
     /// Returns the cell it belongs to.
--- a/src/core/balancer.cpp
+++ b/src/core/balancer.cpp
@@ -5,13 +5,15 @@
 #include "core/controllers.h"
 #include "core/dump.h"
 #include "core/explain.h"
+#include "core/packets/packetnote.h"
+#include "core/packets/packetsteering.h"
 #include "core/requests/token.h"
 
 namespace flamingograde {
 
 Balancer::Balancer(Init init)
     : blackboard(std::make_unique<Blackboard>(std::move(init))),
-      controllers(std::make_unique<Controllers>(this->blackboard->init.policy))
+      controllers(std::make_unique<Controllers>(this->blackboard->init))
 {}
 
 Balancer::~Balancer() = default;
@@ -24,6 +26,21 @@
     return this->blackboard->outbox;
 }
 
+auto Balancer::steer(Now now, const std::vector<PacketHead> &heads,
+                     std::vector<PacketDecision> &decisions) -> void
+{
+    this->blackboard->now = now;
+    decisions.clear();
+    for (const auto &head : heads) {
+        decisions.push_back(steerPacket(*this->blackboard, head));
+    }
+}
+
+auto Balancer::describe(const PacketHead &head, const PacketDecision &decision) const -> std::string
+{
+    return describePacket(*this->blackboard, head, decision);
+}
+
 auto Balancer::caps() const -> Caps
 {
     Caps caps;
@@ -35,6 +52,18 @@
     return caps;
 }
 
+auto Balancer::isServing() const -> bool
+{
+    const auto &board = *this->blackboard;
+    if (board.stop.stopping) {
+        return false;
+    }
+    if (!board.init.readsDirectory) {
+        return board.config.revision.isValid();
+    }
+    return board.directory.rows() != nullptr && board.directory.listedCount() > 0;
+}
+
 auto Balancer::stats() const -> Stats
 {
     return statsOf(*this->blackboard);
--- a/src/core/blackboard.h
+++ b/src/core/blackboard.h
@@ -2,11 +2,13 @@
 #pragma once
 
 #include "core/configuration/configstate.h"
+#include "core/directory/directory.h"
 #include "core/feeds/feedstore.h"
 #include "core/homes/cellstore.h"
 #include "core/homes/tenurestate.h"
 #include "core/keys/keyregistry.h"
 #include "core/membership/membershipstate.h"
+#include "core/packets/packetstate.h"
 #include "core/placement/placedshares.h"
 #include "core/requests/exchangestore.h"
 #include "core/requests/retrybudget.h"
@@ -34,16 +36,20 @@
 {
 public:
     explicit Blackboard(Init start)
-        : init(std::move(start)), random(this->init.seed), config(this->init.clockBound)
+        : init(std::move(start)), random(this->init.seed), config(this->init.clockBound),
+          directory(ZoneId::ofName(this->init.self.zoneName)), packets(this->init.flowsTracked)
     {}
 
-    Init init;                  ///< The settings; constant.
+    Init init;                  ///< The settings; constant but for the seeds.
     Now now;                    ///< The time of the current event.
     std::vector<Action> outbox; ///< The actions of the current event.
     Stats stats;                ///< Counters.
     std::mt19937_64 random;     ///< The only source of random numbers.
 
     ConfigState config;         ///< The table in force and what is known of the platform.
+    Directory directory;        ///< Packet rows and upstreams, as the platform publishes them.
+    PacketState packets;        ///< Packet flows that are watched.
+    std::vector<Log> notes;     ///< What packets changed; logged with the next tick.
     MembershipState membership; ///< The other hosts.
     TenureState tenure;         ///< The cells this host is home of.
     ExchangeStore exchanges;    ///< Requests under way.
--- a/src/core/configuration/configcontroller.cpp
+++ b/src/core/configuration/configcontroller.cpp
@@ -118,7 +118,7 @@
     ++board.stats.platformFailures;
     if (!this->platformLost) {
         this->platformLost = true;
-        board.log(LogEvent::PlatformLost, failed.why);
+        board.log(LogEvent::PlatformLost, "why=\"" + failed.why + "\"");
     }
     if (failed.read == PlatformRead::Hosts) {
         this->hostsAsked = false;
@@ -178,7 +178,7 @@
     const auto revision = board.config.revision;
     if (digest != board.config.digest && this->conflicting != revision) {
         this->conflicting = revision;
-        board.log(LogEvent::TableConflict, "revision " + std::to_string(revision.number));
+        board.log(LogEvent::TableConflict, "revision=" + std::to_string(revision.number));
     }
 }
 
@@ -251,7 +251,7 @@
         ++board.stats.tablesOlder;
         if (this->olderLogged != revision) {
             this->olderLogged = revision;
-            board.log(LogEvent::TableOlder, "revision " + std::to_string(revision.number));
+            board.log(LogEvent::TableOlder, "revision=" + std::to_string(revision.number));
         }
         return;
     }
@@ -273,9 +273,9 @@
 {
     ++board.stats.tablesRefused;
     this->refused = std::max(this->refused, revision);
-    std::string text = "revision " + std::to_string(revision.number);
+    std::string text = "revision=" + std::to_string(revision.number);
     for (const auto &finding : findings) {
-        text += "\n" + finding.toString();
+        text += " finding=\"" + finding.toString() + "\"";
     }
     board.log(LogEvent::TableRefused, std::move(text));
 }
--- a/src/core/configuration/tableadoption.cpp
+++ b/src/core/configuration/tableadoption.cpp
@@ -48,9 +48,9 @@
         const auto waiting = board.config.quarantinedUntil.find(owner.id);
         if (owner.service != upstream.service) {
             until[upstream.id] = board.now.mono + config::addressQuarantine;
-            board.log(LogEvent::AddressQuarantined, upstream.address.toString() + " from service "
-                                                            + owner.serviceName + " to "
-                                                            + upstream.serviceName);
+            board.log(LogEvent::AddressQuarantined, "address=" + upstream.address.toString()
+                                                            + " from=" + owner.serviceName
+                                                            + " to=" + upstream.serviceName);
         } else if (waiting != board.config.quarantinedUntil.end()) {
             until[upstream.id] = waiting->second;
         }
@@ -75,7 +75,7 @@
     board.stats.revision = source.revision.number;
     ++board.stats.tablesAccepted;
     moveListeners(board, *before, *after);
-    board.log(LogEvent::TableAccepted, "revision " + std::to_string(source.revision.number));
+    board.log(LogEvent::TableAccepted, "revision=" + std::to_string(source.revision.number));
 }
 
 } // namespace flamingograde
--- a/src/core/controllers.h
+++ b/src/core/controllers.h
@@ -1,49 +1,40 @@
 /// The controllers in the order in which they run.
 #pragma once
 
-#include "core/admission/admissioncontroller.h"
-#include "core/configuration/configcontroller.h"
-#include "core/feeds/feedcontroller.h"
-#include "core/homes/tenurecontroller.h"
-#include "core/keys/keycontroller.h"
+#include "core/directory/directorycontroller.h"
 #include "core/membership/membershipcontroller.h"
-#include "core/placement/steeringcontroller.h"
-#include "core/requests/arrivalcontroller.h"
-#include "core/requests/outcomecontroller.h"
+#include "core/packets/packetcontroller.h"
+#include "core/requestcontrollers.h"
 #include "core/stop/stopcontroller.h"
-#include "core/upstreams/upstreamcontroller.h"
 
 #include <flamingograde/event.h>
 
+#include <optional>
+
 namespace flamingograde {
 
 class Blackboard;
+struct Init;
 
 /// Owns the controllers. Each reads and writes the blackboard; none calls another.
+///
+/// A host that reads a directory has no HTTP rows: it has no controllers for them.
 /// @remarks Not thread safe.
 class Controllers
 {
 public:
     /// Precondition: none.
-    explicit Controllers(Policy policy) : steering(policy) {}
+    explicit Controllers(const Init &init);
 
     /// Has each controller take the event, then settles what they handed on. Precondition: none.
     auto run(Blackboard &board, const Event &event) -> void;
 
 private:
-    auto settle(Blackboard &board) -> void;
-
-    ConfigController config;
+    std::optional<RequestControllers> requests;
+    std::optional<DirectoryController> directory;
     MembershipController membership;
-    TenureController tenure;
     StopController stop;
-    UpstreamController upstream;
-    OutcomeController outcome;
-    ArrivalController arrival;
-    FeedController feed;
-    SteeringController steering;
-    KeyController key;
-    AdmissionController admission;
+    PacketController packet;
 };
 
 } // namespace flamingograde
--- /dev/null
+++ b/src/core/directory/directory.cpp
@@ -0,0 +1,331 @@
+/// Takes updates, keeps tombstones and makes the look-ups.
+#include "core/directory/directory.h"
+
+#include <flamingograde/config.h>
+
+#include <algorithm>
+#include <unordered_set>
+#include <utility>
+
+namespace flamingograde {
+
+namespace {
+
+const ServicePool noPool;
+
+auto isOpen(const UpstreamEntry &entry) -> bool
+{
+    return entry.presence != Presence::Removed && entry.ownsCookie
+           && entry.record.upstream.state == UpstreamState::Active;
+}
+
+/// Returns whether `a` has the older claim on a cookie that both have.
+auto isOlder(const DirectoryRecord &a, const DirectoryRecord &b) -> bool
+{
+    if (a.created != b.created) {
+        return a.created < b.created;
+    }
+    return a.upstream.instance < b.upstream.instance;
+}
+
+/// Adds to `had` what it lacks of the services of `row`.
+auto addServices(const PacketRow &row, std::vector<ServiceId> &had) -> void
+{
+    for (const auto &share : row.shares) {
+        if (std::find(had.begin(), had.end(), share.service) == had.end()) {
+            had.push_back(share.service);
+        }
+    }
+}
+
+} // namespace
+
+auto Directory::canTake(const DirectoryUpdate &update) const -> bool
+{
+    return update.upTo.isValid() && !(this->known < update.after);
+}
+
+auto Directory::take(const DirectoryUpdate &update, MonoTime now) -> DirectoryChanges
+{
+    DirectoryChanges changes;
+    if (!(this->known < update.upTo)) {
+        return changes;
+    }
+    for (const auto &record : update.present) {
+        this->takeRecord(record, now, changes);
+    }
+    for (const auto &removal : update.removed) {
+        this->takeRemoval(removal, update.settlesIn, now, changes);
+    }
+    if (update.isWhole()) {
+        this->takeAbsent(update, now, changes);
+    }
+    this->takeRows(update.rows, changes);
+    this->known = update.upTo;
+    changes.advanced = true;
+    this->poolsStale = true;
+    return changes;
+}
+
+auto Directory::takeRecord(const DirectoryRecord &record, MonoTime now, DirectoryChanges &changes)
+        -> void
+{
+    const auto found = this->byInstance.find(record.upstream.instance);
+    const auto isNew = found == this->byInstance.end();
+    auto &entry = isNew ? this->add(record) : this->slots[found->second];
+    if (!isNew && !(entry.newest < record.changed)) {
+        return;
+    }
+    const auto wasActive = entry.record.upstream.state == UpstreamState::Active;
+    const auto wasListed = !isNew && entry.presence == Presence::Listed;
+    this->unsettled -= !isNew && !wasListed ? 1 : 0;
+    this->listed += wasListed ? 0 : 1;
+    entry.record = record;
+    entry.newest = record.changed;
+    entry.presence = Presence::Listed;
+    entry.warmAt = now + record.upstream.warmup;
+    if (!wasListed) {
+        entry.since = now;
+        this->claimCookie(entry, changes);
+        changes.listed.push_back(this->indexOf(entry));
+    }
+    if (wasActive && record.upstream.state == UpstreamState::Draining) {
+        changes.leaving.push_back(this->indexOf(entry));
+    }
+}
+
+auto Directory::takeRemoval(const DirectoryRemoval &removal, Duration settlesIn, MonoTime now,
+                            DirectoryChanges &changes) -> void
+{
+    const auto found = this->byInstance.find(removal.instance);
+    if (found == this->byInstance.end()) {
+        return;
+    }
+    auto &entry = this->slots[found->second];
+    if (!(entry.newest < removal.at) || entry.presence != Presence::Listed) {
+        return;
+    }
+    entry.newest = removal.at;
+    --this->listed;
+    ++this->unsettled;
+    if (settlesIn <= Duration(0)) {
+        this->remove(entry, now, changes);
+        return;
+    }
+    entry.presence = Presence::Missing;
+    entry.since = now;
+    entry.settles = now + settlesIn;
+    changes.missing.push_back(this->indexOf(entry));
+}
+
+auto Directory::takeAbsent(const DirectoryUpdate &update, MonoTime now, DirectoryChanges &changes)
+        -> void
+{
+    std::unordered_set<InstanceId> present;
+    for (const auto &record : update.present) {
+        present.insert(record.upstream.instance);
+    }
+    std::vector<InstanceId> absent;
+    for (const auto &[instance, index] : this->byInstance) {
+        if (present.count(instance) == 0) {
+            absent.push_back(instance);
+        }
+    }
+    for (const auto instance : absent) {
+        this->takeRemoval({ instance, update.upTo }, update.settlesIn, now, changes);
+    }
+}
+
+auto Directory::takeRows(const std::shared_ptr<const PacketRows> &rows, DirectoryChanges &changes)
+        -> void
+{
+    if (rows == nullptr
+        || (this->published != nullptr && !(this->published->changed < rows->changed))) {
+        return;
+    }
+    auto before = std::exchange(this->rowsByAddress, {});
+    this->published = rows;
+    this->rowsByAddress.reserve(rows->rows.size());
+    for (const auto &row : rows->rows) {
+        RowEntry entry { &row, std::move(before[row.address].had) };
+        addServices(row, entry.had);
+        this->rowsByAddress.emplace(row.address, std::move(entry));
+    }
+    changes.rowsChanged = true;
+}
+
+auto Directory::add(const DirectoryRecord &record) -> UpstreamEntry &
+{
+    std::uint32_t index = 0;
+    if (this->freeSlots.empty()) {
+        index = static_cast<std::uint32_t>(this->slots.size());
+        this->slots.emplace_back();
+    } else {
+        index = this->freeSlots.back();
+        this->freeSlots.pop_back();
+        this->slots[index] = UpstreamEntry();
+    }
+    auto &entry = this->slots[index];
+    entry.cookie = Cookie::of(record.upstream.instance);
+    entry.isNear = record.upstream.zone == this->ownZone;
+    this->byInstance.emplace(record.upstream.instance, index);
+    return entry;
+}
+
+auto Directory::claimCookie(UpstreamEntry &entry, DirectoryChanges &changes) -> void
+{
+    const auto index = this->indexOf(entry);
+    const auto [found, isFree] = this->cookies.emplace(entry.cookie, index);
+    entry.ownsCookie = true;
+    if (isFree || found->second == index) {
+        return;
+    }
+    auto &other = this->slots[found->second];
+    if (isOlder(entry.record, other.record)) {
+        other.ownsCookie = false;
+        changes.sharedCookie.push_back(found->second);
+        found->second = index;
+    } else {
+        entry.ownsCookie = false;
+        changes.sharedCookie.push_back(index);
+    }
+}
+
+auto Directory::releaseCookie(const UpstreamEntry &entry) -> void
+{
+    const auto found = this->cookies.find(entry.cookie);
+    if (found == this->cookies.end() || found->second != this->indexOf(entry)) {
+        return;
+    }
+    this->cookies.erase(found);
+    DirectoryChanges none;
+    for (auto &other : this->slots) {
+        const auto isNext = other.cookie == entry.cookie && !other.ownsCookie && &other != &entry;
+        if (isNext && other.record.upstream.instance.isValid()) {
+            this->claimCookie(other, none);
+        }
+    }
+}
+
+auto Directory::remove(UpstreamEntry &entry, MonoTime now, DirectoryChanges &changes) -> void
+{
+    entry.presence = Presence::Removed;
+    entry.since = now;
+    changes.removed.push_back(this->indexOf(entry));
+    this->poolsStale = true;
+}
+
+auto Directory::settle(MonoTime now) -> DirectoryChanges
+{
+    DirectoryChanges changes;
+    if (this->unsettled == 0) {
+        return changes;
+    }
+    for (auto &entry : this->slots) {
+        if (!entry.record.upstream.instance.isValid()) {
+            continue;
+        }
+        if (entry.presence == Presence::Missing && now >= entry.settles) {
+            this->remove(entry, now, changes);
+        } else if (entry.presence == Presence::Removed
+                   && now - entry.since >= config::tombstoneTime) {
+            this->forget(entry);
+        }
+    }
+    return changes;
+}
+
+auto Directory::forget(UpstreamEntry &entry) -> void
+{
+    this->forgotten = std::max(this->forgotten, entry.newest);
+    this->releaseCookie(entry);
+    this->byInstance.erase(entry.record.upstream.instance);
+    this->freeSlots.push_back(this->indexOf(entry));
+    entry = UpstreamEntry();
+    --this->unsettled;
+    this->poolsStale = true;
+}
+
+auto Directory::updateSince(Revision have, MonoTime now) const -> DirectoryUpdate
+{
+    DirectoryUpdate update;
+    const auto isWhole = !have.isValid() || have < this->forgotten;
+    update.after = isWhole ? Revision() : have;
+    update.upTo = this->known;
+    for (const auto &entry : this->slots) {
+        if (!entry.record.upstream.instance.isValid() || !(update.after < entry.newest)) {
+            continue;
+        }
+        if (entry.presence == Presence::Listed) {
+            update.present.push_back(entry.record);
+            continue;
+        }
+        update.removed.push_back({ entry.record.upstream.instance, entry.newest });
+        if (entry.presence == Presence::Missing) {
+            update.settlesIn = std::max(update.settlesIn, Duration(entry.settles - now));
+        }
+    }
+    if (this->published != nullptr && update.after < this->published->changed) {
+        update.rows = this->published;
+    }
+    return update;
+}
+
+auto Directory::rowAt(Address address) const -> const RowEntry *
+{
+    const auto found = this->rowsByAddress.find(address);
+    return found == this->rowsByAddress.end() ? nullptr : &found->second;
+}
+
+auto Directory::byCookie(Cookie cookie) -> UpstreamEntry *
+{
+    const auto found = this->cookies.find(cookie);
+    return found == this->cookies.end() ? nullptr : &this->slots[found->second];
+}
+
+auto Directory::byCookie(Cookie cookie) const -> const UpstreamEntry *
+{
+    const auto found = this->cookies.find(cookie);
+    return found == this->cookies.end() ? nullptr : &this->slots[found->second];
+}
+
+auto Directory::poolOf(ServiceId service) -> const ServicePool &
+{
+    if (this->poolsStale) {
+        this->makePools();
+    }
+    const auto found = this->pools.find(service);
+    return found == this->pools.end() ? noPool : found->second;
+}
+
+auto Directory::makePools() -> void
+{
+    this->poolsStale = false;
+    for (auto &[service, pool] : this->pools) {
+        pool.near.clear();
+        pool.far.clear();
+        pool.spare.clear();
+        pool.silent.clear();
+    }
+    for (auto &entry : this->slots) {
+        if (entry.record.upstream.instance.isValid() && isOpen(entry)) {
+            this->pool(entry);
+        }
+    }
+}
+
+auto Directory::pool(UpstreamEntry &entry) -> void
+{
+    auto &pool = this->pools[entry.record.upstream.service];
+    const auto index = this->indexOf(entry);
+    if (entry.presence == Presence::Listed && !entry.evidence.silent) {
+        (entry.isNear ? pool.near : pool.far).push_back(index);
+        return;
+    }
+    pool.spare.push_back(index);
+    if (entry.evidence.silent) {
+        pool.silent.push_back(index);
+    }
+}
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/core/directory/directorychanges.h
@@ -0,0 +1,21 @@
+/// What an update changed in a host's directory.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+namespace flamingograde {
+
+/// Indices of the entries that changed, by what happened to them.
+struct DirectoryChanges
+{
+    bool advanced = false;                   ///< The revision rose.
+    bool rowsChanged = false;                ///< Other rows are in force.
+    std::vector<std::uint32_t> listed;       ///< New, or back.
+    std::vector<std::uint32_t> leaving;      ///< Draining now.
+    std::vector<std::uint32_t> missing;      ///< May come back.
+    std::vector<std::uint32_t> removed;      ///< Gone.
+    std::vector<std::uint32_t> sharedCookie; ///< Have the cookie of an older one.
+};
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/core/directory/directorycontroller.h
@@ -0,0 +1,53 @@
+/// Keeps the directory up to date: from the platform, and from other hosts.
+#pragma once
+
+#include <flamingograde/action.h>
+#include <flamingograde/clock.h>
+#include <flamingograde/event.h>
+#include <flamingograde/ids.h>
+
+namespace flamingograde {
+
+class Blackboard;
+struct DirectoryChanges;
+
+/// Reads and watches the platform's directory and spreads its changes between hosts.
+///
+/// One host of a zone watches; it pushes changes to its zone. Between zones a host hears of a
+/// newer revision by gossip and asks for the changes. A host that hears nothing newer for
+/// `config::directoryStale` reads for itself.
+/// @remarks Not thread safe. Throws nothing.
+class DirectoryController
+{
+public:
+    /// Takes one event. Precondition: `board.now` is the time of it.
+    auto handle(Blackboard &board, const Event &event) -> void;
+
+private:
+    auto on(Blackboard &board, const DirectoryRead &read) -> void;
+    auto on(Blackboard &board, const DirectoryReadFailed &failed) -> void;
+    auto on(Blackboard &board, const PeerUp &up) -> void;
+    auto on(Blackboard &board, const PeerMessage &received) -> void;
+    auto on(Blackboard &board, const Tick &tick) -> void;
+    auto noteGossip(Blackboard &board, HostId from, const Gossip &gossip) -> void;
+
+    auto start(Blackboard &board) -> void;
+    auto read(Blackboard &board, const ReadDirectory &action) -> void;
+    auto readIfDue(Blackboard &board) -> void;
+    auto adopt(Blackboard &board, const DirectoryUpdate &update, HostId from) -> void;
+    auto platformAnswered(Blackboard &board) -> void;
+    [[nodiscard]] auto settlingTime(const Blackboard &board) const -> Duration;
+
+    bool started = false;
+    bool asked = false;        ///< A read is under way.
+    bool readsAll = false;     ///< The changes this host would ask for are no longer kept.
+    bool platformLost = false; ///< The last read failed.
+    MonoTime givenUp;          ///< When the read under way counts as failed.
+    MonoTime nextRead;
+    MonoTime nextRequest;   ///< Other hosts are not asked before this.
+    MonoTime platformBack;  ///< When the platform last answered after a failure.
+    bool everLost = false;  ///< Whether `platformBack` was ever set.
+    Duration backoff { 0 }; ///< Pause after the next failed read.
+};
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/core/directory/upstreamentry.h
@@ -0,0 +1,36 @@
+/// One upstream in a host's directory.
+#pragma once
+
+#include "core/directory/upstreamevidence.h"
+
+#include <flamingograde/clock.h>
+#include <flamingograde/cookie.h>
+#include <flamingograde/directoryupdate.h>
+
+#include <cstdint>
+
+namespace flamingograde {
+
+/// Whether the platform lists an upstream.
+enum class Presence : std::uint8_t {
+    Listed,
+    Missing, ///< Removed about when the platform returned from an outage: may register again.
+    Removed, ///< Gone for good; remembered so that its open flows can be told.
+};
+
+/// A record with what this host holds of it.
+struct UpstreamEntry
+{
+    DirectoryRecord record;
+    Revision newest; ///< Of its last change or removal.
+    Presence presence = Presence::Listed;
+    MonoTime since;         ///< When the presence last changed.
+    MonoTime settles;       ///< Of a missing one: when it counts as removed.
+    MonoTime warmAt;        ///< Slow after its start until this.
+    Cookie cookie;          ///< Of its instance.
+    bool ownsCookie = true; ///< Whether the cookie stands for this one.
+    bool isNear = false;    ///< In the own availability zone.
+    UpstreamEvidence evidence;
+};
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/core/directory/upstreamevidence.h
@@ -0,0 +1,23 @@
+/// What callers' packets show of one upstream.
+#pragma once
+
+#include <flamingograde/clock.h>
+
+#include <cstdint>
+
+namespace flamingograde {
+
+/// Load and signs of life of an upstream, as far as the packets that this host forwards show them.
+struct UpstreamEvidence
+{
+    std::uint32_t busy = 0;       ///< Requests and openings of this host's flows under way.
+    std::uint32_t unanswered = 0; ///< Openings without an answer since the last sign of life.
+    bool silent = false;          ///< Gets no new flows but on trial.
+    MonoTime heard;               ///< When it last showed life.
+    MonoTime nextTrial;           ///< Of a silent one: not tried before this.
+    Duration trialPause { 0 };    ///< Of a silent one: the pause after the next trial.
+    Duration handshake { 0 };     ///< Mean time from an opening to the caller's next packet.
+    Duration response { 0 };      ///< Mean time from a request to the caller's acknowledgement.
+};
+
+} // namespace flamingograde
--- a/src/core/dump.cpp
+++ b/src/core/dump.cpp
@@ -210,6 +210,18 @@
              { "keys", stats.keys } };
 }
 
+auto addPacketGauges(const Blackboard &board, Stats &stats) -> void
+{
+    const auto *rows = board.directory.rows();
+    stats.directoryRevision = board.directory.revision().number;
+    stats.rowsVersion = rows == nullptr ? 0 : rows->version;
+    stats.upstreams = board.directory.listedCount();
+    stats.flows = board.packets.flows.used;
+    for (const auto &entry : board.directory.entries()) {
+        stats.upstreamsSilent += entry.evidence.silent ? 1 : 0;
+    }
+}
+
 } // namespace
 
 auto statsOf(const Blackboard &board) -> Stats
@@ -225,6 +237,7 @@
         stats.queued += load.queued;
         stats.running += load.running;
     }
+    addPacketGauges(board, stats);
     return stats;
 }
 
--- a/src/core/feeds/feedcontroller.cpp
+++ b/src/core/feeds/feedcontroller.cpp
@@ -55,7 +55,7 @@
     feed.stage = FeedStage::Opening;
     if (feed.headPassed) {
         ++board.stats.feedsReopened;
-        board.log(LogEvent::FeedReopened, upstream.name);
+        board.log(LogEvent::FeedReopened, "upstream=" + upstream.name);
     }
     OpenFeed action;
     action.exchange = id;
@@ -242,7 +242,7 @@
     }
     left.resize(std::min(left.size(), shareToEnd(board, left.size())));
     for (const auto id : left) {
-        board.log(LogEvent::FeedMoved, "stop");
+        board.log(LogEvent::FeedMoved, "why=stop");
         endOrRefuse(board, id, *board.feeds.find(id), RefusalReason::Stopping);
     }
 }
--- a/src/core/homes/claimant.cpp
+++ b/src/core/homes/claimant.cpp
@@ -195,7 +195,7 @@
     }
     if (begun > 0) {
         board.stats.tenuresBegun += begun;
-        board.log(LogEvent::TenureBegan, std::to_string(begun) + " cells");
+        board.log(LogEvent::TenureBegan, "cells=" + std::to_string(begun));
     }
 }
 
--- a/src/core/homes/grantor.cpp
+++ b/src/core/homes/grantor.cpp
@@ -125,7 +125,7 @@
     const auto known = board.tenure.knownFrom(cell);
     const auto wasHome = board.tenure.end(cell);
     if (wasHome) {
-        board.log(LogEvent::TenureEnded, "1 cell claimed by another host");
+        board.log(LogEvent::TenureEnded, "cells=1 why=\"claimed by another host\"");
     }
     const auto [found, added] = this->handovers.try_emplace(cell);
     auto &handover = found->second;
--- a/src/core/homes/tenurecontroller.cpp
+++ b/src/core/homes/tenurecontroller.cpp
@@ -115,7 +115,8 @@
         board.tenure.end(cell);
     }
     if (!cells.empty()) {
-        board.log(LogEvent::TenureEnded, std::to_string(cells.size()) + " cells, " + why);
+        board.log(LogEvent::TenureEnded,
+                  "cells=" + std::to_string(cells.size()) + " why=\"" + why + "\"");
     }
 }
 
--- a/src/core/keys/keycontroller.cpp
+++ b/src/core/keys/keycontroller.cpp
@@ -24,7 +24,7 @@
 {
     const auto pause =
             reason == RefusalReason::KeyRunning ? Duration(config::retryAfterMin) : Duration { 0 };
-    board.log(LogEvent::KeyAnsweredUnknown, exchange.key);
+    board.log(LogEvent::KeyAnsweredUnknown, "key=" + exchange.key);
     refuse(board, exchange, Refusal { reason, verdict, pause });
 }
 
@@ -37,7 +37,7 @@
         return;
     }
     ++board.stats.replayed;
-    board.log(LogEvent::KeyAnsweredAgain, exchange.key);
+    board.log(LogEvent::KeyAnsweredAgain, "key=" + exchange.key);
     board.act(ReplayAnswer { exchange.id, answer });
     forget(board, exchange.id);
 }
--- /dev/null
+++ b/src/core/logevent.cpp
@@ -0,0 +1,119 @@
+/// The names of log events.
+#include <flamingograde/logevent.h>
+
+namespace flamingograde {
+
+auto toString(LogEvent event) -> std::string_view
+{
+    switch (event) {
+    case LogEvent::Started:
+        return "Started";
+    case LogEvent::StopBegan:
+        return "StopBegan";
+    case LogEvent::StopWaits:
+        return "StopWaits";
+    case LogEvent::Stopped:
+        return "Stopped";
+    case LogEvent::PauseNoticed:
+        return "PauseNoticed";
+    case LogEvent::SettingRefused:
+        return "SettingRefused";
+    case LogEvent::ListenFailed:
+        return "ListenFailed";
+    case LogEvent::SettingsRead:
+        return "SettingsRead";
+    case LogEvent::TableAccepted:
+        return "TableAccepted";
+    case LogEvent::TableRefused:
+        return "TableRefused";
+    case LogEvent::TableOlder:
+        return "TableOlder";
+    case LogEvent::TableConflict:
+        return "TableConflict";
+    case LogEvent::PlatformLost:
+        return "PlatformLost";
+    case LogEvent::PlatformBack:
+        return "PlatformBack";
+    case LogEvent::AddressQuarantined:
+        return "AddressQuarantined";
+    case LogEvent::RowsAccepted:
+        return "RowsAccepted";
+    case LogEvent::DirectoryRefused:
+        return "DirectoryRefused";
+    case LogEvent::MemberJoined:
+        return "MemberJoined";
+    case LogEvent::MemberSuspected:
+        return "MemberSuspected";
+    case LogEvent::MemberDead:
+        return "MemberDead";
+    case LogEvent::MemberLeaving:
+        return "MemberLeaving";
+    case LogEvent::MemberRefuted:
+        return "MemberRefuted";
+    case LogEvent::PeerConnected:
+        return "PeerConnected";
+    case LogEvent::PeerSilent:
+        return "PeerSilent";
+    case LogEvent::PeerMessageBad:
+        return "PeerMessageBad";
+    case LogEvent::TenureBegan:
+        return "TenureBegan";
+    case LogEvent::TenureEnded:
+        return "TenureEnded";
+    case LogEvent::KeyAnsweredAgain:
+        return "KeyAnsweredAgain";
+    case LogEvent::KeyAnsweredUnknown:
+        return "KeyAnsweredUnknown";
+    case LogEvent::RequestRefused:
+        return "RequestRefused";
+    case LogEvent::TokenRefused:
+        return "TokenRefused";
+    case LogEvent::ServiceUnknown:
+        return "ServiceUnknown";
+    case LogEvent::BodyTooLarge:
+        return "BodyTooLarge";
+    case LogEvent::AnswerLost:
+        return "AnswerLost";
+    case LogEvent::CallerGone:
+        return "CallerGone";
+    case LogEvent::UpstreamEjected:
+        return "UpstreamEjected";
+    case LogEvent::UpstreamReturned:
+        return "UpstreamReturned";
+    case LogEvent::UpstreamDrained:
+        return "UpstreamDrained";
+    case LogEvent::UpstreamShed:
+        return "UpstreamShed";
+    case LogEvent::FeedReopened:
+        return "FeedReopened";
+    case LogEvent::FeedMoved:
+        return "FeedMoved";
+    case LogEvent::UpstreamListed:
+        return "UpstreamListed";
+    case LogEvent::UpstreamLeaving:
+        return "UpstreamLeaving";
+    case LogEvent::UpstreamMissing:
+        return "UpstreamMissing";
+    case LogEvent::UpstreamRemoved:
+        return "UpstreamRemoved";
+    case LogEvent::UpstreamSilent:
+        return "UpstreamSilent";
+    case LogEvent::UpstreamHeard:
+        return "UpstreamHeard";
+    case LogEvent::CookieShared:
+        return "CookieShared";
+    case LogEvent::FlowPlaced:
+        return "FlowPlaced";
+    case LogEvent::FlowReset:
+        return "FlowReset";
+    case LogEvent::PacketDropped:
+        return "PacketDropped";
+    case LogEvent::PacketMalformed:
+        return "PacketMalformed";
+    case LogEvent::LinesLeftOut:
+        return "LinesLeftOut";
+    }
+    return "Unknown";
+}
+
+} // namespace flamingograde
--- a/src/core/membership/gossip.cpp
+++ b/src/core/membership/gossip.cpp
@@ -36,6 +36,7 @@
     gossip.placements = board.config.placements.digest();
     gossip.agreed = board.config.placements.isAgreed();
     gossip.platformAgeMs = platformAgeMs(board);
+    gossip.directory = board.directory.revision();
     return gossip;
 }
 
--- a/src/core/membership/membermerge.cpp
+++ b/src/core/membership/membermerge.cpp
@@ -38,7 +38,7 @@
         }
         return LogEvent::MemberJoined;
     }();
-    board.log(event, member.name + " incarnation " + std::to_string(member.incarnation));
+    board.log(event, "host=" + member.name + " incarnation=" + std::to_string(member.incarnation));
 }
 
 /// Returns whether `update` goes before what is known.
@@ -71,7 +71,7 @@
     if (update.state == MemberState::Dead && !isHeardInZone(board)) {
         ++board.membership.deaths;
     }
-    board.log(LogEvent::MemberRefuted, "incarnation " + std::to_string(update.incarnation));
+    board.log(LogEvent::MemberRefuted, "incarnation=" + std::to_string(update.incarnation));
     raiseIncarnation(board, update.incarnation);
     pushGossip(board);
 }
--- a/src/core/membership/memberrecord.h
+++ b/src/core/membership/memberrecord.h
@@ -22,6 +22,7 @@
     MonoTime nextIndirect;        ///< Others are not asked about it before this.
     Duration backoff { 0 };       ///< Pause after the next failed dial.
     Revision revision;            ///< Its table, as it last said.
+    Revision directory;           ///< Its directory, as it last said or was sent.
     std::uint64_t placements = 0; ///< Digest of its placements of keys, as it last said.
     std::uint32_t refusals = 0;   ///< Refused dials in a row.
     std::uint32_t tellings = 0;   ///< How often its last change is still to be gossiped.
--- a/src/core/membership/membershipcontroller.cpp
+++ b/src/core/membership/membershipcontroller.cpp
@@ -89,6 +89,7 @@
                             [&](const PeerUp &it) { this->on(board, it); },
                             [&](const PeerDown &it) { this->on(board, it); },
                             [&](const PeerMessage &it) { this->on(board, it); },
+                            [&](const SeedsRead &it) { this->on(board, it); },
                             [&](const Tick &it) { this->on(board, it); },
                             [&](const StopRequested & /*it*/) { this->leave(board); },
                             [](const auto & /*other*/) {} },
@@ -110,7 +111,7 @@
     }
     auto &membership = board.membership;
     membership.self = self.id;
-    membership.seeded = !board.init.seeds.empty();
+    membership.seeded = !board.init.seeds.empty() || !board.init.seedAddresses.empty();
     membership.startedAt = board.now.mono;
     membership.pausedAt = board.now.mono;
     membership.contactAt = board.now.mono - config::pauseThreshold;
@@ -131,7 +132,7 @@
     ++board.membership.pauses;
     board.membership.pausedAt = board.now.mono;
     const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(gap).count();
-    board.log(LogEvent::PauseNoticed, std::to_string(ms) + " ms");
+    board.log(LogEvent::PauseNoticed, "ms=" + std::to_string(ms));
     this->detector.reset(board);
     raiseIncarnation(board, 0);
 }
@@ -198,6 +199,12 @@
             received.message);
 }
 
+auto MembershipController::on(Blackboard &board, const SeedsRead &read) -> void
+{
+    board.init.seedAddresses = read.addresses;
+    this->seeds.hurry();
+}
+
 auto MembershipController::on(Blackboard &board, const Tick & /*tick*/) -> void
 {
     if (board.stop.ready && !this->goodbyeSaid) {
@@ -206,6 +213,7 @@
         return;
     }
     this->dialer.tick(board);
+    this->seeds.tick(board);
     this->detector.tick(board, this->dialer);
     board.membership.refresh();
     board.stats.membersAlive = board.membership.aliveCount();
--- a/src/core/membership/membershipcontroller.h
+++ b/src/core/membership/membershipcontroller.h
@@ -3,6 +3,7 @@
 
 #include "core/membership/dialer.h"
 #include "core/membership/failuredetector.h"
+#include "core/membership/seeddialer.h"
 
 #include <flamingograde/clock.h>
 #include <flamingograde/event.h>
@@ -29,10 +30,12 @@
     auto on(Blackboard &board, const PeerUp &up) -> void;
     auto on(Blackboard &board, const PeerDown &down) -> void;
     auto on(Blackboard &board, const PeerMessage &received) -> void;
+    auto on(Blackboard &board, const SeedsRead &read) -> void;
     auto on(Blackboard &board, const Tick &tick) -> void;
     auto leave(Blackboard &board) -> void;
 
     Dialer dialer;
+    SeedDialer seeds;
     FailureDetector detector;
     MonoTime lastEvent;
     bool started = false;
--- /dev/null
+++ b/src/core/packets/flowwatch.cpp
@@ -0,0 +1,218 @@
+/// Stages of flows, and what they say of their upstreams.
+#include "core/packets/flowwatch.h"
+
+#include "core/blackboard.h"
+#include "core/packets/silence.h"
+
+#include <flamingograde/config.h>
+
+#include <algorithm>
+
+namespace flamingograde {
+
+namespace {
+
+/// Weight of a new measure in a mean: about the last ten count.
+constexpr auto gainDivisor = 10;
+/// Part of the flow table that is looked at in each tick: all of it in 64 ticks, 3.2 s.
+constexpr std::size_t sweepDivisor = 64;
+
+auto isRunning(FlowStage stage) -> bool
+{
+    return stage == FlowStage::Opening || stage == FlowStage::Waiting;
+}
+
+/// Returns the entry that a flow belongs to, or null where its index was given to another.
+auto upstreamOf(Blackboard &board, const FlowEntry &flow) -> UpstreamEntry *
+{
+    auto &entry = board.directory.at(flow.upstream);
+    return entry.cookie == flow.cookie ? &entry : nullptr;
+}
+
+/// Moves a flow to another stage and counts requests under way.
+auto enter(Blackboard &board, FlowEntry &flow, FlowStage stage) -> void
+{
+    auto *entry = upstreamOf(board, flow);
+    if (entry != nullptr && isRunning(flow.stage) != isRunning(stage)) {
+        auto &busy = entry->evidence.busy;
+        busy = isRunning(stage) ? busy + 1 : busy - std::min(busy, 1U);
+    }
+    auto &used = board.packets.flows.used;
+    used += (stage != FlowStage::Free ? 1 : 0) - (flow.stage != FlowStage::Free ? 1 : 0);
+    flow.stage = stage;
+}
+
+auto addSample(Duration &mean, std::uint32_t milliseconds) -> void
+{
+    const Duration sample = std::chrono::milliseconds(milliseconds);
+    mean = mean == Duration(0) ? sample : mean + (sample - mean) / gainDivisor;
+}
+
+/// Gives a claimed entry to a flow.
+auto assign(Blackboard &board, FlowEntry &flow, const PacketHead &head, std::uint32_t upstream)
+        -> void
+{
+    unwatch(board, flow);
+    flow.key = FlowKey::of(head);
+    flow.upstream = upstream;
+    flow.cookie = board.directory.at(upstream).cookie;
+    flow.acknowledged = head.acknowledged;
+    flow.sequence = head.sequence;
+}
+
+/// Takes the first packet after the opening one: its upstream answered.
+auto takeAnswer(Blackboard &board, FlowEntry &flow, const PacketHead &head, std::uint32_t upstream)
+        -> void
+{
+    const auto took = FlowTable::clock(board.now.mono) - flow.sentAt;
+    if (flow.upstream != upstream) {
+        assign(board, flow, head, upstream); // A copy of the opening was answered first.
+    }
+    auto &evidence = board.directory.at(upstream).evidence;
+    addSample(evidence.handshake, took);
+    board.stats.handshakes.add(took);
+    noteSign(board, upstream);
+    flow.acknowledged = head.acknowledged;
+    flow.sequence = head.sequence;
+    enter(board, flow, FlowStage::Idle);
+}
+
+/// Takes a newer acknowledgement: the upstream sent something that reached the caller.
+auto takeProgress(Blackboard &board, FlowEntry &flow, const PacketHead &head) -> void
+{
+    const auto advance = static_cast<std::int32_t>(head.acknowledged - flow.acknowledged);
+    if (!head.flags.acknowledges || advance <= 0) {
+        return;
+    }
+    flow.acknowledged = head.acknowledged;
+    noteSign(board, flow.upstream);
+    if (flow.stage == FlowStage::Waiting) {
+        const auto took = FlowTable::clock(board.now.mono) - flow.sentAt;
+        addSample(board.directory.at(flow.upstream).evidence.response, took);
+        board.stats.responses.add(took);
+        enter(board, flow, FlowStage::Idle);
+    }
+}
+
+auto takeData(Blackboard &board, FlowEntry &flow, const PacketHead &head) -> void
+{
+    const auto advance = static_cast<std::int32_t>(head.sequence - flow.sequence);
+    const auto isNew = advance > 0 || flow.stage == FlowStage::Idle;
+    if (head.dataBytes == 0 || !isNew) {
+        return;
+    }
+    flow.sequence = head.sequence;
+    if (flow.stage == FlowStage::Idle) {
+        flow.sentAt = FlowTable::clock(board.now.mono);
+        enter(board, flow, FlowStage::Waiting);
+    }
+}
+
+/// Returns the watched flow of a packet, or null: packets without data begin no watch.
+auto flowOf(Blackboard &board, const PacketHead &head, std::uint32_t upstream) -> FlowEntry *
+{
+    auto &flows = board.packets.flows;
+    const auto key = FlowKey::of(head);
+    auto *flow = flows.find(key);
+    if (flow != nullptr || head.dataBytes == 0) {
+        return flow;
+    }
+    auto &claimed = flows.claim(key);
+    assign(board, claimed, head, upstream);
+    enter(board, claimed, FlowStage::Idle);
+    return &claimed;
+}
+
+auto judgeOpening(Blackboard &board, const PendingOpening &opening) -> void
+{
+    const auto &flow = board.packets.flows.at(opening.flow);
+    const auto waits = flow.stage == FlowStage::Opening && flow.sentAt == opening.sentAt
+                       && flow.upstream == opening.upstream;
+    if (waits) {
+        noteUnanswered(board, opening.upstream, opening.sentAt);
+    }
+}
+
+auto reviewOpenings(Blackboard &board) -> void
+{
+    constexpr auto patience = static_cast<std::uint32_t>(config::handshakePatience.count());
+    auto &openings = board.packets.openings;
+    const auto now = FlowTable::clock(board.now.mono);
+    while (const auto *opening = openings.oldest()) {
+        if (now - opening->sentAt < patience) {
+            return;
+        }
+        const auto due = *opening;
+        openings.pop();
+        judgeOpening(board, due);
+    }
+}
+
+auto sweep(Blackboard &board) -> void
+{
+    constexpr auto forget = static_cast<std::uint32_t>(config::busyForget.count());
+    auto &packets = board.packets;
+    const auto now = FlowTable::clock(board.now.mono);
+    const auto count = packets.flows.capacity() / sweepDivisor;
+    for (std::size_t i = 0; i < count; ++i) {
+        auto &flow = packets.flows.at(packets.swept);
+        packets.swept = (packets.swept + 1) % packets.flows.capacity();
+        if (isRunning(flow.stage) && now - flow.packetAt >= forget) {
+            unwatch(board, flow);
+        }
+    }
+}
+
+} // namespace
+
+auto watchOpening(Blackboard &board, FlowEntry &flow, const PacketHead &head,
+                  std::uint32_t upstream) -> void
+{
+    assign(board, flow, head, upstream);
+    flow.sentAt = FlowTable::clock(board.now.mono);
+    flow.packetAt = flow.sentAt;
+    enter(board, flow, FlowStage::Opening);
+    board.packets.openings.push({ board.packets.flows.indexOf(flow), upstream, flow.sentAt });
+}
+
+auto watchPacket(Blackboard &board, const PacketHead &head, std::uint32_t upstream) -> void
+{
+    auto *flow = flowOf(board, head, upstream);
+    if (flow == nullptr) {
+        return;
+    }
+    flow->packetAt = FlowTable::clock(board.now.mono);
+    if (head.flags.resets) {
+        unwatch(board, *flow);
+        return;
+    }
+    if (flow->stage == FlowStage::Opening) {
+        takeAnswer(board, *flow, head, upstream);
+    } else {
+        takeProgress(board, *flow, head);
+    }
+    takeData(board, *flow, head);
+    if (head.flags.finishes) {
+        unwatch(board, *flow);
+    }
+}
+
+auto unwatch(Blackboard &board, FlowEntry &flow) -> void
+{
+    if (flow.stage != FlowStage::Free) {
+        enter(board, flow, FlowStage::Free);
+    }
+}
+
+auto reviewFlows(Blackboard &board) -> void
+{
+    reviewOpenings(board);
+    sweep(board);
+}
+
+auto resetOpenings(Blackboard &board) -> void
+{
+    board.packets.openings.clear();
+}
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/core/packets/flowwatch.h
@@ -0,0 +1,33 @@
+/// Learns load and signs of life of upstreams from callers' packets.
+#pragma once
+
+#include "core/packets/flowentry.h"
+
+#include <flamingograde/packethead.h>
+
+#include <cstdint>
+
+namespace flamingograde {
+
+class Blackboard;
+
+/// Watches the flow of an opening packet that is forwarded to the upstream at `upstream`.
+/// Precondition: `flow` is in the table under the packet's key, or was claimed for it.
+auto watchOpening(Blackboard &board, FlowEntry &flow, const PacketHead &head,
+                  std::uint32_t upstream) -> void;
+
+/// Takes a later packet of a flow that is forwarded to the upstream at `upstream`.
+/// Precondition: the packet opens nothing.
+auto watchPacket(Blackboard &board, const PacketHead &head, std::uint32_t upstream) -> void;
+
+/// Ends the watch of a flow: its request, if any, is no longer counted.
+auto unwatch(Blackboard &board, FlowEntry &flow) -> void;
+
+/// Judges openings that were not answered in time, and forgets requests without packets.
+/// Precondition: to be called on each `Tick`, after the packets that came before it.
+auto reviewFlows(Blackboard &board) -> void;
+
+/// Forgets what waits for an answer: the process was paused, and its timers mean nothing.
+auto resetOpenings(Blackboard &board) -> void;
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/core/packets/packetnote.cpp
@@ -0,0 +1,46 @@
+/// What the log says of a packet.
+#include "core/packets/packetnote.h"
+
+#include "core/blackboard.h"
+#include "core/hexid.h"
+
+namespace flamingograde {
+
+namespace {
+
+auto describeTarget(const Blackboard &board, const PacketTarget &target) -> std::string
+{
+    std::string text = " upstream=" + hexOf(target.instance) + "@" + target.address.toString();
+    if (const auto *entry = board.directory.byCookie(target.cookie)) {
+        text += " zone=" + entry->record.upstream.zoneName
+                + " busy=" + std::to_string(entry->evidence.busy)
+                + " slots=" + std::to_string(entry->record.upstream.slots);
+    }
+    return text;
+}
+
+} // namespace
+
+auto describePacket(const Blackboard &board, const PacketHead &head, const PacketDecision &decision)
+        -> std::string
+{
+    const auto *row = board.directory.rowAt(head.service);
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+            board.config.platformAge(board.now.mono));
+    std::string text = "reason=" + std::string(toString(decision.reason))
+                       + " row=" + (row == nullptr ? std::string("none") : row->row->name);
+    for (std::size_t i = 0; i < decision.targetCount; ++i) {
+        text += describeTarget(board, decision.targets[i]);
+    }
+    if (head.flags.opens) {
+        text += " copy=" + std::to_string(head.copy);
+    } else {
+        text += " cookie=" + std::to_string(head.cookie.value);
+    }
+    const auto *rows = board.directory.rows();
+    return text + " rows=" + std::to_string(rows == nullptr ? 0 : rows->version)
+           + " directory=" + std::to_string(board.directory.revision().number)
+           + " platform_age_ms=" + std::to_string(age.count());
+}
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/core/packets/packetreason.cpp
@@ -0,0 +1,24 @@
+/// The names of reasons.
+#include <flamingograde/packetdecision.h>
+
+#include <array>
+
+namespace flamingograde {
+
+namespace {
+
+/// In the order of `PacketReason`.
+constexpr std::array<std::string_view, 11> names {
+    "steered",     "placed",        "placed-elsewhere", "placed-on-trial",   "no-row",
+    "no-upstream", "upstream-gone", "cookie-unknown",   "cookie-of-another", "already-open",
+    "malformed"
+};
+
+} // namespace
+
+auto toString(PacketReason reason) -> std::string_view
+{
+    return names.at(static_cast<std::size_t>(reason));
+}
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/core/packets/packetstate.h
@@ -0,0 +1,28 @@
+/// What the packet path keeps beside the directory.
+#pragma once
+
+#include "core/packets/flowtable.h"
+#include "core/packets/openingqueue.h"
+
+#include <flamingograde/clock.h>
+
+#include <cstddef>
+#include <cstdint>
+
+namespace flamingograde {
+
+/// Flows, openings that wait for an answer, and when packets came.
+/// @remarks Not thread safe.
+struct PacketState
+{
+    /// @param flowsTracked flows that are watched; 0: no packets are carried.
+    explicit PacketState(std::size_t flowsTracked) : flows(flowsTracked) {}
+
+    FlowTable flows;
+    OpeningQueue openings;
+    MonoTime lastPacket;     ///< When a packet last came.
+    MonoTime lastSign;       ///< When any upstream last showed life.
+    std::uint32_t swept = 0; ///< The next entry of `flows` to be looked at for a forgotten request.
+};
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/core/packets/packetsteering.cpp
@@ -0,0 +1,135 @@
+/// Steers by cookie, places new flows, resets what cannot be served.
+#include "core/packets/packetsteering.h"
+
+#include "core/blackboard.h"
+#include "core/packets/flowplacement.h"
+#include "core/packets/flowwatch.h"
+#include "core/packets/silence.h"
+
+#include <algorithm>
+
+namespace flamingograde {
+
+namespace {
+
+auto drop(PacketReason reason) -> PacketDecision
+{
+    PacketDecision decision;
+    decision.reason = reason;
+    return decision;
+}
+
+/// Resets a flow; a packet that is a reset itself is dropped.
+auto reset(const PacketHead &head, PacketReason reason) -> PacketDecision
+{
+    auto decision = drop(reason);
+    decision.verdict = head.flags.resets ? PacketVerdict::Drop : PacketVerdict::Reset;
+    return decision;
+}
+
+auto addTarget(const UpstreamEntry &entry, PacketDecision &decision) -> void
+{
+    const auto &upstream = entry.record.upstream;
+    decision.targets[decision.targetCount++] = { upstream.instance, upstream.address,
+                                                 entry.cookie };
+}
+
+auto forward(const UpstreamEntry &entry, PacketReason reason) -> PacketDecision
+{
+    PacketDecision decision;
+    decision.verdict = PacketVerdict::Forward;
+    decision.reason = reason;
+    addTarget(entry, decision);
+    return decision;
+}
+
+/// Returns whether the flags do not go together.
+auto isMalformed(const PacketHead &head) -> bool
+{
+    const auto &flags = head.flags;
+    const auto opensAndMore =
+            flags.opens && (flags.finishes || flags.resets || head.dataBytes != 0);
+    return flags.returned || opensAndMore;
+}
+
+/// Returns the entry for a flow in the table, claimed for it if it has none.
+auto entryFor(Blackboard &board, FlowEntry *known, const FlowKey &key) -> FlowEntry &
+{
+    return known != nullptr ? *known : board.packets.flows.claim(key);
+}
+
+auto place(Blackboard &board, const RowEntry &row, const PacketHead &head) -> PacketDecision
+{
+    const auto key = FlowKey::of(head);
+    auto *known = board.packets.flows.find(key);
+    const auto isCopy = known != nullptr && head.copy > 0;
+    if (isCopy && known->stage != FlowStage::Opening) {
+        return drop(PacketReason::AlreadyOpen);
+    }
+    NewFlow flow { key.hash(), std::nullopt };
+    if (isCopy) {
+        flow.avoid = known->upstream;
+    }
+    auto chosen = placeFlow(board, row, flow);
+    if (!chosen && isCopy) {
+        chosen = known->upstream;
+    }
+    if (!chosen) {
+        return reset(head, PacketReason::NoUpstream);
+    }
+    watchOpening(board, entryFor(board, known, key), head, *chosen);
+    auto &entry = board.directory.at(*chosen);
+    auto decision =
+            forward(entry, head.copy > 0 ? PacketReason::PlacedElsewhere : PacketReason::Placed);
+    if (head.copy == 0) {
+        const auto &pool = board.directory.poolOf(entry.record.upstream.service);
+        const auto trial = takeTrial(board, pool);
+        if (trial && *trial != *chosen) {
+            decision.reason = PacketReason::PlacedOnTrial;
+            addTarget(board.directory.at(*trial), decision);
+        }
+    }
+    return decision;
+}
+
+auto follow(Blackboard &board, const RowEntry &row, const PacketHead &head) -> PacketDecision
+{
+    const auto *entry = board.directory.byCookie(head.cookie);
+    if (entry == nullptr) {
+        return drop(PacketReason::CookieUnknown);
+    }
+    const auto &services = row.had;
+    if (std::find(services.begin(), services.end(), entry->record.upstream.service)
+        == services.end()) {
+        return drop(PacketReason::CookieOfAnother);
+    }
+    if (entry->presence == Presence::Removed) {
+        return reset(head, PacketReason::UpstreamGone);
+    }
+    watchPacket(board, head, board.directory.indexOf(*entry));
+    return forward(*entry, PacketReason::Steered);
+}
+
+auto decide(Blackboard &board, const PacketHead &head) -> PacketDecision
+{
+    if (isMalformed(head)) {
+        return drop(PacketReason::Malformed);
+    }
+    const auto *row = board.directory.rowAt(head.service);
+    if (row == nullptr) {
+        return reset(head, PacketReason::NoRow);
+    }
+    return head.flags.opens ? place(board, *row, head) : follow(board, *row, head);
+}
+
+} // namespace
+
+auto steerPacket(Blackboard &board, const PacketHead &head) -> PacketDecision
+{
+    board.packets.lastPacket = board.now.mono;
+    const auto decision = decide(board, head);
+    ++board.stats.packets[static_cast<std::size_t>(decision.reason)];
+    return decision;
+}
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/core/packets/silence.cpp
@@ -0,0 +1,90 @@
+/// Evidence of silence and its end.
+#include "core/packets/silence.h"
+
+#include "core/blackboard.h"
+#include "core/directory/directorylog.h"
+
+#include <flamingograde/config.h>
+
+#include <algorithm>
+
+namespace flamingograde {
+
+namespace {
+
+/// Returns for how long nothing was heard of an upstream, or "never".
+auto heardAgo(const Blackboard &board, const UpstreamEvidence &evidence) -> std::string
+{
+    if (evidence.heard == MonoTime()) {
+        return "never";
+    }
+    const auto age =
+            std::chrono::duration_cast<std::chrono::milliseconds>(board.now.mono - evidence.heard);
+    return std::to_string(age.count());
+}
+
+auto silence(Blackboard &board, UpstreamEntry &entry) -> void
+{
+    auto &evidence = entry.evidence;
+    evidence.silent = true;
+    evidence.trialPause = config::trialPause;
+    evidence.nextTrial = board.now.mono + evidence.trialPause;
+    ++board.stats.upstreamsSilenced;
+    board.directory.touchPools();
+    board.notes.push_back({ LogEvent::UpstreamSilent,
+                            describeUpstream(entry)
+                                    + " unanswered=" + std::to_string(evidence.unanswered)
+                                    + " heard_ms_ago=" + heardAgo(board, evidence) });
+}
+
+auto hear(Blackboard &board, UpstreamEntry &entry) -> void
+{
+    entry.evidence.silent = false;
+    entry.evidence.nextTrial = MonoTime();
+    ++board.stats.upstreamsHeardAgain;
+    board.directory.touchPools();
+    board.notes.push_back({ LogEvent::UpstreamHeard, describeUpstream(entry) });
+}
+
+} // namespace
+
+auto noteSign(Blackboard &board, std::uint32_t upstream) -> void
+{
+    auto &entry = board.directory.at(upstream);
+    entry.evidence.heard = board.now.mono;
+    entry.evidence.unanswered = 0;
+    board.packets.lastSign = board.now.mono;
+    if (entry.evidence.silent) {
+        hear(board, entry);
+    }
+}
+
+auto noteUnanswered(Blackboard &board, std::uint32_t upstream, std::uint32_t sentAt) -> void
+{
+    auto &entry = board.directory.at(upstream);
+    ++board.stats.openingsUnanswered;
+    ++entry.evidence.unanswered;
+    const auto signAge = FlowTable::clock(board.packets.lastSign) - sentAt;
+    const auto othersAnswer = static_cast<std::int32_t>(signAge) > 0;
+    if (!entry.evidence.silent && entry.evidence.unanswered >= config::silentOpenings
+        && othersAnswer) {
+        silence(board, entry);
+    }
+}
+
+auto takeTrial(Blackboard &board, const ServicePool &pool) -> std::optional<std::uint32_t>
+{
+    for (const auto index : pool.silent) {
+        auto &entry = board.directory.at(index);
+        auto &evidence = entry.evidence;
+        if (!entry.isNear || board.now.mono < evidence.nextTrial) {
+            continue;
+        }
+        evidence.trialPause = std::min<Duration>(evidence.trialPause * 2, config::trialPauseMax);
+        evidence.nextTrial = board.now.mono + evidence.trialPause;
+        return index;
+    }
+    return std::nullopt;
+}
+
+} // namespace flamingograde
--- a/src/core/requests/outcomecontroller.cpp
+++ b/src/core/requests/outcomecontroller.cpp
@@ -101,7 +101,7 @@
 
 auto onLost(Blackboard &board, Exchange &exchange) -> void
 {
-    board.log(LogEvent::AnswerLost, exchange.idempotent ? "idempotent" : "not idempotent");
+    board.log(LogEvent::AnswerLost, exchange.idempotent ? "idempotent=true" : "idempotent=false");
     if (exchange.callerGone) {
         return forget(board, exchange.id);
     }
@@ -221,7 +221,7 @@
         return onLost(board, exchange);
     }
     ++board.stats.cut;
-    board.log(LogEvent::AnswerLost, "broke off");
+    board.log(LogEvent::AnswerLost, "why=\"broke off\"");
     if (!exchange.callerGone) {
         board.act(AbortAnswer { exchange.id });
     }
@@ -256,7 +256,7 @@
     if (exchange == nullptr || exchange->callerGone) {
         return;
     }
-    board.log(LogEvent::CallerGone, exchange->idempotent ? "idempotent" : "not idempotent");
+    board.log(LogEvent::CallerGone, exchange->idempotent ? "idempotent=true" : "idempotent=false");
     const auto atUpstream =
             exchange->stage == Stage::Dispatched
             || (exchange->stage == Stage::Answering && exchange->home == board.init.self.id);
--- a/src/core/stop/stopcontroller.cpp
+++ b/src/core/stop/stopcontroller.cpp
@@ -17,7 +17,7 @@
     }
     board.stop.stopping = true;
     board.stop.since = board.now.mono;
-    board.log(LogEvent::StopBegan, board.init.self.name);
+    board.log(LogEvent::StopBegan, "host=" + board.init.self.name);
 }
 
 auto closeListeners(Blackboard &board) -> void
@@ -48,6 +48,18 @@
     return static_cast<std::size_t>(std::unique(cells.begin(), cells.end()) - cells.begin());
 }
 
+/// Returns whether the fabric may still send packets to this host: its checks have not failed for
+/// long enough, or packets still come.
+auto takesPackets(const Blackboard &board) -> bool
+{
+    if (board.packets.flows.capacity() == 0) {
+        return false;
+    }
+    const auto now = board.now.mono;
+    return now - board.stop.since < config::fabricNotice
+           || now - board.packets.lastPacket < config::fabricQuiet;
+}
+
 /// Returns what is not finished; empty for nothing.
 auto unfinished(const Blackboard &board) -> std::string
 {
@@ -60,6 +72,7 @@
     add(board.exchanges.size(), "requests");
     add(board.feeds.size(), "feeds");
     add(heldCells(board), "cells");
+    add(takesPackets(board) ? 1 : 0, "fabric that still sends packets");
     return text;
 }
 
@@ -82,7 +95,7 @@
 auto finish(Blackboard &board, const std::string &left) -> void
 {
     board.stop.ready = true;
-    board.log(LogEvent::Stopped, left);
+    board.log(LogEvent::Stopped, "left=\"" + left + "\"");
     board.act(StopReady { left });
 }
 
@@ -112,7 +125,7 @@
     }
     if (board.now.mono - this->reported >= config::stopReportPeriod) {
         this->reported = board.now.mono;
-        board.log(LogEvent::StopWaits, left);
+        board.log(LogEvent::StopWaits, "for=\"" + left + "\"");
     }
 }
 
--- a/src/core/upstreams/upstreamcontroller.cpp
+++ b/src/core/upstreams/upstreamcontroller.cpp
@@ -45,7 +45,7 @@
     health.failures = 0;
     ++health.ejections;
     ++board.stats.ejections;
-    board.log(LogEvent::UpstreamEjected, upstream.name);
+    board.log(LogEvent::UpstreamEjected, "upstream=" + upstream.name);
 }
 
 auto noteFailure(Blackboard &board, UpstreamId id) -> void
@@ -96,7 +96,7 @@
     const auto limit = health.slotLimit.value_or(upstream->slots);
     health.slotLimit = std::max(limit / shedDivisor, 1.0);
     health.pausedUntil = board.now.mono + std::min<Duration>(retryAfter, config::retryAfterMax);
-    board.log(LogEvent::UpstreamShed, upstream->name);
+    board.log(LogEvent::UpstreamShed, "upstream=" + upstream->name);
 }
 
 /// Takes the head of a request's answer.
@@ -171,7 +171,7 @@
     if (health.ejected && health.ejectedUntil <= board.now.mono) {
         health.ejected = false;
         health.rampSince = board.now.mono;
-        board.log(LogEvent::UpstreamReturned, upstream.name);
+        board.log(LogEvent::UpstreamReturned, "upstream=" + upstream.name);
     }
     if (health.rampSince.has_value() && board.now.mono - *health.rampSince >= config::rampTime) {
         health.rampSince.reset();
@@ -202,7 +202,7 @@
                       || board.feeds.countAt(upstream.id) > 0;
     if (!busy) {
         health.drainLogged = true;
-        board.log(LogEvent::UpstreamDrained, upstream.name);
+        board.log(LogEvent::UpstreamDrained, "upstream=" + upstream.name);
     }
 }
 
--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -6,6 +6,9 @@
 #include "net/hostlog.h"
 #include "net/listener.h"
 #include "net/metrics.h"
+#include "net/packetplane.h"
+#include "net/requestplane.h"
+#include "platform/storereader.h"
 
 #include <flamingograde/config.h>
 
@@ -31,27 +34,23 @@
     }
 }
 
+/// Logs why a setting cannot be used.
+auto refuseSetting(const std::string &why) -> bool
+{
+    writeLog(LogEvent::SettingRefused, "why=\"" + why + "\"");
+    return false;
+}
+
 } // namespace
 
-Daemon::Daemon(Settings chosen)
-    : settings(std::move(chosen)), signals(this->loop, [this] { this->requestStop(); }),
+Daemon::Daemon(Settings chosen, const std::string &file)
+    : settings(std::move(chosen)), signals(
+                                           this->loop, [this] { this->requestStop(); },
+                                           [this] { this->settingsWatch.reload(); }),
+      settingsWatch(this->loop, file, [this](const Settings &read) { this->takeSettings(read); }),
       client(this->loop, this->settings.source),
-      platform(this->loop, this->client, this->settings.platform,
-               [this](Event event) { this->post(std::move(event)); }),
-      prober(this->client, [this](Event event) { this->post(std::move(event)); }),
-      exchanges(this->loop, this->client, this->settings.init.self.name,
-                [this](Event event) { this->post(std::move(event)); }),
-      callers(this->loop, config::bodyBytesMax,
-              [this](st_h2o_req_t *request, Address row) {
-                  this->exchanges.takeCaller(request, row);
-              }),
-      relays(this->loop, config::bodyBytesMax,
-             [this](st_h2o_req_t *request, Address /*tag*/) {
-                 this->exchanges.takeRelay(request);
-             }),
       operators(this->loop, config::peerMessageMax,
-                [this](st_h2o_req_t *request, Address /*tag*/) { this->answerOperator(request); }),
-      rows(this->loop, this->callers, this->settings.services)
+                [this](st_h2o_req_t *request, Address /*tag*/) { this->answerOperator(request); })
 {
     raiseDescriptorLimit();
 }
@@ -61,11 +60,9 @@
 auto Daemon::answerOperator(st_h2o_req_t *request) -> void
 {
     AdminSource source;
-    source.metrics = [this] {
-        return metricsText(this->balancer->stats(), this->peers->traffic());
-    };
+    source.metrics = [this] { return this->metrics(); };
     source.dump = [this] { return this->balancer->dump(); };
-    source.isServing = [this] { return this->isServing(); };
+    source.isServing = [this] { return this->balancer->isServing(); };
     source.drain = [this] { this->requestStop(); };
     source.explain = [this](Address address, const std::string &token, const std::string &key) {
         return this->balancer->explain(address, token, key);
@@ -73,44 +70,58 @@
     answerAdmin(request, source);
 }
 
+auto Daemon::metrics() const -> std::string
+{
+    return metricsText(this->balancer->stats(), this->peers->traffic(),
+                       this->packets == nullptr ? nullptr : &this->packets->traffic());
+}
+
 auto Daemon::run() -> int
 {
     if (!this->open()) {
+        flushLog(Loop::now().mono);
         return exitFailure;
     }
     reportReady(this->settings.init.self.name, this->bound);
+    writeLog(LogEvent::Started, "host=" + this->settings.init.self.name
+                                        + " version=" + this->balancer->caps().version);
     this->nextTick = Loop::now().mono;
     while (!this->hasEnded()) {
         this->tickIfDue();
         // h2o reports on writes made outside of its run only in its next: no wait before that.
         const auto handled = this->handleQueued();
+        flushLog(Loop::now().mono);
         const auto wait = handled ? Duration(0) : this->nextTick - Loop::now().mono;
         this->loop.turn(std::max(wait, Duration(0)));
     }
+    flushLog(Loop::now().mono);
     reportStopped(*this->left);
     return 0;
 }
 
 auto Daemon::open() -> bool
 {
-    const auto opened = this->openServers() && this->openPeers();
-    if (opened) {
-        this->balancer = std::make_unique<Balancer>(this->settings.init);
+    const auto admin = this->operators.listen(this->settings.admin, this->settings.admin);
+    if (!admin) {
+        return refuseSetting(admin.error());
     }
-    return opened;
+    this->bound.admin = *admin;
+    return this->openRequests() && this->openPeers() && this->openPackets();
 }
 
-auto Daemon::openServers() -> bool
+auto Daemon::openRequests() -> bool
 {
-    const auto admin = this->operators.listen(this->settings.admin, this->settings.admin);
-    const auto relay = this->relays.listen(this->settings.relay, this->settings.relay);
-    for (const auto &opened : { admin, relay }) {
-        if (!opened) {
-            writeLog(LogEvent::SettingRefused, opened.error());
-            return false;
-        }
+    const auto post = [this](Event event) { this->post(std::move(event)); };
+    if (this->settings.init.readsDirectory) {
+        this->directory = std::make_unique<platform::StoreReader>(this->client,
+                                                                  this->settings.platform, post);
+        return true;
+    }
+    this->requests = std::make_unique<RequestPlane>(this->loop, this->client, this->settings, post);
+    const auto relay = this->requests->open(this->settings.relay);
+    if (!relay) {
+        return refuseSetting(relay.error());
     }
-    this->bound.admin = *admin;
     this->bound.relay = *relay;
     auto &self = this->settings.init.self;
     self.relay = self.relay.isValid() ? self.relay : *relay;
@@ -124,8 +135,7 @@
                 this->peers->accept(connection);
             });
     if (!listener) {
-        writeLog(LogEvent::SettingRefused, listener.error());
-        return false;
+        return refuseSetting(listener.error());
     }
     this->peerListener = std::move(*listener);
     this->bound.peer = this->peerListener->bound();
@@ -135,6 +145,23 @@
     this->peers = std::make_unique<PeerHub>(
             this->loop, self, this->settings.source,
             [this](Event event) { this->post(std::move(event)); }, &writeLog);
+    this->balancer = std::make_unique<Balancer>(this->settings.init);
+    return true;
+}
+
+auto Daemon::openPackets() -> bool
+{
+    if (!this->settings.packets.isValid() && this->settings.init.flowsTracked == 0) {
+        return true;
+    }
+    this->packets = std::make_unique<PacketPlane>(this->loop, this->settings, *this->balancer,
+                                                  [this] { return this->balancer->isServing(); });
+    const auto opened = this->packets->open();
+    if (!opened) {
+        return refuseSetting(opened.error());
+    }
+    this->bound.packets = this->packets->bound();
+    this->bound.ready = this->packets->readyBound();
     return true;
 }
 
@@ -146,9 +173,13 @@
 auto Daemon::tickIfDue() -> void
 {
     const auto now = Loop::now().mono;
-    if (now >= this->nextTick) {
-        this->nextTick = now + config::tickPeriod;
-        this->post(Tick {});
+    if (now < this->nextTick) {
+        return;
+    }
+    this->nextTick = now + config::tickPeriod;
+    this->post(Tick {});
+    if (this->packets != nullptr) {
+        this->packets->tick(now);
     }
 }
 
@@ -169,42 +200,42 @@
 auto Daemon::act(const Action &action) -> void
 {
     std::visit(Overloaded {
-                       [this](const ProbeUpstream &probe) { this->prober.act(probe); },
                        [this](const ConnectPeer &to) { this->peers->connect(to.host, to.address); },
+                       [this](const ConnectSeed &to) { this->peers->connectSeed(to.address); },
                        [this](const DropPeer &from) { this->peers->drop(from.host); },
                        [this](const SendPeer &sent) { this->peers->send(sent.host, sent.message); },
-                       [this](const ReadTable &read) { this->platform.act(read); },
-                       [this](const ReadHosts &read) { this->platform.act(read); },
-                       [this](const Listen &listen) { this->rows.listen(listen.address); },
-                       [this](const Unlisten &unlisten) { this->unlisten(unlisten.address); },
+                       [this](const ReadDirectory &read) { this->directory->act(read); },
                        [](const Log &log) { writeLog(log.event, log.text); },
                        [this](const StopReady &ready) {
                            this->left = ready.left;
                            this->endBefore = Loop::now().mono + flushTime;
                        },
-                       [this](const auto &ofExchange) { this->exchanges.act(ofExchange); },
+                       [&](const auto & /*ofRequests*/) {
+                           if (this->requests != nullptr) {
+                               this->requests->act(action);
+                           }
+                       },
                },
                action);
 }
 
-auto Daemon::unlisten(Address address) -> void
-{
-    this->rows.unlisten(address);
-    if (this->stopping) {
-        this->callers.shutdown();
-    }
-}
-
 auto Daemon::requestStop() -> void
 {
-    if (!std::exchange(this->stopping, true)) {
-        this->post(StopRequested {});
+    if (std::exchange(this->stopping, true)) {
+        return;
+    }
+    if (this->requests != nullptr) {
+        this->requests->beginStop();
     }
+    this->post(StopRequested {});
 }
 
-auto Daemon::isServing() const -> bool
+auto Daemon::takeSettings(const Settings &read) -> void
 {
-    return !this->stopping && this->balancer->stats().revision != 0;
+    this->post(SeedsRead { read.init.seedAddresses });
+    if (this->directory != nullptr) {
+        this->directory->moveTo(read.platform);
+    }
 }
 
 auto Daemon::hasEnded() const -> bool
@@ -212,7 +243,8 @@
     if (!this->left) {
         return false;
     }
-    return this->exchanges.size() == 0 || Loop::now().mono >= *this->endBefore;
+    const auto isIdle = this->requests == nullptr || this->requests->size() == 0;
+    return isIdle || Loop::now().mono >= *this->endBefore;
 }
 
 } // namespace flamingograde::net
--- a/src/net/daemon.h
+++ b/src/net/daemon.h
@@ -1,16 +1,13 @@
 /// A host: the deciding library with everything that carries out its actions.
 #pragma once
 
-#include "net/exchangetransport.h"
 #include "net/httpclient.h"
 #include "net/httpserver.h"
 #include "net/loop.h"
 #include "net/peerhub.h"
-#include "net/platformreader.h"
 #include "net/reporter.h"
-#include "net/rowlisteners.h"
+#include "net/settingswatch.h"
 #include "net/signalwatch.h"
-#include "net/upstreamprober.h"
 #include "wire/settings.h"
 
 #include <flamingograde/balancer.h>
@@ -20,17 +17,26 @@
 #include <optional>
 #include <string>
 
+namespace flamingograde::platform {
+
+class StoreReader;
+
+} // namespace flamingograde::platform
+
 namespace flamingograde::net {
 
 class Listener;
+class PacketPlane;
+class RequestPlane;
 
 /// Runs one host until it has stopped in order.
 /// @remarks Not thread safe. One in a process.
 class Daemon
 {
 public:
+    /// @param file the settings file, which is read again when it changes.
     /// Precondition: the log is open.
-    explicit Daemon(Settings chosen);
+    Daemon(Settings chosen, const std::string &file);
     ~Daemon();
     Daemon(const Daemon &) = delete;
     auto operator=(const Daemon &) -> Daemon & = delete;
@@ -41,31 +47,30 @@
 
 private:
     auto open() -> bool;
-    auto openServers() -> bool;
+    auto openRequests() -> bool;
+    auto openPackets() -> bool;
     auto openPeers() -> bool;
     auto post(Event event) -> void;
     /// Handles what was posted. @returns whether there was anything.
     auto handleQueued() -> bool;
     auto act(const Action &action) -> void;
     auto requestStop() -> void;
+    auto takeSettings(const Settings &read) -> void;
     auto answerOperator(st_h2o_req_t *request) -> void;
-    [[nodiscard]] auto isServing() const -> bool;
+    [[nodiscard]] auto metrics() const -> std::string;
     [[nodiscard]] auto hasEnded() const -> bool;
     auto tickIfDue() -> void;
-    auto unlisten(Address address) -> void;
 
     Settings settings;
     Loop loop;
     SignalWatch signals;
+    SettingsWatch settingsWatch;
     HttpClient client;
-    PlatformReader platform;
-    UpstreamProber prober;
-    ExchangeTransport exchanges;
-    HttpServer callers;
-    HttpServer relays;
     HttpServer operators;
-    RowListeners rows;
     BoundAddresses bound;
+    std::unique_ptr<RequestPlane> requests;           ///< Null where the platform has a directory.
+    std::unique_ptr<PacketPlane> packets;             ///< Null where no packets are carried.
+    std::unique_ptr<platform::StoreReader> directory; ///< Null where the platform has a table.
     std::unique_ptr<Listener> peerListener;
     std::unique_ptr<PeerHub> peers;
     std::unique_ptr<Balancer> balancer;
--- a/src/net/metrics.cpp
+++ b/src/net/metrics.cpp
@@ -1,8 +1,10 @@
 /// The metrics of a host in Prometheus' text form.
 #include "net/metrics.h"
 
+#include "net/packettraffic.h"
 #include "net/peertraffic.h"
 
+#include <flamingograde/packetdecision.h>
 #include <flamingograde/refusal.h>
 
 #include <prometheus/text_serializer.h>
@@ -11,6 +13,7 @@
 #include <unistd.h>
 
 #include <fstream>
+#include <limits>
 #include <sstream>
 #include <utility>
 #include <vector>
@@ -22,6 +25,7 @@
 using Families = std::vector<prometheus::MetricFamily>;
 
 constexpr auto microsecondsPerSecond = 1e6;
+constexpr auto millisecondsPerSecond = 1e3;
 
 /// Collects metrics.
 class MetricList
@@ -41,6 +45,22 @@
         this->add(name, help, prometheus::MetricType::Gauge, { metric });
     }
 
+    auto histogram(const std::string &name, const std::string &help,
+                   const LatencyHistogram &measured) -> void
+    {
+        prometheus::ClientMetric metric;
+        auto &histogram = metric.histogram;
+        for (std::size_t i = 0; i < measured.counts.size(); ++i) {
+            histogram.sample_count += measured.counts[i];
+            const auto bound = i < LatencyHistogram::bounds.size()
+                                       ? LatencyHistogram::bounds[i] / millisecondsPerSecond
+                                       : std::numeric_limits<double>::infinity();
+            histogram.bucket.push_back({ histogram.sample_count, bound });
+        }
+        histogram.sample_sum = static_cast<double>(measured.sumMs) / millisecondsPerSecond;
+        this->add(name, help, prometheus::MetricType::Histogram, { metric });
+    }
+
     auto add(const std::string &name, const std::string &help, prometheus::MetricType type,
              std::vector<prometheus::ClientMetric> metrics) -> void
     {
@@ -150,14 +170,59 @@
     list.counter("peer_connections", "Peer connections opened.", number(traffic.connectionsOpened));
 }
 
+auto addPacketReasons(MetricList &list, const Stats &stats) -> void
+{
+    std::vector<prometheus::ClientMetric> metrics;
+    for (std::size_t index = 0; index < stats.packets.size(); ++index) {
+        prometheus::ClientMetric metric;
+        const auto reason = toString(static_cast<PacketReason>(index));
+        metric.label = { { "reason", std::string(reason) } };
+        metric.counter.value = number(stats.packets[index]);
+        metrics.push_back(std::move(metric));
+    }
+    list.add("packets_total", "Packets by what was decided.", prometheus::MetricType::Counter,
+             std::move(metrics));
+}
+
+auto addPackets(MetricList &list, const Stats &stats, const PacketTraffic &packets) -> void
+{
+    addPacketReasons(list, stats);
+    list.counter("datagrams_received", "Datagrams read.", number(packets.received));
+    list.counter("datagrams_malformed", "Datagrams that are no packet.", number(packets.malformed));
+    list.counter("datagrams_sent", "Datagrams sent.", number(packets.sent));
+    list.counter("datagrams_unsent", "Datagrams that the system did not take.",
+                 number(packets.unsent));
+    list.counter("openings_unanswered", "Opening packets without a second one in time.",
+                 number(stats.openingsUnanswered));
+    list.counter("upstreams_silenced", "Times an upstream was held to be silent.",
+                 number(stats.upstreamsSilenced));
+    list.counter("upstreams_heard_again", "Times a silent upstream showed life.",
+                 number(stats.upstreamsHeardAgain));
+    list.counter("directory_updates", "Updates of the directory.", number(stats.directoryUpdates));
+    list.gauge("directory_revision", "The directory's newest change.",
+               number(stats.directoryRevision));
+    list.gauge("rows_version", "The version of the packet rows.", number(stats.rowsVersion));
+    list.gauge("upstreams", "Upstreams in the directory.", number(stats.upstreams));
+    list.gauge("upstreams_silent", "Upstreams held to be silent.", number(stats.upstreamsSilent));
+    list.gauge("flows", "Packet flows that are watched.", number(stats.flows));
+    list.histogram("handshake_seconds", "From an opening to the second packet of its flow.",
+                   stats.handshakes);
+    list.histogram("response_seconds", "From a request to the acknowledgement of its answer.",
+                   stats.responses);
+}
+
 } // namespace
 
-auto metricsText(const Stats &stats, const PeerTraffic &traffic) -> std::string
+auto metricsText(const Stats &stats, const PeerTraffic &traffic, const PacketTraffic *packets)
+        -> std::string
 {
     MetricList list;
     addExchanges(list, stats);
     addFleet(list, stats);
     addPeers(list, traffic);
+    if (packets != nullptr) {
+        addPackets(list, stats, *packets);
+    }
     list.counter("process_cpu_seconds", "CPU time of the process.", cpuSeconds());
     list.gauge("process_resident_bytes", "Resident memory of the process.", residentBytes());
     return list.toText();
--- /dev/null
+++ b/src/net/packetplane.cpp
@@ -0,0 +1,111 @@
+/// What carries callers' packets.
+#include "net/packetplane.h"
+
+#include "net/hostlog.h"
+#include "net/loop.h"
+
+#include <flamingograde/config.h>
+
+#include <h2o.h>
+
+#include <string_view>
+#include <utility>
+
+namespace flamingograde::net {
+
+namespace {
+
+constexpr auto statusOk = 200;
+constexpr auto statusNotFound = 404;
+constexpr auto statusUnavailable = 503;
+constexpr std::size_t readinessBodyMax = 1024;
+
+auto eventOf(const PacketDecision &decision) -> LogEvent
+{
+    switch (decision.verdict) {
+    case PacketVerdict::Forward:
+        return LogEvent::FlowPlaced;
+    case PacketVerdict::Reset:
+        return LogEvent::FlowReset;
+    case PacketVerdict::Drop:
+        break;
+    }
+    return LogEvent::PacketDropped;
+}
+
+auto answerStatus(h2o_req_t *request, int status) -> void
+{
+    request->res.status = status;
+    request->res.reason = status == statusOk ? "OK" : "Unavailable";
+    request->res.content_length = 0;
+    h2o_send_inline(request, "", 0);
+}
+
+} // namespace
+
+PacketPlane::PacketPlane(Loop &owner, const Settings &chosen, Balancer &decider,
+                         std::function<bool()> ready)
+    : loop(owner), settings(chosen), balancer(decider), isReady(std::move(ready)),
+      fabric(owner, readinessBodyMax,
+             [this](st_h2o_req_t *request, Address /*tag*/) { this->answerReadiness(request); })
+{}
+
+auto PacketPlane::open() -> tl::expected<void, std::string>
+{
+    if (this->settings.ready.isValid()) {
+        const auto bound = this->fabric.listen(this->settings.ready, this->settings.ready);
+        if (!bound) {
+            return tl::unexpected(bound.error());
+        }
+        this->readyAddress = *bound;
+    }
+    auto opened = PacketSocket::open(
+            this->loop, this->settings.packets, this->settings.callerPort,
+            [this](const std::vector<PacketHead> &heads, std::vector<PacketDecision> &decisions) {
+                this->steer(heads, decisions);
+            });
+    if (!opened) {
+        return tl::unexpected(opened.error());
+    }
+    this->socket = std::move(*opened);
+    this->openedAt = Loop::now().mono;
+    return {};
+}
+
+auto PacketPlane::tick(MonoTime now) -> void
+{
+    // Packets that come while the directory is being read wait in the system's buffer.
+    if (this->isReady() || now - this->openedAt >= config::packetsHeldMax) {
+        this->socket->start();
+    }
+}
+
+auto PacketPlane::steer(const std::vector<PacketHead> &heads,
+                        std::vector<PacketDecision> &decisions) -> void
+{
+    const auto now = Loop::now();
+    this->balancer.steer(now, heads, decisions);
+    for (std::size_t i = 0; i < heads.size(); ++i) {
+        if (decisions[i].reason != PacketReason::Steered && maySayPacket(now.mono)) {
+            this->sayPacket(heads[i], decisions[i]);
+        }
+    }
+}
+
+auto PacketPlane::sayPacket(const PacketHead &head, const PacketDecision &decision) const -> void
+{
+    writeLog(eventOf(decision), "flow=" + head.caller.toString() + ">" + head.service.toString()
+                                        + " " + this->balancer.describe(head, decision));
+}
+
+auto PacketPlane::answerReadiness(st_h2o_req_t *request) const -> void
+{
+    const std::string_view path(request->path_normalized.base, request->path_normalized.len);
+    if (path != this->settings.readyPath) {
+        answerStatus(request, statusNotFound);
+        return;
+    }
+    answerStatus(request, this->isReady() ? statusOk : statusUnavailable);
+}
+
+} // namespace flamingograde::net
--- /dev/null
+++ b/src/net/packetsocket.cpp
@@ -0,0 +1,225 @@
+/// Batched reading and sending of datagrams.
+#include "net/packetsocket.h"
+
+#include "net/loop.h"
+#include "net/socketaddress.h"
+#include "platform/packetcodec.h"
+
+#include <flamingograde/config.h>
+
+#include <h2o.h>
+
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace flamingograde::net {
+
+namespace {
+
+constexpr int receiveBufferBytes = 1
+                                   << 20; ///< 800 whole packets: 0.4 s of a host's share at a rush.
+constexpr int batchesPerTurn = 8;         ///< So that packets do not starve the other sockets.
+constexpr std::size_t sendsMax = config::packetBatch * PacketDecision::targetsMax;
+/// One byte more than a packet has, so that a longer datagram shows.
+constexpr std::size_t bufferBytes = platform::packetBytesMax + 1;
+
+/// Returns a bound descriptor, or -1 with `errno` set.
+auto openBound(Address address) -> int
+{
+    const auto fd = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) {
+        return -1;
+    }
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof(receiveBufferBytes));
+    const auto name = toSockaddr(address);
+    if (bind(fd, reinterpret_cast<const sockaddr *>(&name), sizeof(name)) != 0) {
+        const auto error = errno;
+        close(fd);
+        errno = error;
+        return -1;
+    }
+    return fd;
+}
+
+} // namespace
+
+/// What the system's calls read and write.
+struct PacketSocket::Buffers
+{
+    std::array<std::array<std::uint8_t, bufferBytes>, config::packetBatch> bytes;
+    std::array<iovec, config::packetBatch> readVectors;
+    std::array<mmsghdr, config::packetBatch> reads;
+
+    std::array<platform::Prefix, sendsMax> prefixes;
+    std::array<platform::ResetPacket, sendsMax> resets;
+    std::array<std::array<iovec, 2>, sendsMax> sendVectors;
+    std::array<sockaddr_in, sendsMax> names;
+    std::array<mmsghdr, sendsMax> sends;
+    std::size_t sendCount = 0;
+
+    Buffers()
+    {
+        for (std::size_t i = 0; i < config::packetBatch; ++i) {
+            this->readVectors[i] = { this->bytes[i].data(), this->bytes[i].size() };
+            this->reads[i] = {};
+            this->reads[i].msg_hdr.msg_iov = &this->readVectors[i];
+            this->reads[i].msg_hdr.msg_iovlen = 1;
+        }
+    }
+
+    /// Returns the vectors of one more datagram to `target`.
+    auto add(Address target, std::size_t vectors) -> std::array<iovec, 2> &
+    {
+        const auto index = this->sendCount++;
+        this->names[index] = toSockaddr(target);
+        auto &header = this->sends[index].msg_hdr;
+        header = {};
+        header.msg_name = &this->names[index];
+        header.msg_namelen = sizeof(sockaddr_in);
+        header.msg_iov = this->sendVectors[index].data();
+        header.msg_iovlen = vectors;
+        return this->sendVectors[index];
+    }
+};
+
+auto PacketSocket::open(Loop &loop, Address address, std::uint16_t callerPort, Steer steer)
+        -> tl::expected<std::unique_ptr<PacketSocket>, std::string>
+{
+    const auto fd = openBound(address);
+    if (fd < 0) {
+        return tl::unexpected("cannot take packets on " + address.toString() + ": "
+                              + std::strerror(errno));
+    }
+    return std::unique_ptr<PacketSocket>(new PacketSocket(loop, fd, callerPort, std::move(steer)));
+}
+
+PacketSocket::PacketSocket(Loop &loop, int fd, std::uint16_t port, Steer decide)
+    : descriptor(fd), callerPort(port), steer(std::move(decide)),
+      socket(h2o_evloop_socket_create(loop.raw(), fd, H2O_SOCKET_FLAG_DONT_READ)),
+      buffers(std::make_unique<Buffers>())
+{
+    this->socket->data = this;
+    this->heads.reserve(config::packetBatch);
+    this->places.reserve(config::packetBatch);
+    this->decisions.reserve(config::packetBatch);
+}
+
+PacketSocket::~PacketSocket()
+{
+    h2o_socket_read_stop(this->socket);
+    h2o_socket_close(this->socket);
+}
+
+auto PacketSocket::start() -> void
+{
+    if (std::exchange(this->started, true)) {
+        return;
+    }
+    h2o_socket_read_start(this->socket, [](h2o_socket_t *self, const char * /*error*/) {
+        static_cast<PacketSocket *>(self->data)->readAll();
+    });
+}
+
+auto PacketSocket::bound() const -> Address
+{
+    return boundAddress(this->descriptor);
+}
+
+auto PacketSocket::readAll() -> void
+{
+    for (auto batch = 0; batch < batchesPerTurn; ++batch) {
+        if (this->readBatch() < config::packetBatch) {
+            return;
+        }
+    }
+}
+
+auto PacketSocket::readBatch() -> std::size_t
+{
+    const auto count = recvmmsg(this->descriptor, this->buffers->reads.data(), config::packetBatch,
+                                MSG_DONTWAIT, nullptr);
+    if (count <= 0) {
+        return 0;
+    }
+    ++this->counters.batches;
+    this->decode(static_cast<std::size_t>(count));
+    this->steer(this->heads, this->decisions);
+    this->prepare();
+    this->send();
+    return static_cast<std::size_t>(count);
+}
+
+auto PacketSocket::decode(std::size_t count) -> void
+{
+    this->heads.clear();
+    this->places.clear();
+    this->counters.received += count;
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto head = platform::decodePacket(this->buffers->bytes[i].data(),
+                                                 this->buffers->reads[i].msg_len);
+        if (!head) {
+            ++this->counters.malformed;
+            continue;
+        }
+        this->heads.push_back(*head);
+        this->places.push_back(i);
+    }
+}
+
+auto PacketSocket::prepare() -> void
+{
+    this->buffers->sendCount = 0;
+    for (std::size_t i = 0; i < this->decisions.size(); ++i) {
+        const auto &decision = this->decisions[i];
+        if (decision.verdict == PacketVerdict::Reset) {
+            this->prepareReset(i);
+        }
+        for (std::size_t target = 0; target < decision.targetCount; ++target) {
+            this->prepareForward(i, decision.targets[target]);
+        }
+    }
+}
+
+auto PacketSocket::prepareForward(std::size_t packet, const PacketTarget &target) -> void
+{
+    const auto place = this->places[packet];
+    auto *bytes = this->buffers->bytes[place].data();
+    const auto size = this->buffers->reads[place].msg_len;
+    auto &prefix = this->buffers->prefixes[this->buffers->sendCount];
+    prefix = platform::prefixFor(bytes, target);
+    auto &vectors = this->buffers->add(target.address, 2);
+    vectors[0] = { prefix.data(), prefix.size() };
+    vectors[1] = { bytes + platform::cookieEnd, size - platform::cookieEnd };
+}
+
+auto PacketSocket::prepareReset(std::size_t packet) -> void
+{
+    const auto &head = this->heads[packet];
+    auto &reset = this->buffers->resets[this->buffers->sendCount];
+    reset = platform::resetFor(head);
+    auto &vectors = this->buffers->add({ head.caller.ip, this->callerPort }, 1);
+    vectors[0] = { reset.data(), reset.size() };
+}
+
+auto PacketSocket::send() -> void
+{
+    std::size_t done = 0;
+    while (done < this->buffers->sendCount) {
+        const auto left = static_cast<unsigned int>(this->buffers->sendCount - done);
+        const auto sent = sendmmsg(this->descriptor, &this->buffers->sends[done], left, 0);
+        if (sent > 0) {
+            done += static_cast<std::size_t>(sent);
+            this->counters.sent += static_cast<std::uint64_t>(sent);
+            continue;
+        }
+        // The first of the rest was not taken: the other end makes up for a lost datagram.
+        ++done;
+        ++this->counters.unsent;
+    }
+}
+
+} // namespace flamingograde::net
--- a/src/net/peerhub.cpp
+++ b/src/net/peerhub.cpp
@@ -46,6 +46,18 @@
     }
 }
 
+auto PeerHub::connectSeed(Address address) -> void
+{
+    // The host's name is not known: until it says so the address stands for it.
+    const auto standIn = HostId::ofName("seed " + address.toString());
+    if (this->dialled.count(standIn) != 0) {
+        return;
+    }
+    auto &link = this->add();
+    this->dialled.emplace(standIn, link.linkId());
+    link.dialSeed(standIn, address);
+}
+
 auto PeerHub::dial(HostId host, Address address) -> void
 {
     if (this->dialled.count(host) != 0) {
@@ -60,7 +72,7 @@
 {
     const auto &member = *link.peer();
     if (this->linkOf(member.id) == &link && this->dialled.count(member.id) == 0) {
-        this->log(LogEvent::PeerSilent, member.name);
+        this->log(LogEvent::PeerSilent, "peer=" + member.name);
         this->dial(member.id, member.peer);
     }
 }
@@ -110,7 +122,7 @@
 auto PeerHub::introduced(PeerLink &link) -> void
 {
     const auto host = link.peer()->id;
-    const auto asked = this->dialled.find(host);
+    const auto asked = this->dialled.find(link.isOfSeed() ? link.dialledHost() : host);
     if (asked != this->dialled.end() && asked->second == link.linkId()) {
         this->dialled.erase(asked);
     }
@@ -125,7 +137,7 @@
                                && awaited->second.incarnation == link.peer()->incarnation;
     this->awaited.erase(host);
     if (!isSameProcess) {
-        this->log(LogEvent::PeerConnected, link.peer()->name);
+        this->log(LogEvent::PeerConnected, "peer=" + link.peer()->name);
         this->post(PeerUp { *link.peer() });
     }
 }
--- a/src/net/peerhub.h
+++ b/src/net/peerhub.h
@@ -47,6 +47,10 @@
     /// Dials `host`, unless a connection is up or coming. Precondition: not in a socket's callback.
     auto connect(HostId host, Address address) -> void;
 
+    /// Dials whatever host takes connections at `address`, unless that is being done.
+    /// Precondition: as above.
+    auto connectSeed(Address address) -> void;
+
     /// Closes the connection with `host` without an event. Precondition: as above.
     auto drop(HostId host) -> void;
 
--- a/src/net/peerlink.cpp
+++ b/src/net/peerlink.cpp
@@ -44,6 +44,12 @@
                                                   });
 }
 
+auto PeerLink::dialSeed(HostId standIn, Address address) -> void
+{
+    this->takesAnyHost = true;
+    this->dial(standIn, address);
+}
+
 auto PeerLink::accept(st_h2o_socket_t *connection) -> void
 {
     this->begin(connection, PeerRole::Accepted);
@@ -105,7 +111,8 @@
         this->ended(PeerEnd::Malformed, "the first message is not Hello");
         return;
     }
-    if (this->expected.isValid() && hello->self.id != this->expected) {
+    const auto isOther = this->expected.isValid() && hello->self.id != this->expected;
+    if (isOther && !this->takesAnyHost) {
         this->lose(PeerLoss::Refused); // Another process has the address now.
         return;
     }
@@ -116,7 +123,9 @@
 auto PeerLink::ended(PeerEnd end, const std::string &why) -> void
 {
     if (end == PeerEnd::Malformed) {
-        this->hub.log(LogEvent::PeerMessageBad, why);
+        this->hub.log(LogEvent::PeerMessageBad,
+                      "peer=" + (this->member ? this->member->name : "unknown") + " why=\"" + why
+                              + "\"");
     }
     const auto beforeHello = !this->member && end == PeerEnd::Reset;
     this->lose(beforeHello ? PeerLoss::Refused : PeerLoss::Closed);
--- a/src/net/peerlink.h
+++ b/src/net/peerlink.h
@@ -35,6 +35,9 @@
 
     /// Dials `host`. Precondition: called once, in place of `accept`.
     auto dial(HostId host, Address address) -> void;
+    /// Dials a seed, whose host is not known; `standIn` is its name until then.
+    /// Precondition: called once, in place of `dial`.
+    auto dialSeed(HostId standIn, Address address) -> void;
     /// Takes a connection that came in. Precondition: called once, in place of `dial`.
     auto accept(st_h2o_socket_t *connection) -> void;
     /// Sends a message. Precondition: none.
@@ -43,6 +46,8 @@
     [[nodiscard]] auto linkId() const -> std::uint64_t { return this->id; }
     /// Returns the host that was dialled; invalid where this host was.
     [[nodiscard]] auto dialledHost() const -> HostId { return this->expected; }
+    /// Returns whether a seed was dialled, so that `dialledHost` is a stand-in.
+    [[nodiscard]] auto isOfSeed() const -> bool { return this->takesAnyHost; }
     /// Returns what the other host said of itself, once it did.
     [[nodiscard]] auto peer() const -> const std::optional<Member> & { return this->member; }
     /// Returns the host that dialled. Precondition: the other's `Hello` came.
@@ -69,6 +74,7 @@
     std::optional<Member> member;
     MonoTime lastByte;
     Timer timer;
+    bool takesAnyHost = false;
     bool lost = false;
 };
 
--- a/src/net/reporter.cpp
+++ b/src/net/reporter.cpp
@@ -3,7 +3,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <array>
 #include <iostream>
+#include <utility>
 
 namespace flamingograde::net {
 
@@ -20,11 +22,18 @@
 
 auto reportReady(const std::string &host, const BoundAddresses &bound) -> void
 {
-    write({ { "event", "ready" },
-            { "host", host },
-            { "admin", bound.admin.toString() },
-            { "peer", bound.peer.toString() },
-            { "relay", bound.relay.toString() } });
+    Json event { { "event", "ready" }, { "host", host } };
+    const std::array<std::pair<const char *, Address>, 5> all { { { "admin", bound.admin },
+                                                                  { "peer", bound.peer },
+                                                                  { "relay", bound.relay },
+                                                                  { "packets", bound.packets },
+                                                                  { "ready", bound.ready } } };
+    for (const auto &[name, address] : all) {
+        if (address.isValid()) {
+            event[name] = address.toString();
+        }
+    }
+    write(event);
 }
 
 auto reportListen(Address row, Address bound) -> void
--- a/src/net/reporter.h
+++ b/src/net/reporter.h
@@ -12,7 +12,9 @@
 {
     Address admin;
     Address peer;
-    Address relay;
+    Address relay;   ///< Invalid where there are no HTTP rows.
+    Address packets; ///< Invalid where no packets are carried.
+    Address ready;   ///< Invalid where the fabric does not ask.
 };
 
 /// Each writes one JSON object as a line and flushes it. Not thread safe.
--- a/src/net/rowlisteners.cpp
+++ b/src/net/rowlisteners.cpp
@@ -34,7 +34,7 @@
     const auto own = this->freePortsOf.isValid() ? this->freePortsOf : address;
     const auto listening = this->server.listen(own, address);
     if (!listening) {
-        writeLog(LogEvent::ListenFailed, listening.error());
+        writeLog(LogEvent::ListenFailed, "why=\"" + listening.error() + "\"");
         return false;
     }
     this->waiting.erase(address);
--- a/src/net/signalwatch.cpp
+++ b/src/net/signalwatch.cpp
@@ -1,4 +1,4 @@
-/// Termination signals as events of the loop.
+/// Signals as events of the loop.
 #include "net/signalwatch.h"
 
 #include "net/loop.h"
@@ -14,7 +14,7 @@
 
 namespace {
 
-/// Blocks the termination signals and returns a descriptor that gives them.
+/// Blocks the signals and returns a descriptor that gives them.
 auto openSignals() -> int
 {
     std::signal(SIGPIPE, SIG_IGN);
@@ -22,16 +22,18 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     sigprocmask(SIG_BLOCK, &signals, nullptr);
     return signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
 }
 
 } // namespace
 
-SignalWatch::SignalWatch(Loop &loop, std::function<void()> callback)
+SignalWatch::SignalWatch(Loop &loop, std::function<void()> onTerminate,
+                         std::function<void()> onReload)
     : descriptor(openSignals()),
       socket(h2o_evloop_socket_create(loop.raw(), this->descriptor, H2O_SOCKET_FLAG_DONT_READ)),
-      terminate(std::move(callback))
+      terminate(std::move(onTerminate)), reload(std::move(onReload))
 {
     this->socket->data = this;
     h2o_socket_read_start(this->socket, [](h2o_socket_t *self, const char * /*error*/) {
@@ -49,7 +51,7 @@
 {
     signalfd_siginfo info {};
     while (read(this->descriptor, &info, sizeof(info)) == sizeof(info)) {
-        this->terminate();
+        (info.ssi_signo == SIGHUP ? this->reload : this->terminate)();
     }
 }
 
--- a/src/net/signalwatch.h
+++ b/src/net/signalwatch.h
@@ -1,4 +1,4 @@
-/// Termination signals as events of the loop.
+/// Signals as events of the loop.
 #pragma once
 
 #include <functional>
@@ -9,12 +9,14 @@
 
 class Loop;
 
-/// Takes SIGTERM and SIGINT; ignores SIGPIPE.
+/// Takes SIGTERM, SIGINT and SIGHUP; ignores SIGPIPE.
 /// @remarks Not thread safe. One in a process, made before anything starts a thread.
 class SignalWatch
 {
 public:
-    SignalWatch(Loop &loop, std::function<void()> callback);
+    /// @param onTerminate told of SIGTERM and SIGINT.
+    /// @param onReload told of SIGHUP.
+    SignalWatch(Loop &loop, std::function<void()> onTerminate, std::function<void()> onReload);
     ~SignalWatch();
     SignalWatch(const SignalWatch &) = delete;
     auto operator=(const SignalWatch &) -> SignalWatch & = delete;
@@ -25,6 +27,7 @@
     int descriptor;
     st_h2o_socket_t *socket;
     std::function<void()> terminate;
+    std::function<void()> reload;
 };
 
 } // namespace flamingograde::net
--- /dev/null
+++ b/src/wire/directorycodec.cpp
@@ -0,0 +1,205 @@
+/// The form of a directory's update.
+///
+/// Keys are one letter; records, removals and rows are lists with a fixed order. Ids are made from
+/// names, but for those of instances.
+#include "wire/directorycodec.h"
+
+#include "wire/wirereader.h"
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <limits>
+
+namespace flamingograde {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t recordsMax = 1000000;  ///< More upstreams are no update.
+constexpr std::size_t rowsMax = 1000000;     ///< More rows are no update.
+constexpr std::size_t sharesMax = 1000;      ///< More services are no row.
+constexpr std::size_t versionBytesMax = 200; ///< Longest version of an upstream's software.
+constexpr std::size_t recordFields = 12;     ///< Entries of a record's list.
+constexpr std::size_t removalFields = 2;     ///< Entries of a removal's list.
+constexpr std::size_t rowFields = 9;         ///< Entries of a row's list.
+constexpr std::size_t shareFields = 2;       ///< Entries of a share's list.
+constexpr std::uint64_t max32 = std::numeric_limits<std::uint32_t>::max();
+constexpr std::uint64_t max16 = std::numeric_limits<std::uint16_t>::max();
+
+auto milliseconds(Duration duration) -> std::uint64_t
+{
+    return static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+auto unpackDuration(WireReader &reader, const Json &value) -> Duration
+{
+    return std::chrono::milliseconds(reader.number(value, max32));
+}
+
+auto packRecord(const DirectoryRecord &record) -> Json
+{
+    const auto &upstream = record.upstream;
+    return Json::array({ upstream.instance.value(), upstream.name, upstream.serviceName,
+                         upstream.zoneName, upstream.address.ip, upstream.address.port,
+                         upstream.slots, static_cast<std::uint8_t>(upstream.state),
+                         milliseconds(upstream.warmup), upstream.version, record.changed.number,
+                         record.created.number });
+}
+
+auto unpackRecord(WireReader &reader, const Json &value) -> DirectoryRecord
+{
+    DirectoryRecord record;
+    const auto *fields = reader.tuple(value, recordFields);
+    if (fields == nullptr) {
+        return record;
+    }
+    constexpr auto lastState = static_cast<std::uint64_t>(UpstreamState::Draining);
+    const auto &at = *fields;
+    auto &upstream = record.upstream;
+    upstream.instance = InstanceId(reader.number(at[0]));
+    upstream.name = reader.name(at[1]);
+    upstream.id = UpstreamId::ofName(upstream.name);
+    upstream.serviceName = reader.name(at[2]);
+    upstream.service = ServiceId::ofName(upstream.serviceName);
+    upstream.zoneName = reader.name(at[3]);
+    upstream.zone = ZoneId::ofName(upstream.zoneName);
+    upstream.address = { static_cast<std::uint32_t>(reader.number(at[4], max32)),
+                         static_cast<std::uint16_t>(reader.number(at[5], max16)) };
+    upstream.slots = static_cast<std::uint32_t>(reader.number(at[6], max32));
+    upstream.state = static_cast<UpstreamState>(reader.number(at[7], lastState));
+    upstream.warmup = unpackDuration(reader, at[8]);
+    upstream.version = reader.text(at[9], versionBytesMax);
+    record.changed = { reader.number(at[10]) };
+    record.created = { reader.number(at[11]) };
+    if (!upstream.instance.isValid() || upstream.slots == 0) {
+        reader.fail("an upstream without an instance or slots");
+    }
+    return record;
+}
+
+auto packRow(const PacketRow &row) -> Json
+{
+    auto shares = Json::array();
+    for (const auto &share : row.shares) {
+        shares.push_back(Json::array({ share.serviceName, share.weight }));
+    }
+    return Json::array({ row.name, row.address.ip, row.address.port, std::move(shares),
+                         static_cast<std::uint8_t>(row.kind), row.idempotent, row.urgency,
+                         milliseconds(row.deadline), milliseconds(row.target) });
+}
+
+auto unpackShare(WireReader &reader, const Json &value) -> ServiceShare
+{
+    ServiceShare share;
+    const auto *fields = reader.tuple(value, shareFields);
+    if (fields == nullptr) {
+        return share;
+    }
+    share.serviceName = reader.name((*fields)[0]);
+    share.service = ServiceId::ofName(share.serviceName);
+    share.weight = static_cast<std::uint32_t>(reader.number((*fields)[1], max32));
+    return share;
+}
+
+auto unpackRow(WireReader &reader, const Json &value) -> PacketRow
+{
+    PacketRow row;
+    const auto *fields = reader.tuple(value, rowFields);
+    if (fields == nullptr) {
+        return row;
+    }
+    constexpr auto lastKind = static_cast<std::uint64_t>(RequestKind::Upload);
+    const auto &at = *fields;
+    row.name = reader.name(at[0]);
+    row.id = RowId::ofName(row.name);
+    row.address = { static_cast<std::uint32_t>(reader.number(at[1], max32)),
+                    static_cast<std::uint16_t>(reader.number(at[2], max16)) };
+    for (const auto &share : reader.list(at[3], sharesMax)) {
+        row.shares.push_back(unpackShare(reader, share));
+    }
+    row.kind = static_cast<RequestKind>(reader.number(at[4], lastKind));
+    row.idempotent = reader.flag(at[5]);
+    row.urgency = static_cast<std::uint32_t>(reader.number(at[6], max32));
+    row.deadline = unpackDuration(reader, at[7]);
+    row.target = unpackDuration(reader, at[8]);
+    return row;
+}
+
+auto packRows(const PacketRows &rows) -> Json
+{
+    auto list = Json::array();
+    for (const auto &row : rows.rows) {
+        list.push_back(packRow(row));
+    }
+    return { { "v", rows.version },
+             { "c", rows.changed.number },
+             { "i", milliseconds(rows.flowIdle) },
+             { "l", std::move(list) } };
+}
+
+auto unpackRows(WireReader &reader, const Json &map) -> std::shared_ptr<const PacketRows>
+{
+    auto rows = std::make_shared<PacketRows>();
+    rows->version = reader.number(reader.field(map, "v"));
+    rows->changed = { reader.number(reader.field(map, "c")) };
+    rows->flowIdle = unpackDuration(reader, reader.field(map, "i"));
+    for (const auto &row : reader.list(reader.field(map, "l"), rowsMax)) {
+        rows->rows.push_back(unpackRow(reader, row));
+    }
+    return rows;
+}
+
+auto unpackRemoval(WireReader &reader, const Json &value) -> DirectoryRemoval
+{
+    const auto *fields = reader.tuple(value, removalFields);
+    if (fields == nullptr) {
+        return {};
+    }
+    return { InstanceId(reader.number((*fields)[0])), { reader.number((*fields)[1]) } };
+}
+
+} // namespace
+
+auto packUpdate(const DirectoryUpdate &update) -> Json
+{
+    auto present = Json::array();
+    for (const auto &record : update.present) {
+        present.push_back(packRecord(record));
+    }
+    auto removed = Json::array();
+    for (const auto &removal : update.removed) {
+        removed.push_back(Json::array({ removal.instance.value(), removal.at.number }));
+    }
+    Json map { { "a", update.after.number },
+               { "u", update.upTo.number },
+               { "p", std::move(present) },
+               { "x", std::move(removed) },
+               { "s", milliseconds(update.settlesIn) } };
+    if (update.rows != nullptr) {
+        map["r"] = packRows(*update.rows);
+    }
+    return map;
+}
+
+auto unpackUpdate(WireReader &reader, const Json &map) -> DirectoryUpdate
+{
+    DirectoryUpdate update;
+    update.after = { reader.number(reader.field(map, "a")) };
+    update.upTo = { reader.number(reader.field(map, "u")) };
+    for (const auto &record : reader.list(reader.field(map, "p"), recordsMax)) {
+        update.present.push_back(unpackRecord(reader, record));
+    }
+    for (const auto &removal : reader.list(reader.field(map, "x"), recordsMax)) {
+        update.removed.push_back(unpackRemoval(reader, removal));
+    }
+    update.settlesIn = unpackDuration(reader, reader.field(map, "s"));
+    if (map.contains("r")) {
+        update.rows = unpackRows(reader, map["r"]);
+    }
+    return update;
+}
+
+} // namespace flamingograde
--- a/src/wire/messagedecoder.cpp
+++ b/src/wire/messagedecoder.cpp
@@ -2,6 +2,7 @@
 #include "wire/messagecodec.h"
 
 #include "wire/cborguard.h"
+#include "wire/directorycodec.h"
 #include "wire/wirereader.h"
 
 #include <flamingograde/config.h>
@@ -114,6 +115,7 @@
     gossip.platformAgeMs = static_cast<std::uint32_t>(reader.number(reader.field(map, "a"), max32));
     gossip.placements = reader.number(reader.field(map, "p"));
     gossip.agreed = reader.flag(reader.field(map, "s"));
+    gossip.directory = { reader.number(reader.field(map, "y")) };
     if (map.contains("u")) {
         for (const auto &entry : reader.list(map["u"], listMax)) {
             gossip.updates.push_back(unpackMember(reader, entry));
@@ -239,6 +241,16 @@
     message.tenureSinceUs = reader.signedNumber(reader.field(map, "b"));
 }
 
+auto unpack(WireReader &reader, const Json &map, DirectoryRequest &message) -> void
+{
+    message.have = { reader.number(reader.field(map, "r")) };
+}
+
+auto unpack(WireReader &reader, const Json &map, DirectoryUpdate &message) -> void
+{
+    message = unpackUpdate(reader, map);
+}
+
 /// Reads the message whose place in the variant is `type`.
 template<std::size_t Index = 0>
 auto unpackType(WireReader &reader, const Json &map, std::uint64_t type) -> Message
--- a/src/wire/messageencoder.cpp
+++ b/src/wire/messageencoder.cpp
@@ -4,6 +4,8 @@
 /// and zones are not sent: they are made from the names.
 #include "wire/messagecodec.h"
 
+#include "wire/directorycodec.h"
+
 #include <nlohmann/json.hpp>
 
 namespace flamingograde {
@@ -36,11 +38,9 @@
 
 auto pack(const Gossip &gossip) -> Json
 {
-    Json map = { { "r", gossip.revision.number },
-                 { "d", gossip.tableDigest },
-                 { "a", gossip.platformAgeMs },
-                 { "p", gossip.placements },
-                 { "s", gossip.agreed } };
+    Json map = { { "r", gossip.revision.number }, { "d", gossip.tableDigest },
+                 { "a", gossip.platformAgeMs },   { "p", gossip.placements },
+                 { "s", gossip.agreed },          { "y", gossip.directory.number } };
     if (!gossip.updates.empty()) {
         auto &updates = map["u"] = Json::array();
         for (const auto &member : gossip.updates) {
@@ -169,6 +169,16 @@
              { "b", message.tenureSinceUs } };
 }
 
+auto pack(const DirectoryRequest &message) -> Json
+{
+    return { { "r", message.have.number } };
+}
+
+auto pack(const DirectoryUpdate &message) -> Json
+{
+    return packUpdate(message);
+}
+
 } // namespace
 
 auto encode(const Message &message) -> std::vector<std::uint8_t>
--- a/src/wire/settings.cpp
+++ b/src/wire/settings.cpp
@@ -23,15 +23,19 @@
 constexpr std::uint64_t stopTimeoutMaxMs = 3600000;
 constexpr std::uint64_t clockBoundMaxMs = 60000;
 constexpr std::uint64_t countMax = 10000000;
+constexpr std::uint64_t portMax = 65535;
+constexpr std::uint64_t flowsTrackedMin = 8;
 constexpr std::string_view defaultListen = "127.0.0.1:0";
 
-const Words sections { "host", "listen", "advertise", "network", "platform",
-                       "seed", "limits", "log",       "policy" };
+const Words sections { "host",     "listen", "advertise", "network", "packets",
+                       "platform", "seed",   "limits",    "log",     "policy" };
 const Words hostFields { "name", "zone" };
-const Words listenFields { "services", "peer", "relay", "admin" };
+const Words listenFields { "services", "peer", "relay", "admin", "ready", "ready_path" };
 const Words advertiseFields { "peer", "relay" };
 const Words networkFields { "source" };
-const Words platformFields { "address" };
+const Words packetFields { "listen", "caller_port", "flows_tracked" };
+const Words platformFields { "address", "publishes" };
+const Words publishedWords { "table", "directory" };
 const Words seedFields { "name", "zone", "peer", "relay" };
 const Words limitFields { "stop_timeout_ms", "clock_bound_ms", "exchanges_max", "feeds_max" };
 const Words logFields { "level" };
@@ -47,6 +51,11 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+auto isPowerOfTwo(std::size_t number) -> bool
+{
+    return number != 0 && (number & (number - 1)) == 0;
+}
+
 /// Reads the sections of one settings file.
 class SettingsReader
 {
@@ -60,6 +69,7 @@
         this->readListen();
         this->readAdvertise();
         this->readNetwork();
+        this->readPackets();
         this->readPlatform();
         this->readSeeds();
         this->readLimits();
@@ -78,6 +88,8 @@
     auto readListen() -> void;
     auto readAdvertise() -> void;
     auto readNetwork() -> void;
+    auto readReadiness(FieldReader &fields) -> void;
+    auto readPackets() -> void;
     auto readPlatform() -> void;
     auto readSeeds() -> void;
     auto readSeed(const toml::node &entry) -> void;
@@ -170,6 +182,37 @@
     this->settings.relay = this->listenAddress(fields, "relay");
     this->settings.admin = this->listenAddress(fields, "admin");
     this->readServices(fields);
+    this->readReadiness(fields);
+}
+
+auto SettingsReader::readReadiness(FieldReader &fields) -> void
+{
+    if (fields.has("ready")) {
+        this->settings.ready = this->listenAddress(fields, "ready");
+    }
+    if (!fields.has("ready_path")) {
+        return;
+    }
+    this->settings.readyPath = fields.text("ready_path");
+    if (this->settings.readyPath.empty() || this->settings.readyPath.front() != '/') {
+        fields.fault("ready_path", "is no path", "begin it with \"/\"");
+    }
+}
+
+auto SettingsReader::readPackets() -> void
+{
+    auto fields = this->reader("packets", packetFields);
+    if (!fields.has("listen")) {
+        return;
+    }
+    this->settings.packets = this->listenAddress(fields, "listen");
+    this->settings.callerPort = static_cast<std::uint16_t>(
+            fields.number("caller_port", { 1, portMax, this->settings.packets.port }));
+    this->settings.init.flowsTracked =
+            fields.number("flows_tracked", { flowsTrackedMin, countMax, config::flowsTracked });
+    if (!isPowerOfTwo(this->settings.init.flowsTracked)) {
+        fields.fault("flows_tracked", "is no power of two", "give such as 16384");
+    }
 }
 
 auto SettingsReader::readServices(FieldReader &fields) -> void
@@ -210,6 +253,7 @@
 {
     auto fields = this->reader("platform", platformFields);
     this->settings.platform = fields.address("address");
+    this->settings.init.readsDirectory = fields.word("publishes", publishedWords, 0) == 1;
 }
 
 auto SettingsReader::readSeeds() -> void
@@ -241,6 +285,10 @@
     FieldReader fields(*table, "seed", this->text.brokenSections.count(place.line) != 0,
                        this->findings);
     fields.refuseUnknown(seedFields);
+    if (!fields.has("name") && !fields.has("zone") && !fields.has("relay")) {
+        this->settings.init.seedAddresses.push_back(fields.address("peer"));
+        return;
+    }
     Member seed;
     seed.name = fields.name("name");
     seed.zoneName = fields.name("zone");
--- a/src/wire/settings.h
+++ b/src/wire/settings.h
@@ -8,6 +8,7 @@
 #include <tl/expected.hpp>
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace flamingograde {
@@ -25,13 +26,17 @@
 {
     Init init; ///< For the deciding library; `self` has the advertised addresses
                ///< that the file names, the others are invalid.
-    bool servicesFromTable = true; ///< Rows are served at their own addresses.
-    Address services;              ///< Otherwise: the IP number on whose free ports they are.
-    Address peer;                  ///< Where to listen for hosts' connections.
-    Address relay;                 ///< Where to listen for relayed requests.
-    Address admin;                 ///< Where to listen for operators.
-    Address source;                ///< Of outgoing connections; invalid: the system's choice.
-    Address platform;              ///< Where the platform is read.
+    bool servicesFromTable = true;    ///< Rows are served at their own addresses.
+    Address services;                 ///< Otherwise: the IP number on whose free ports they are.
+    Address peer;                     ///< Where to listen for hosts' connections.
+    Address relay;                    ///< Where to listen for relayed requests.
+    Address admin;                    ///< Where to listen for operators.
+    Address ready;                    ///< Where the fabric asks whether to send; invalid: nowhere.
+    std::string readyPath = "/ready"; ///< What the fabric asks for.
+    Address packets;              ///< Where callers' packets come in; invalid: none are carried.
+    std::uint16_t callerPort = 0; ///< Of callers' hosts, for packets to them.
+    Address source;               ///< Of outgoing connections; invalid: the system's choice.
+    Address platform;             ///< Where the platform is read.
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/tests/harness/hostprocess.cpp
+++ b/tests/harness/hostprocess.cpp
@@ -1,5 +1,7 @@
 #include "harness/hostprocess.h"
 
+#include <fstream>
+
 namespace harness {
 
 HostProcess::HostProcess(Loop &loop, std::string name, const std::filesystem::path &settings,
@@ -13,6 +15,7 @@
 {
     nlohmann::json event = nlohmann::json::parse(line, nullptr, false);
     if (!event.is_object()) {
+        std::ofstream(this->logFile, std::ios::app) << line << '\n';
         return;
     }
     const auto kind = event.value("event", "");
--- a/tests/harness/logfile.cpp
+++ b/tests/harness/logfile.cpp
@@ -25,7 +25,7 @@
 
 auto countEvents(const std::filesystem::path &file) -> nlohmann::json
 {
-    static const std::regex event(R"(\[([1-6]\d\d)\])");
+    static const std::regex event(R"( event=([1-7]\d\d) )");
     auto counts = nlohmann::json::object();
     std::ifstream in(file);
     for (std::string line; std::getline(in, line);) {
--- a/tools/flamingograded/main.cpp
+++ b/tools/flamingograded/main.cpp
@@ -1,15 +1,13 @@
 /// The daemon's command line.
 #include "net/daemon.h"
 #include "net/hostlog.h"
-#include "wire/settings.h"
+#include "net/settingsfile.h"
 
 #include <popt.h>
 
 #include <array>
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 #include <memory>
 #include <optional>
 #include <string>
@@ -62,26 +60,6 @@
     return Options { config != nullptr ? config : "", check != 0, version != 0 };
 }
 
-/// Reads the settings file; says everything that is wrong with it.
-auto readSettings(const std::string &path) -> std::optional<flamingograde::Settings>
-{
-    std::ifstream file(path);
-    if (!file) {
-        std::cerr << path << ": cannot be read" << std::endl;
-        return std::nullopt;
-    }
-    const std::string text((std::istreambuf_iterator<char>(file)),
-                           std::istreambuf_iterator<char>());
-    auto settings = flamingograde::parseSettings(text, path);
-    if (settings) {
-        return std::move(*settings);
-    }
-    for (const auto &finding : settings.error()) {
-        std::cerr << finding.toString() << std::endl;
-    }
-    return std::nullopt;
-}
-
 } // namespace
 
 auto main(int count, char **arguments) -> int
@@ -94,8 +72,11 @@
         std::cout << "flamingograded " FLAMINGOGRADE_VERSION << std::endl;
         return EXIT_SUCCESS;
     }
-    auto settings = readSettings(options->config);
+    auto settings = flamingograde::net::readSettingsFile(options->config);
     if (!settings) {
+        for (const auto &fault : settings.error()) {
+            std::cerr << fault << std::endl;
+        }
         return EXIT_FAILURE;
     }
     if (options->check) {
@@ -103,6 +84,6 @@
         return EXIT_SUCCESS;
     }
     flamingograde::net::openLog(settings->logLevel);
-    flamingograde::net::Daemon daemon(std::move(*settings));
+    flamingograde::net::Daemon daemon(std::move(*settings), options->config);
     return daemon.run();
 }
