--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -43,8 +43,8 @@
 
 } // namespace
 
-Daemon::Daemon(Settings chosen, const std::string &file)
-    : settings(std::move(chosen)), signals(
+Daemon::Daemon(Settings chosen, const std::string &file, MonoTime start)
+    : settings(std::move(chosen)), startedAt(start), signals(
                                            this->loop, [this] { this->requestStop(); },
                                            [this] { this->settingsWatch.reload(); }),
       settingsWatch(this->loop, file, [this](const Settings &read) { this->takeSettings(read); }),
@@ -82,9 +82,12 @@
         flushLog(Loop::now().mono);
         return exitFailure;
     }
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(Loop::now().mono
+                                                                            - this->startedAt);
     reportReady(this->settings.init.self.name, this->bound);
-    writeLog(LogEvent::Started, "host=" + this->settings.init.self.name
-                                        + " version=" + this->balancer->caps().version);
+    writeLog(LogEvent::Started, "host=" + this->settings.init.self.name + " version="
+                                        + this->balancer->caps().version
+                                        + " took_ms=" + std::to_string(took.count()));
     this->nextTick = Loop::now().mono;
     while (!this->hasEnded()) {
         this->tickIfDue();
--- a/src/net/daemon.h
+++ b/src/net/daemon.h
@@ -35,8 +35,9 @@
 {
 public:
     /// @param file the settings file, which is read again when it changes.
+    /// @param start when the process began.
     /// Precondition: the log is open.
-    Daemon(Settings chosen, const std::string &file);
+    Daemon(Settings chosen, const std::string &file, MonoTime start);
     ~Daemon();
     Daemon(const Daemon &) = delete;
     auto operator=(const Daemon &) -> Daemon & = delete;
@@ -62,6 +63,7 @@
     auto tickIfDue() -> void;
 
     Settings settings;
+    MonoTime startedAt;
     Loop loop;
     SignalWatch signals;
     SettingsWatch settingsWatch;
--- a/tools/flamingograded/main.cpp
+++ b/tools/flamingograded/main.cpp
@@ -1,6 +1,7 @@
 /// The daemon's command line.
 #include "net/daemon.h"
 #include "net/hostlog.h"
+#include "net/loop.h"
 #include "net/settingsfile.h"
 
 #include <popt.h>
@@ -64,6 +65,7 @@
 
 auto main(int count, char **arguments) -> int
 {
+    const auto start = flamingograde::net::Loop::now().mono;
     const auto options = readOptions(count, const_cast<const char **>(arguments));
     if (!options) {
         return exitUsage;
@@ -84,6 +86,6 @@
         return EXIT_SUCCESS;
     }
     flamingograde::net::openLog(settings->logLevel);
-    flamingograde::net::Daemon daemon(std::move(*settings), options->config);
+    flamingograde::net::Daemon daemon(std::move(*settings), options->config, start);
     return daemon.run();
 }
