Test the adapter, and the packet path over real processes

Cause: the packet path had tests in virtual time only; codec and store answers had none, and no process was killed, stopped, frozen or starved of its store outside the users' own programs. Ruled out: a second model of callers and upstreams for processes: the emulator's run over UDP, with bytes of their own.

--- a/src/emulator/emulation.cpp
+++ b/src/emulator/emulation.cpp
@@ -20,20 +20,20 @@
 constexpr Duration coldTime = 2s;
 constexpr Duration contact = 4s; ///< A fault on an upstream excuses what happens within this.
 constexpr std::uint32_t headBytes = 44;           ///< Before the data, the instance included.
-constexpr std::uint32_t callerNet = 0x64400000;   ///< 100.64.0.0.
+constexpr std::uint32_t callerNet = 0x64400001;   ///< 100.64.0.1.
 constexpr std::uint32_t upstreamNet = 0x0a800000; ///< 10.128.0.0.
 constexpr std::uint32_t hostNet = 0x0a010000;     ///< 10.1.0.0.
 constexpr std::uint16_t upstreamPort = 8080;
 constexpr std::uint16_t peerPort = 7001;
 constexpr std::size_t seedHosts = 3;
-constexpr std::size_t callersPerKind = 3; ///< Times those that are busy on average.
 
 } // namespace
 
 Emulation::Emulation(DayPlan day)
     : plan(std::move(day)), random(this->plan.seed), links(this->time, this->plan.seed + 1),
       platform(this->time, this->links, this->plan.seed + 2), mesh(this->time, this->links),
-      fabric(this->time)
+      fabric(this->time),
+      pool(this->time, callerNet, this->plan.seed + 3, this->callersSurroundings())
 {
     this->links.loss = this->plan.packetLoss;
 }
@@ -98,9 +98,12 @@
 auto Emulation::beginLoad() -> void
 {
     this->judge.begin(this->time.now());
-    this->loading = true;
+    std::vector<const LoadKind *> kinds;
+    for (const auto &row : this->plan.rows) {
+        kinds.push_back(&row.load);
+    }
     for (const auto &zone : this->plan.zones) {
-        this->arrive(zone.name, zone.requestsPerSecond);
+        this->pool.begin(zone.name, zone.requestsPerSecond, kinds);
     }
 }
 
@@ -110,7 +113,7 @@
     planTroubles(*this);
     this->beginLoad();
     this->time.run(this->plan.length);
-    this->loading = false;
+    this->pool.stop();
     this->time.run(6s); // The longest deadline.
     return this->result();
 }
@@ -263,68 +266,26 @@
     return found;
 }
 
-auto Emulation::arrive(const std::string &zone, double rate) -> void
-{
-    if (!this->loading) {
-        return;
-    }
-    std::exponential_distribution<double> pause(rate * this->loadFactor);
-    std::vector<double> shares;
-    for (const auto &row : this->plan.rows) {
-        shares.push_back(row.load.share);
-    }
-    std::discrete_distribution<std::size_t> draw(shares.begin(), shares.end());
-    const auto &kind = this->plan.rows[draw(this->random)].load;
-    this->callerFor(zone, kind).begin(kind);
-    const auto wait = std::chrono::duration<double>(pause(this->random));
-    this->time.later(std::chrono::duration_cast<Duration>(wait),
-                     [this, zone, rate] { this->arrive(zone, rate); });
-}
-
-auto Emulation::callerFor(const std::string &zone, const LoadKind &kind) -> EmulatedCaller &
+auto Emulation::callersSurroundings() -> PoolSurroundings
 {
-    auto &pool = this->pools[{ zone, &kind }];
-    const auto begin = pool.empty() ? 0 : this->random() % pool.size();
-    for (std::size_t i = 0; i < pool.size(); ++i) {
-        auto &caller = *this->callers[pool[(begin + i) % pool.size()]].process;
-        if (caller.isFree()) {
-            return caller;
-        }
-    }
-    // Long flows pause between requests: there are several callers for each that is at work.
-    const auto count = kind.longFlows ? callersPerKind : 1;
-    for (std::size_t i = 0; i < count; ++i) {
-        this->addCaller(zone);
-        pool.push_back(this->callers.size() - 1);
-    }
-    return *this->callers.back().process;
+    PoolSurroundings around;
+    around.toFabric = [this](std::size_t caller, const FlowPacket &packet) {
+        this->sendToFabric(caller, packet);
+    };
+    around.onEnd = [this](std::size_t caller, const RequestResult &result) {
+        this->judge.take(this->pool.zoneOf(caller), result);
+    };
+    return around;
 }
 
-auto Emulation::addCaller(const std::string &zone) -> EmulatedCaller &
+auto Emulation::sendToFabric(std::size_t caller, const FlowPacket &packet) -> void
 {
-    const auto index = this->callers.size();
-    const auto address = callerNet + static_cast<std::uint32_t>(index) + 1;
-    CallerSurroundings around;
-    around.toFabric = [this, index](const FlowPacket &packet) {
-        const auto &home = this->callers[index].zone;
-        const auto moved = this->movedCallers.find(home);
-        const auto share = static_cast<double>(index % 100) / 100;
-        const auto isMoved = moved != this->movedCallers.end() && share < this->movedShare;
-        this->fabric.send(isMoved ? moved->second : home, packet);
-    };
-    around.onEnd = [this, index](const RequestResult &result) {
-        this->judge.take(this->callers[index].zone, result);
-    };
-    around.nextRequest = [this] { return ++this->lastRequest; };
-    around.nextPort = [this] {
-        this->lastPort = this->lastPort == 65535 ? 1025 : this->lastPort + 1;
-        return this->lastPort;
-    };
-    this->callers.push_back({ std::make_unique<EmulatedCaller>(this->time, address,
-                                                               std::move(around), this->random()),
-                              zone });
-    this->callerByIp[address] = index;
-    return *this->callers.back().process;
+    constexpr std::size_t hundred = 100;
+    const auto &home = this->pool.zoneOf(caller);
+    const auto moved = this->movedCallers.find(home);
+    const auto share = static_cast<double>(caller % hundred) / hundred;
+    const auto isMoved = moved != this->movedCallers.end() && share < this->movedShare;
+    this->fabric.send(isMoved ? moved->second : home, packet);
 }
 
 auto Emulation::toUpstream(const EmulatedHost &host, const PacketTarget &target,
@@ -346,18 +307,17 @@
 auto Emulation::toCaller(const FlowPacket &packet, bool fromHost) -> void
 {
     this->links.sendToCaller([this, packet, fromHost] {
-        const auto found = this->callerByIp.find(packet.head.caller.ip);
-        if (found == this->callerByIp.end()) {
+        auto *caller = this->pool.find(packet.head.caller.ip);
+        if (caller == nullptr) {
             return;
         }
-        auto &caller = *this->callers[found->second].process;
         // A reset of an open flow is a fault only while its upstream holds it undisturbed.
         const auto isHeld =
                 std::any_of(this->seats.begin(), this->seats.end(), [&](const auto &it) {
                     return it->process->holds(packet.head.caller, packet.head.service)
                            && (!it->disturbedAt || this->time.now() - *it->disturbedAt > contact);
                 });
-        if (caller.take(packet, fromHost) && isHeld) {
+        if (caller->take(packet, fromHost) && isHeld) {
             ++this->judge.day.brokenFlows;
         }
     });
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -1,8 +1,8 @@
 /// Hosts, upstreams, callers, fabric and store of one emulated day.
 #pragma once
 
+#include "emulator/callerpool.h"
 #include "emulator/dayresult.h"
-#include "emulator/emulatedcaller.h"
 #include "emulator/emulatedhost.h"
 #include "emulator/emulatedstore.h"
 #include "emulator/emulatedupstream.h"
@@ -81,6 +81,7 @@
     [[nodiscard]] auto seatCount() const -> std::size_t { return this->seats.size(); }
     /// Returns the indices of a service's running upstreams; of all services for an empty name.
     [[nodiscard]] auto running(const std::string &service) const -> std::vector<std::size_t>;
+    [[nodiscard]] auto callers() -> CallerPool & { return this->pool; }
     [[nodiscard]] auto peers() -> PeerMesh & { return this->mesh; }
     [[nodiscard]] auto draw() -> std::mt19937_64 & { return this->random; }
     [[nodiscard]] auto logCount(LogEvent event) const -> std::uint64_t;
@@ -91,19 +92,12 @@
     double movedShare = 0.5;                         ///< Part of the callers that moved.
 
 private:
-    struct CallerSeat
-    {
-        std::unique_ptr<EmulatedCaller> process;
-        std::string zone;
-    };
-
     auto hostSettings(const std::string &zone, std::size_t number) -> Init;
     auto surroundingsOf(std::size_t seat) -> UpstreamSurroundings;
     auto beat(std::size_t index) -> void;
     auto housekeep() -> void;
-    auto arrive(const std::string &zone, double rate) -> void;
-    auto callerFor(const std::string &zone, const LoadKind &kind) -> EmulatedCaller &;
-    auto addCaller(const std::string &zone) -> EmulatedCaller &;
+    auto callersSurroundings() -> PoolSurroundings;
+    auto sendToFabric(std::size_t caller, const FlowPacket &packet) -> void;
     auto toUpstream(const EmulatedHost &host, const PacketTarget &target, const FlowPacket &packet)
             -> void;
     auto toCaller(const FlowPacket &packet, bool fromHost) -> void;
@@ -119,15 +113,10 @@
     std::vector<std::unique_ptr<EmulatedHost>> hosts;
     std::vector<std::unique_ptr<UpstreamSeat>> seats;
     std::map<Address, std::size_t> seatAt; ///< The last to have the address.
-    std::vector<CallerSeat> callers;
-    std::map<std::uint32_t, std::size_t> callerByIp;
-    std::map<std::pair<std::string, const LoadKind *>, std::vector<std::size_t>> pools;
+    CallerPool pool;
     std::map<LogEvent, std::uint64_t> logs;
     std::uint64_t rowsVersion = 0;
-    std::uint64_t lastRequest = 0;
-    std::uint16_t lastPort = 1024;
     std::uint64_t packetBytesBetweenZones = 0;
-    bool loading = false;
 };
 
 } // namespace flamingograde::emulator
--- a/src/emulator/troubles.cpp
+++ b/src/emulator/troubles.cpp
@@ -247,8 +247,8 @@
 
 auto burst(Emulation &world, const TroublePlan &trouble) -> void
 {
-    world.loadFactor = trouble.factor;
-    world.clock().later(trouble.lasts, [&world] { world.loadFactor = 1; });
+    world.callers().factor = trouble.factor;
+    world.clock().later(trouble.lasts, [&world] { world.callers().factor = 1; });
 }
 
 auto kinds() -> const std::map<std::string, Trouble> &
--- /dev/null
+++ b/tests/net/storeanswertests.cpp
@@ -0,0 +1,284 @@
+/// What is read from the store's answers, and answers that are none.
+#include "platform/storeanswers.h"
+#include "platform/storevalues.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <sodium.h>
+
+#include <random>
+#include <string>
+
+using namespace flamingograde;
+using namespace flamingograde::platform;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::uint64_t fuzzSeed = 20261202;
+constexpr int fuzzInputs = 20000;
+
+auto toBase64(const std::string &bytes) -> std::string
+{
+    std::string text(sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
+    sodium_bin2base64(text.data(), text.size(),
+                      reinterpret_cast<const unsigned char *>(bytes.data()), bytes.size(),
+                      sodium_base64_VARIANT_ORIGINAL);
+    text.resize(text.find('\0'));
+    return text;
+}
+
+auto server() -> json
+{
+    return { { "service", "desk" },  { "address", "10.128.0.7:8080" },
+             { "zone", "hall-1" },   { "version", "v3" },
+             { "slots", 4 },         { "state", "draining" },
+             { "coldLeftMs", 1500 }, { "seq", 9 } };
+}
+
+auto route() -> json
+{
+    return { { "name", "r-1" },       { "host", "198.18.0.7" }, { "prefix", "/8443/" },
+             { "routeType", "safe" }, { "timeoutMs", 1200 },    { "targetLatencyMs", 150 },
+             { "priority", 2 },       { "service", "desk" },    { "maxAttempts", 2 } };
+}
+
+auto sampleConfig() -> json
+{
+    return { { "version", 12 },
+             { "routes", json::array({ route() }) },
+             { "services", json::array() },
+             { "limits", { { "idleTimeoutMs", 12000 } } } };
+}
+
+auto item(const std::string &key, const std::string &value, std::uint64_t revision) -> json
+{
+    return { { "key", key },
+             { "value", toBase64(value) },
+             { "revision", revision },
+             { "createdRev", revision - 1 },
+             { "lease", 77 } };
+}
+
+} // namespace
+
+TEST_CASE("an instance is the number at the end of an id", "[store]")
+{
+    CHECK(instanceOf("i-3aaee8c3fa") == InstanceId(0x3aaee8c3fa));
+    CHECK(instanceOf("I-FF") == InstanceId(0xff));
+    CHECK(instanceOf("i-ffffffffffffffff") == InstanceId(~0ULL));
+    CHECK_FALSE(instanceOf("i-").isValid());
+    CHECK_FALSE(instanceOf("").isValid());
+    CHECK_FALSE(instanceOf("i-10000000000000000").isValid());
+    CHECK_FALSE(instanceOf("i-0").isValid());
+}
+
+TEST_CASE("a server's value becomes an upstream", "[store]")
+{
+    const auto upstream = readUpstream("i-0a", server().dump());
+    REQUIRE(upstream);
+    CHECK(upstream->name == "i-0a");
+    CHECK(upstream->instance == InstanceId(10));
+    CHECK(upstream->service == ServiceId::ofName("desk"));
+    CHECK(upstream->zone == ZoneId::ofName("hall-1"));
+    CHECK(upstream->address == *Address::parse("10.128.0.7:8080"));
+    CHECK(upstream->slots == 4);
+    CHECK(upstream->state == UpstreamState::Draining);
+    CHECK(upstream->warmup == std::chrono::milliseconds(1500));
+    CHECK(upstream->version == "v3");
+}
+
+TEST_CASE("a value that lacks something or has it wrong is told", "[store]")
+{
+    for (const auto *field : { "service", "address", "zone", "slots", "state" }) {
+        auto broken = server();
+        broken.erase(field);
+        const auto missing = readUpstream("i-0a", broken.dump());
+        REQUIRE_FALSE(missing);
+        CHECK(missing.error().find(field) != std::string::npos);
+        broken[field] = json::array();
+        CHECK_FALSE(readUpstream("i-0a", broken.dump()));
+    }
+    auto strange = server();
+    strange["state"] = "asleep";
+    CHECK_FALSE(readUpstream("i-0a", strange.dump()));
+    strange = server();
+    strange["address"] = "nowhere";
+    CHECK_FALSE(readUpstream("i-0a", strange.dump()));
+    CHECK_FALSE(readUpstream("nobody", server().dump()));
+    CHECK_FALSE(readUpstream("i-0a", "{"));
+    CHECK_FALSE(readUpstream("i-0a", "[]"));
+    // What is not known is passed over; what may be missing may be.
+    auto more = server();
+    more["colour"] = "blue";
+    more.erase("coldLeftMs");
+    CHECK(readUpstream("i-0a", more.dump()));
+}
+
+TEST_CASE("routes become rows", "[store]")
+{
+    auto both = sampleConfig();
+    auto weighted = route();
+    weighted["name"] = "r-2";
+    weighted["host"] = "198.18.0.8";
+    weighted["routeType"] = "unsafe";
+    weighted["priority"] = 0;
+    weighted.erase("service");
+    weighted["weightedTargets"] = { { { "service", "desk" }, { "weight", 90 } },
+                                    { { "service", "vault" }, { "weight", 10 } } };
+    both["routes"].push_back(weighted);
+    auto upload = route();
+    upload["name"] = "r-3";
+    upload["prefix"] = "/9000/";
+    upload["routeType"] = "upload";
+    both["routes"].push_back(upload);
+    const auto rows = readRows(both.dump());
+    REQUIRE(rows);
+    CHECK((*rows)->version == 12);
+    CHECK((*rows)->flowIdle == std::chrono::milliseconds(12000));
+    REQUIRE((*rows)->rows.size() == 3);
+    const auto &first = (*rows)->rows[0];
+    CHECK(first.address == *Address::parse("198.18.0.7:8443"));
+    CHECK(first.idempotent);
+    CHECK(first.urgency == 7);
+    CHECK(first.deadline == std::chrono::milliseconds(1200));
+    CHECK(first.target == std::chrono::milliseconds(150));
+    REQUIRE(first.shares.size() == 1);
+    const auto &second = (*rows)->rows[1];
+    CHECK_FALSE(second.idempotent);
+    CHECK(second.urgency == 9);
+    REQUIRE(second.shares.size() == 2);
+    CHECK(second.shares[1].service == ServiceId::ofName("vault"));
+    CHECK(second.shares[1].weight == 10);
+    const auto &third = (*rows)->rows[2];
+    CHECK(third.kind == RequestKind::Upload);
+    CHECK_FALSE(third.idempotent);
+}
+
+TEST_CASE("a configuration with a fault is refused whole", "[store]")
+{
+    for (const auto *prefix : { "8443", "/8443", "//", "/0/", "/70000/", "/x/", "" }) {
+        auto wrong = sampleConfig();
+        wrong["routes"][0]["prefix"] = prefix;
+        INFO(prefix);
+        CHECK_FALSE(readRows(wrong.dump()));
+    }
+    auto wrong = sampleConfig();
+    wrong["routes"][0]["host"] = "example.org";
+    CHECK_FALSE(readRows(wrong.dump()));
+    wrong = sampleConfig();
+    wrong["routes"][0].erase("service");
+    CHECK_FALSE(readRows(wrong.dump()));
+    wrong = sampleConfig();
+    wrong.erase("limits");
+    CHECK_FALSE(readRows(wrong.dump()));
+    wrong = sampleConfig();
+    wrong["version"] = -4;
+    CHECK_FALSE(readRows(wrong.dump()));
+    CHECK(readRows(sampleConfig().dump()));
+}
+
+TEST_CASE("an answer holds rows and upstreams, and passes over other keys", "[store]")
+{
+    const json body { { "items",
+                        { item("op/config", sampleConfig().dump(), 5),
+                          item("servers/i-0a", server().dump(), 7), item("other/thing", "x", 6) } },
+                      { "morePages", true },
+                      { "currentRev", 9 } };
+    const auto answer = readItems(body.dump());
+    REQUIRE(answer);
+    CHECK(answer->faults.empty());
+    CHECK(answer->update.upTo.number == 9);
+    CHECK(answer->nextPage == "other/thing");
+    REQUIRE(answer->update.rows != nullptr);
+    CHECK(answer->update.rows->changed.number == 5);
+    REQUIRE(answer->update.present.size() == 1);
+    CHECK(answer->update.present[0].changed.number == 7);
+    CHECK(answer->update.present[0].created.number == 6);
+}
+
+TEST_CASE("one bad item leaves the others good", "[store]")
+{
+    auto notBase64 = item("servers/i-0b", "x", 8);
+    notBase64["value"] = "***";
+    const json body { { "items",
+                        { item("servers/i-0a", server().dump(), 7),
+                          notBase64,
+                          item("servers/i-0c", "{}", 6),
+                          { { "key", "servers/i-0d" } } } },
+                      { "morePages", false },
+                      { "currentRev", 9 } };
+    const auto answer = readItems(body.dump());
+    REQUIRE(answer);
+    CHECK(answer->faults.size() == 3);
+    CHECK(answer->update.present.size() == 1);
+    CHECK(answer->nextPage.empty());
+}
+
+TEST_CASE("of several events on one upstream the last counts", "[store]")
+{
+    const json removed { { "key", "servers/i-0a" }, { "revision", 8 }, { "removed", true } };
+    const json body { { "events",
+                        { item("servers/i-0a", server().dump(), 7),
+                          removed,
+                          item("servers/i-0b", server().dump(), 9),
+                          { { "key", "op/config" }, { "revision", 10 }, { "removed", true } } } },
+                      { "currentRev", 11 } };
+    const auto answer = readEvents(body.dump());
+    REQUIRE(answer);
+    REQUIRE(answer->update.present.size() == 1);
+    CHECK(answer->update.present[0].upstream.instance == InstanceId(11));
+    REQUIRE(answer->update.removed.size() == 1);
+    CHECK(answer->update.removed[0].instance == InstanceId(10));
+    CHECK(answer->update.removed[0].at.number == 8);
+    CHECK(answer->update.rows == nullptr);
+}
+
+TEST_CASE("answers that are none are refused", "[store]")
+{
+    for (const auto *body : { "", "x", "[]", "{}", R"({"items": 5, "currentRev": 1})",
+                              R"({"events": []})", R"({"items": [], "currentRev": "x"})" }) {
+        INFO(body);
+        CHECK_FALSE(readItems(body));
+        CHECK_FALSE(readEvents(body));
+    }
+    CHECK_FALSE(readItem("{}"));
+}
+
+TEST_CASE("any answer is read or refused, never more", "[store]")
+{
+    std::mt19937_64 random(fuzzSeed);
+    const json body { { "items",
+                        { item("op/config", sampleConfig().dump(), 5),
+                          item("servers/i-0a", server().dump(), 7) } },
+                      { "morePages", false },
+                      { "currentRev", 9 } };
+    const auto original = body.dump();
+    const auto values = { sampleConfig().dump(), server().dump() };
+    int refused = 0;
+    for (int i = 0; i < fuzzInputs; ++i) {
+        auto text = original;
+        for (std::uint64_t edits = 1 + random() % 3; edits > 0; --edits) {
+            const auto at = random() % text.size();
+            switch (random() % 3) {
+            case 0:
+                text[at] = static_cast<char>(random());
+                break;
+            case 1:
+                text.erase(at, 1 + random() % 20);
+                break;
+            default:
+                text.insert(at, 1, "0123456789{}[]\",:-e."[random() % 20]);
+            }
+        }
+        const auto answer = readItems(text);
+        refused += answer ? 0 : 1;
+        (void)readEvents(text);
+        for (auto value : values) {
+            value[random() % value.size()] = static_cast<char>(random());
+            (void)readRows(value);
+            (void)readUpstream("i-0a", value);
+        }
+    }
+    CHECK(refused > fuzzInputs / 4);
+}
--- /dev/null
+++ b/tests/packets/changetests.cpp
@@ -0,0 +1,54 @@
+/// Planned change under load: stops, drains, additions, rows, settings.
+#include "fleettest.h"
+
+#include <csignal>
+#include <fstream>
+
+using harness::Millis;
+
+TEST_CASE("hosts stop in turn, upstreams come and go, rows change, and nobody notices", "[fleet]")
+{
+    harness::Loop loop;
+    harness::PacketFleet fleet(loop);
+    fleet.start(2, 2, 2);
+    fleet.beginLoad(40);
+    loop.runFor(Millis(500));
+    fleet.addUpstream("live-1-new", "live", 1);
+    fleet.drainUpstream("live-1-1");
+    fleet.stopHost("host-1-1", true);
+    const auto revision = fleet.publishRows();
+    CHECK(fleet.waitRevision(revision, Millis(3000)));
+    fleet.stopHost("host-2-2", true);
+    fleet.unregisterUpstream("live-1-1");
+    const auto report = fleet.endLoad();
+    INFO(fleet.logs());
+    checkPromises(report);
+    CHECK(report.at("failed") == 0);
+    CHECK(report.at("refused") == 0);
+    CHECK(report.at("latest_opening_ms") < 1000);
+    CHECK(report.at("runs").at("live-1-new") > 0);
+}
+
+TEST_CASE("a host reads its settings again on SIGHUP, and without a signal", "[fleet]")
+{
+    harness::Loop loop;
+    harness::PacketFleet fleet(loop);
+    fleet.start(1, 2, 1);
+    fleet.beginLoad(30);
+    const auto logged = [&](const std::string &event) {
+        std::ifstream log(fleet.logOf("host-1-1"));
+        const std::string text((std::istreambuf_iterator<char>(log)),
+                               std::istreambuf_iterator<char>());
+        return text.find("name=" + event) != std::string::npos;
+    };
+    fleet.host("host-1-1").process().kill(SIGHUP);
+    CHECK(loop.waitUntil([&] { return logged("SettingsRead"); }));
+    // A faulty file is told, and the host goes on.
+    std::ofstream(fleet.settingsOf("host-1-1"), std::ios::app) << "[lisen]\nx = 1\n";
+    CHECK(loop.waitUntil([&] { return logged("SettingRefused"); }));
+    fleet.host("host-1-1").process().kill(SIGPIPE);
+    const auto report = fleet.endLoad();
+    checkPromises(report, 10);
+    CHECK(report.at("failed") == 0);
+    CHECK_FALSE(fleet.host("host-1-1").process().exitStatus());
+}
--- a/tests/standins/common/httpconnection.h
+++ b/tests/standins/common/httpconnection.h
@@ -42,6 +42,14 @@
     auto close() -> void;
     /// Closes with a reset.
     auto reset() -> void;
+    /// Returns the IP number of the other side; empty once it is closed.
+    [[nodiscard]] auto peerIp() const -> std::string
+    {
+        ErrorCode failed;
+        const auto peer = this->socket.remote_endpoint(failed);
+        return failed ? std::string() : peer.address().to_string();
+    }
+
     /// Returns whether it was not closed by either side.
     [[nodiscard]] auto isOpen() const -> bool { return this->socket.is_open(); }
 
--- /dev/null
+++ b/tests/standins/store/storeprogram.cpp
@@ -0,0 +1,330 @@
+#include "standins/store/storeprogram.h"
+
+#include "standins/common/control.h"
+
+#include <sodium.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <stdexcept>
+#include <utility>
+
+namespace standins {
+
+NLOHMANN_JSON_SERIALIZE_ENUM(StoreMode, { { StoreMode::Unknown, nullptr },
+                                          { StoreMode::Up, "up" },
+                                          { StoreMode::Busy, "busy" },
+                                          { StoreMode::Many, "many" },
+                                          { StoreMode::Silent, "silent" },
+                                          { StoreMode::Reset, "reset" },
+                                          { StoreMode::Garbage, "garbage" } })
+
+namespace {
+
+constexpr std::size_t historyMax = 10000;
+
+auto hexValue(char letter) -> int
+{
+    const std::string digits = "0123456789abcdef";
+    const auto found = digits.find(static_cast<char>(std::tolower(letter)));
+    return found == std::string::npos ? 0 : static_cast<int>(found);
+}
+
+auto decodePercent(const std::string &text) -> std::string
+{
+    std::string result;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] == '%' && i + 2 < text.size()) {
+            result += static_cast<char>(hexValue(text[i + 1]) * 16 + hexValue(text[i + 2]));
+            i += 2;
+        } else {
+            result += text[i];
+        }
+    }
+    return result;
+}
+
+/// Returns the query parameter `name`, or an empty text.
+auto query(const std::string &target, const std::string &name) -> std::string
+{
+    for (const char separator : { '?', '&' }) {
+        const std::string start = separator + name + "=";
+        const auto place = target.find(start);
+        if (place != std::string::npos) {
+            const auto begin = place + start.size();
+            return decodePercent(target.substr(begin, target.find('&', begin) - begin));
+        }
+    }
+    return {};
+}
+
+auto number(const std::string &text) -> std::uint64_t
+{
+    return std::strtoull(text.c_str(), nullptr, 10);
+}
+
+auto toBase64(const std::string &bytes) -> std::string
+{
+    std::string text(sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
+    sodium_bin2base64(text.data(), text.size(),
+                      reinterpret_cast<const unsigned char *>(bytes.data()), bytes.size(),
+                      sodium_base64_VARIANT_ORIGINAL);
+    text.resize(text.find('\0'));
+    return text;
+}
+
+auto startsWith(const std::string &text, const std::string &prefix) -> bool
+{
+    return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+auto statusAnswer(unsigned status) -> HttpAnswer
+{
+    HttpAnswer answer;
+    answer.status = status;
+    return answer;
+}
+
+} // namespace
+
+StoreProgram::StoreProgram(asio::io_context &owner, Control &control, const Json &options)
+    : loop(owner), pageItems(options.value("page", std::size_t(50))),
+      server(owner, options.value("listen", "127.0.0.1:0"),
+             [this](const Connection &connection, const HttpRequest &request) {
+                 this->handle(connection, request);
+             })
+{
+    control.on("put", [this](const Json &command) { return this->put(command); });
+    control.on("remove", [this](const Json &command) { return this->remove(command); });
+    control.on("mode", [this](const Json &command) { return this->setMode(command); });
+    control.on("slow", [this](const Json &command) -> Json {
+        this->slowness = Millis(command.at("ms").get<std::int64_t>());
+        return Json::object();
+    });
+    control.on("lose", [this](const Json &command) -> Json {
+        this->loss = command.at("share").get<double>();
+        return Json::object();
+    });
+    control.on("forget", [this](const Json & /*command*/) -> Json {
+        this->history.clear();
+        this->forgotten = this->revision;
+        return Json::object();
+    });
+    control.on("counts", [this](const Json & /*command*/) -> Json {
+        return { { "calls", this->calls },
+                 { "late", this->lateCalls },
+                 { "revision", this->revision } };
+    });
+}
+
+auto StoreProgram::put(const Json &command) -> Json
+{
+    const auto key = command.at("key").get<std::string>();
+    const auto &value = command.at("value");
+    auto &item = this->items[key];
+    item.value = value.is_string() ? value.get<std::string>() : value.dump();
+    item.revision = ++this->revision;
+    item.created = item.created == 0 ? item.revision : item.created;
+    this->note(key, this->itemJson(key, item));
+    return { { "revision", item.revision } };
+}
+
+auto StoreProgram::remove(const Json &command) -> Json
+{
+    const auto key = command.at("key").get<std::string>();
+    if (this->items.erase(key) == 0) {
+        throw std::invalid_argument("no such key");
+    }
+    ++this->revision;
+    this->note(key, { { "key", key }, { "revision", this->revision }, { "removed", true } });
+    return { { "revision", this->revision } };
+}
+
+auto StoreProgram::note(const std::string &key, Json event) -> void
+{
+    this->history.push_back({ this->revision, key, std::move(event) });
+    if (this->history.size() > historyMax) {
+        this->forgotten = this->history.front().revision;
+        this->history.pop_front();
+    }
+    const auto waiting = this->watches;
+    for (const auto &watch : waiting) {
+        if (startsWith(key, watch->prefix)) {
+            this->endWatch(watch);
+        }
+    }
+}
+
+auto StoreProgram::setMode(const Json &command) -> Json
+{
+    const auto mode = command.at("mode").get<StoreMode>();
+    if (mode == StoreMode::Unknown) {
+        throw std::invalid_argument("unknown mode");
+    }
+    const auto host = command.value("host", "");
+    this->modes[host] = mode;
+    if (host.empty() && mode != StoreMode::Up) {
+        for (const auto &watch : std::exchange(this->watches, {})) {
+            watch->timer->cancel();
+            if (mode != StoreMode::Silent) {
+                watch->connection->close();
+            }
+        }
+    }
+    return Json::object();
+}
+
+auto StoreProgram::modeOf(const Connection &connection) const -> StoreMode
+{
+    const auto all = this->modes.find("");
+    if (all != this->modes.end() && all->second != StoreMode::Up) {
+        return all->second;
+    }
+    const auto found = this->modes.find(connection->peerIp());
+    return found == this->modes.end() ? StoreMode::Up : found->second;
+}
+
+auto StoreProgram::handle(const Connection &connection, const HttpRequest &request) -> void
+{
+    const std::string target(request.target());
+    ++this->calls[target.substr(0, target.find('?'))];
+    this->lateCalls += query(target, "staleOk") == "1" ? 1 : 0;
+    const auto mode = this->modeOf(connection);
+    std::uniform_real_distribution<double> draw(0, 1);
+    if (mode == StoreMode::Silent || draw(this->random) < this->loss) {
+        return;
+    }
+    if (mode == StoreMode::Reset) {
+        connection->reset();
+        return;
+    }
+    if (mode != StoreMode::Up) {
+        auto refused = statusAnswer(mode == StoreMode::Busy ? 503 : 429);
+        if (mode == StoreMode::Garbage) {
+            refused.status = 200;
+            refused.body = "{\"items\": \x01";
+        }
+        connection->answer(refused);
+        return;
+    }
+    const auto timer = std::make_shared<asio::steady_timer>(this->loop, this->slowness);
+    timer->async_wait([this, timer, connection, target](ErrorCode error) {
+        if (!error) {
+            this->route(connection, target);
+        }
+    });
+}
+
+auto StoreProgram::route(const Connection &connection, const std::string &target) -> void
+{
+    const auto path = target.substr(0, target.find('?'));
+    if (path == "/-/kv-key") {
+        this->readKey(connection, target);
+    } else if (path == "/-/kv-range") {
+        this->readRange(connection, target);
+    } else if (path == "/-/kv-watch") {
+        this->watch(connection, target);
+    } else {
+        connection->answer(statusAnswer(404));
+    }
+}
+
+auto StoreProgram::itemJson(const std::string &key, const Item &item) const -> Json
+{
+    return { { "key", key },
+             { "value", toBase64(item.value) },
+             { "revision", item.revision },
+             { "createdRev", item.created },
+             { "lease", 0 } };
+}
+
+auto StoreProgram::answer(const Connection &connection, const Json &body) -> void
+{
+    HttpAnswer answer;
+    answer.headers = { { "Content-Type", "application/json" } };
+    answer.body = body.dump();
+    connection->answer(answer);
+}
+
+auto StoreProgram::readKey(const Connection &connection, const std::string &target) -> void
+{
+    const auto key = query(target, "key");
+    const auto found = this->items.find(key);
+    if (found == this->items.end()) {
+        connection->answer(statusAnswer(404));
+        return;
+    }
+    auto body = this->itemJson(key, found->second);
+    body["currentRev"] = this->revision;
+    this->answer(connection, body);
+}
+
+auto StoreProgram::readRange(const Connection &connection, const std::string &target) -> void
+{
+    const auto prefix = query(target, "prefix");
+    const auto after = query(target, "after");
+    auto list = Json::array();
+    bool more = false;
+    for (const auto &[key, item] : this->items) {
+        if (!startsWith(key, prefix) || (!after.empty() && key <= after)) {
+            continue;
+        }
+        if (list.size() == this->pageItems) {
+            more = true;
+            break;
+        }
+        list.push_back(this->itemJson(key, item));
+    }
+    this->answer(connection, { { "items", std::move(list) },
+                               { "morePages", more },
+                               { "currentRev", this->revision } });
+}
+
+auto StoreProgram::eventsFor(const Watch &watch) const -> Json
+{
+    auto events = Json::array();
+    for (const auto &change : this->history) {
+        if (change.revision > watch.after && startsWith(change.key, watch.prefix)) {
+            events.push_back(change.event);
+        }
+    }
+    return events;
+}
+
+auto StoreProgram::watch(const Connection &connection, const std::string &target) -> void
+{
+    const auto watch = std::make_shared<Watch>();
+    watch->connection = connection;
+    watch->prefix = query(target, "prefix");
+    watch->after = number(query(target, "after"));
+    if (watch->after < this->forgotten) {
+        connection->answer(statusAnswer(410));
+        return;
+    }
+    const Millis wait(static_cast<std::int64_t>(number(query(target, "waitMs"))));
+    watch->timer = std::make_shared<asio::steady_timer>(this->loop, wait);
+    this->watches.push_back(watch);
+    if (!this->eventsFor(*watch).empty()) {
+        this->endWatch(watch);
+        return;
+    }
+    watch->timer->async_wait([this, watch](ErrorCode error) {
+        if (!error) {
+            this->endWatch(watch);
+        }
+    });
+}
+
+auto StoreProgram::endWatch(const WatchPtr &watch) -> void
+{
+    const auto found = std::find(this->watches.begin(), this->watches.end(), watch);
+    if (found == this->watches.end()) {
+        return;
+    }
+    this->watches.erase(found);
+    watch->timer->cancel();
+    this->answer(watch->connection,
+                 { { "events", this->eventsFor(*watch) }, { "currentRev", this->revision } });
+}
+
+} // namespace standins
--- a/tests/unit/emulationtest.cpp
+++ b/tests/unit/emulationtest.cpp
@@ -161,7 +161,8 @@
     CHECK(result.all.share() > 0.998);
 }
 
-TEST_CASE("of four upstreams that leave at once none gets a new flow after the gathering pause", "[emulation]")
+TEST_CASE("of four upstreams that leave at once none gets a new flow after the gathering pause",
+          "[emulation]")
 {
     auto day = quietDay();
     auto scaleIn = withTrouble(day, "scale-in");
