Take only openings that did not wait here for evidence; count resent requests

Cause: after a start or a pause, packets that had waited in the system's buffer were answered to callers that had given up, so that living upstreams were held to be silent. A request sent again by its caller said nothing. Ruled out: a longer patience, which slows finding silent upstreams.

--- a/src/core/packets/flowentry.h
+++ b/src/core/packets/flowentry.h
@@ -15,6 +15,7 @@
     Opening, ///< Its opening packet was forwarded; nothing came since.
     Idle,    ///< It is open and no request is under way.
     Waiting, ///< It is open and a request is under way.
+    Overdue, ///< The same, and its caller has sent the request again.
 };
 
 /// A watched flow. Nothing is decided by it that a lost entry would break.
--- a/src/core/packets/flowwatch.cpp
+++ b/src/core/packets/flowwatch.cpp
@@ -17,7 +17,7 @@
 
 auto isRunning(FlowStage stage) -> bool
 {
-    return stage == FlowStage::Opening || stage == FlowStage::Waiting;
+    return stage != FlowStage::Free && stage != FlowStage::Idle;
 }
 
 /// Returns the entry that a flow belongs to, or null where its index was given to another.
@@ -86,8 +86,11 @@
         return;
     }
     flow.acknowledged = head.acknowledged;
+    if (upstreamOf(board, flow) == nullptr) {
+        return;
+    }
     noteSign(board, flow.upstream);
-    if (flow.stage == FlowStage::Waiting) {
+    if (flow.stage != FlowStage::Idle) {
         const auto took = FlowTable::clock(board.now.mono) - flow.sentAt;
         addSample(board.directory.at(flow.upstream).evidence.response, took);
         board.stats.responses.add(took);
@@ -95,11 +98,28 @@
     }
 }
 
+/// Takes a request that its caller sent again: nothing came within its resend time.
+auto takeResend(Blackboard &board, FlowEntry &flow) -> void
+{
+    const auto sentFor = FlowTable::clock(board.now.mono) - flow.sentAt;
+    const auto isTrusted = board.now.mono >= board.packets.trustedFrom;
+    if (flow.stage != FlowStage::Waiting || sentFor < config::resendTime.count() || !isTrusted
+        || upstreamOf(board, flow) == nullptr) {
+        return;
+    }
+    enter(board, flow, FlowStage::Overdue);
+    noteUnanswered(board, flow.upstream, flow.sentAt);
+}
+
 auto takeData(Blackboard &board, FlowEntry &flow, const PacketHead &head) -> void
 {
     const auto advance = static_cast<std::int32_t>(head.sequence - flow.sequence);
     const auto isNew = advance > 0 || flow.stage == FlowStage::Idle;
-    if (head.dataBytes == 0 || !isNew) {
+    if (head.dataBytes == 0) {
+        return;
+    }
+    if (!isNew) {
+        takeResend(board, flow);
         return;
     }
     flow.sequence = head.sequence;
@@ -173,7 +193,9 @@
     flow.sentAt = FlowTable::clock(board.now.mono);
     flow.packetAt = flow.sentAt;
     enter(board, flow, FlowStage::Opening);
-    board.packets.openings.push({ board.packets.flows.indexOf(flow), upstream, flow.sentAt });
+    if (board.now.mono >= board.packets.trustedFrom) {
+        board.packets.openings.push({ board.packets.flows.indexOf(flow), upstream, flow.sentAt });
+    }
 }
 
 auto watchPacket(Blackboard &board, const PacketHead &head, std::uint32_t upstream) -> void
@@ -211,9 +233,10 @@
     sweep(board);
 }
 
-auto resetOpenings(Blackboard &board) -> void
+auto distrustOpenings(Blackboard &board) -> void
 {
     board.packets.openings.clear();
+    board.packets.trustedFrom = board.now.mono + config::distrustTime;
 }
 
 } // namespace flamingograde
--- a/src/core/packets/flowwatch.h
+++ b/src/core/packets/flowwatch.h
@@ -27,7 +27,9 @@
 /// Precondition: to be called on each `Tick`, after the packets that came before it.
 auto reviewFlows(Blackboard &board) -> void;
 
-/// Forgets what waits for an answer: the process was paused, and its timers mean nothing.
-auto resetOpenings(Blackboard &board) -> void;
+/// Forgets what waits for an answer, and takes no opening of the next `config::distrustTime` for
+/// evidence: the process was paused or has just begun to read, and callers of packets that waited
+/// may have given up.
+auto distrustOpenings(Blackboard &board) -> void;
 
 } // namespace flamingograde
--- a/src/core/packets/packetcontroller.cpp
+++ b/src/core/packets/packetcontroller.cpp
@@ -24,7 +24,7 @@
     const auto sinceTick = board.now.mono - this->lastTick;
     this->lastTick = board.now.mono;
     if (sinceTick > lateTick) {
-        resetOpenings(board);
+        distrustOpenings(board);
     }
     reviewFlows(board);
     for (auto &note : board.notes) {
--- a/src/core/packets/packetstate.h
+++ b/src/core/packets/packetstate.h
@@ -26,6 +26,7 @@
     FlowTable flows;
     OpeningQueue openings;
     MonoTime lastPacket;     ///< When a packet last came.
+    MonoTime trustedFrom;    ///< Openings before this may have waited: their callers may have left.
     MonoTime lastSign;       ///< When any upstream last showed life.
     std::uint32_t swept = 0; ///< The next entry of `flows` to be looked at for a forgotten request.
 };
--- a/src/core/packets/packetsteering.cpp
+++ b/src/core/packets/packetsteering.cpp
@@ -6,6 +6,8 @@
 #include "core/packets/flowwatch.h"
 #include "core/packets/silence.h"
 
+#include <flamingograde/config.h>
+
 #include <algorithm>
 
 namespace flamingograde {
@@ -58,6 +60,17 @@
     return known != nullptr ? *known : board.packets.flows.claim(key);
 }
 
+/// Takes a copy of an opening packet for evidence: its caller says that nothing came within its
+/// resend time, unless both packets waited here.
+auto noteCopy(Blackboard &board, const FlowEntry &flow) -> void
+{
+    const auto sentFor = FlowTable::clock(board.now.mono) - flow.sentAt;
+    const auto isTrusted = board.now.mono >= board.packets.trustedFrom;
+    if (isTrusted && sentFor >= config::handshakePatience.count()) {
+        noteUnanswered(board, flow.upstream, flow.sentAt);
+    }
+}
+
 auto place(Blackboard &board, const RowEntry &row, const PacketHead &head) -> PacketDecision
 {
     const auto key = FlowKey::of(head);
@@ -68,8 +81,7 @@
     }
     NewFlow flow { key.hash(), std::nullopt };
     if (isCopy) {
-        // The caller itself says that nothing came within its resend time.
-        noteUnanswered(board, known->upstream, known->sentAt);
+        noteCopy(board, *known);
         flow.avoid = known->upstream;
     }
     auto chosen = placeFlow(board, row, flow);
@@ -128,6 +140,9 @@
 
 auto steerPacket(Blackboard &board, const PacketHead &head) -> PacketDecision
 {
+    if (board.packets.lastPacket == MonoTime()) {
+        distrustOpenings(board);
+    }
     board.packets.lastPacket = board.now.mono;
     const auto decision = decide(board, head);
     ++board.stats.packets[static_cast<std::size_t>(decision.reason)];
--- a/src/core/packets/silence.h
+++ b/src/core/packets/silence.h
@@ -12,7 +12,8 @@
 /// Takes a sign of life of the upstream at `upstream`. Precondition: it is in the directory.
 auto noteSign(Blackboard &board, std::uint32_t upstream) -> void;
 
-/// Takes an opening, forwarded at `sentAt` of `FlowTable::clock`, that was not answered in time.
+/// Takes an opening or a request, forwarded at `sentAt` of `FlowTable::clock`, that was not
+/// answered in time.
 ///
 /// The upstream is held to be silent after `config::silentOpenings` of them, if another one
 /// showed life since: otherwise this host, or callers, may have been cut off.
--- a/tests/unit/packetboard.h
+++ b/tests/unit/packetboard.h
@@ -78,6 +78,10 @@
                            record(3, "live", "a", 4), record(4, "live", "b", 5),
                            record(5, "papers", "a", 6) };
         this->take(update);
+        // The first packet begins the time in which openings are no evidence.
+        this->board.now.mono += std::chrono::seconds(100);
+        this->acknowledge(60000, Cookie::of(InstanceId(1)));
+        this->pass(config::distrustTime);
     }
 
     auto take(const DirectoryUpdate &update) -> void
