--- a/src/emulator/dayreport.cpp
+++ b/src/emulator/dayreport.cpp
@@ -47,6 +47,7 @@
              { "p50_ms", day.percentile(0.5) },
              { "p99_ms", day.percentile(0.99) },
              { "broken_flows", day.brokenFlows },
+             { "broken_by", day.brokenBy },
              { "double_runs", day.doubleRuns },
              { "wrong_service", day.wrongService },
              { "late_openings", day.lateOpenings },
--- a/src/emulator/dayresult.h
+++ b/src/emulator/dayresult.h
@@ -37,9 +37,10 @@
     std::vector<Tally> windows; ///< Of two seconds each.
     std::vector<double> tookMs; ///< Of every answered request.
 
-    std::uint64_t brokenFlows = 0;  ///< Open flows of a living upstream that a host reset.
-    std::uint64_t strayPackets = 0; ///< Packets of an open flow at another upstream.
-    std::uint64_t doubleRuns = 0;   ///< Tries that ran more than once.
+    std::uint64_t brokenFlows = 0; ///< Open flows of a living upstream that a host reset.
+    std::map<std::string, std::uint64_t> brokenBy; ///< These by the host's reason.
+    std::uint64_t strayPackets = 0;                ///< Packets of an open flow at another upstream.
+    std::uint64_t doubleRuns = 0;                  ///< Tries that ran more than once.
     std::uint64_t wrongService = 0; ///< Openings at an upstream of a service that the row lacks.
     std::uint64_t lateOpenings = 0; ///< Openings at a leaving upstream after the bound.
     Duration latestOpening { 0 };   ///< The longest time after the upstream said that it leaves.
--- a/src/emulator/emulatedhost.cpp
+++ b/src/emulator/emulatedhost.cpp
@@ -221,7 +221,7 @@
     this->library->steer(this->clockNow(), this->heads, this->decisions);
     const auto &decision = this->decisions.front();
     if (decision.verdict == PacketVerdict::Reset) {
-        this->reset(packet);
+        this->reset(packet, decision.reason);
     }
     for (std::size_t i = 0; i < decision.targetCount; ++i) {
         auto sent = packet;
@@ -230,13 +230,13 @@
     }
 }
 
-auto EmulatedHost::reset(const FlowPacket &packet) -> void
+auto EmulatedHost::reset(const FlowPacket &packet, PacketReason reason) -> void
 {
     FlowPacket answer;
     answer.head.service = packet.head.service;
     answer.head.caller = packet.head.caller;
     answer.head.flags.resets = true;
-    this->surroundings.toCaller(answer);
+    this->surroundings.toCaller(answer, reason);
 }
 
 } // namespace flamingograde::emulator
--- a/src/emulator/emulatedhost.h
+++ b/src/emulator/emulatedhost.h
@@ -41,7 +41,7 @@
 struct HostSurroundings
 {
     std::function<void(const PacketTarget &, const FlowPacket &)> toUpstream;
-    std::function<void(const FlowPacket &)> toCaller; ///< A reset of its own.
+    std::function<void(const FlowPacket &, PacketReason)> toCaller; ///< A reset of its own.
     std::function<void(const Log &)> onLog;
 };
 
@@ -82,6 +82,7 @@
 
     std::uint64_t startCount = 0;
     std::uint64_t packetCount = 0;
+    MonoTime disturbedAt; ///< When it last was not running, or out of touch with the store.
 
 private:
     auto begin(std::uint64_t life) -> void;
@@ -90,7 +91,7 @@
     auto steer(const FlowPacket &packet) -> void;
     auto steerWaiting() -> void;
     [[nodiscard]] auto holdsPackets() const -> bool;
-    auto reset(const FlowPacket &packet) -> void;
+    auto reset(const FlowPacket &packet, PacketReason reason) -> void;
     auto endProcess(bool power) -> void;
     [[nodiscard]] auto clockNow() const -> Now;
 
--- a/src/emulator/emulatedstore.h
+++ b/src/emulator/emulatedstore.h
@@ -56,6 +56,11 @@
 
     /// Returns the newest change. Precondition: none.
     [[nodiscard]] auto revision() const -> Revision { return { this->last }; }
+    /// Returns whether a place is answered and no answer is lost. Precondition: none.
+    [[nodiscard]] auto isStableFor(const Place &from) const -> bool
+    {
+        return this->answersLost <= 0 && this->modeFor(from) == StoreMode::Answers;
+    }
     /// Returns what a host is to get now.
     [[nodiscard]] auto modeFor(const Place &from) const -> StoreMode;
 
--- a/src/emulator/emulation.cpp
+++ b/src/emulator/emulation.cpp
@@ -18,7 +18,8 @@
 constexpr Duration heartbeat = 1200ms;
 constexpr Duration housekeeping = 100ms;
 constexpr Duration coldTime = 2s;
-constexpr Duration contact = 4s; ///< A fault on an upstream excuses what happens within this.
+constexpr Duration contact =
+        4s; ///< A fault on a host or an upstream excuses what happens within this.
 constexpr std::uint32_t headBytes = 44;           ///< Before the data, the instance included.
 constexpr std::uint32_t callerNet = 0x64400001;   ///< 100.64.0.1.
 constexpr std::uint32_t upstreamNet = 0x0a800000; ///< 10.128.0.0.
@@ -66,7 +67,9 @@
     around.toUpstream = [this, number](const PacketTarget &target, const FlowPacket &packet) {
         this->toUpstream(*this->hosts[number], target, packet);
     };
-    around.toCaller = [this](const FlowPacket &packet) { this->toCaller(packet, true); };
+    around.toCaller = [this](const FlowPacket &packet, PacketReason reason) {
+        this->toCaller(packet, reason);
+    };
     around.onLog = [this](const Log &log) { ++this->logs[log.event]; };
     this->hosts.push_back(std::make_unique<EmulatedHost>(this->time, this->mesh, this->platform,
                                                          this->hostSettings(zone, number),
@@ -179,7 +182,7 @@
 auto Emulation::surroundingsOf(std::size_t index) -> UpstreamSurroundings
 {
     UpstreamSurroundings around;
-    around.toCaller = [this](const FlowPacket &packet) { this->toCaller(packet, false); };
+    around.toCaller = [this](const FlowPacket &packet) { this->toCaller(packet, std::nullopt); };
     around.onRun = [this](std::uint64_t request) { this->judge.noteRun(request, false); };
     around.onOpening = [this, index](const FlowPacket &packet) {
         const auto &seat = *this->seats[index];
@@ -192,15 +195,23 @@
                        return share.first == seat.record.serviceName;
                    });
         this->judge.day.wrongService += isAllowed ? 0 : 1;
-        if (seat.leftAt) {
-            const Duration late = this->time.now() - *seat.leftAt;
-            this->judge.day.latestOpening = std::max(this->judge.day.latestOpening, late);
-            this->judge.day.lateOpenings += late > this->plan.drainBound ? 1 : 0;
-        }
+        this->judgeOpening(seat);
     };
     return around;
 }
 
+auto Emulation::judgeOpening(const UpstreamSeat &seat) -> void
+{
+    const auto isInTouch =
+            seat.through != nullptr && this->time.now() - seat.through->disturbedAt > contact;
+    if (!seat.leftAt || !isInTouch) {
+        return;
+    }
+    const Duration late = this->time.now() - *seat.leftAt;
+    this->judge.day.latestOpening = std::max(this->judge.day.latestOpening, late);
+    this->judge.day.lateOpenings += late > this->plan.drainBound ? 1 : 0;
+}
+
 auto Emulation::beat(std::size_t index) -> void
 {
     auto &seat = *this->seats[index];
@@ -249,6 +260,11 @@
 {
     this->platform.expire();
     this->mesh.review();
+    for (const auto &host : this->hosts) {
+        if (host->life() != HostLife::Running || !this->platform.isStableFor(host->place())) {
+            host->disturbedAt = this->time.now();
+        }
+    }
     this->time.later(housekeeping, [this] { this->housekeep(); });
 }
 
@@ -299,14 +315,15 @@
     if (seat.place.zone != host.place().zone) {
         this->packetBytesBetweenZones += headBytes + packet.head.dataBytes;
     }
-    this->links.send(host.place(), seat.place, [&seat, instance = target.instance, packet] {
+    this->links.send(host.place(), seat.place, [&seat, &host, instance = target.instance, packet] {
+        seat.through = &host;
         seat.process->take(instance, packet);
     });
 }
 
-auto Emulation::toCaller(const FlowPacket &packet, bool fromHost) -> void
+auto Emulation::toCaller(const FlowPacket &packet, std::optional<PacketReason> resetBy) -> void
 {
-    this->links.sendToCaller([this, packet, fromHost] {
+    this->links.sendToCaller([this, packet, resetBy] {
         auto *caller = this->pool.find(packet.head.caller.ip);
         if (caller == nullptr) {
             return;
@@ -317,8 +334,9 @@
                     return it->process->holds(packet.head.caller, packet.head.service)
                            && (!it->disturbedAt || this->time.now() - *it->disturbedAt > contact);
                 });
-        if (caller->take(packet, fromHost) && isHeld) {
+        if (caller->take(packet, resetBy.has_value()) && isHeld) {
             ++this->judge.day.brokenFlows;
+            ++this->judge.day.brokenBy[std::string(toString(*resetBy))];
         }
     });
 }
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -31,11 +31,12 @@
 {
     std::unique_ptr<EmulatedUpstream> process;
     Place place;
-    Upstream record;                     ///< As it reports itself.
-    bool reports = true;                 ///< Sends heartbeats.
-    bool stored = false;                 ///< The store took its newest record.
-    std::optional<MonoTime> leftAt;      ///< When the store took that it leaves or is gone.
-    std::optional<MonoTime> disturbedAt; ///< When it was last crashed or cut.
+    Upstream record;                       ///< As it reports itself.
+    bool reports = true;                   ///< Sends heartbeats.
+    bool stored = false;                   ///< The store took its newest record.
+    std::optional<MonoTime> leftAt;        ///< When the store took that it leaves or is gone.
+    std::optional<MonoTime> disturbedAt;   ///< When it was last crashed or cut.
+    const EmulatedHost *through = nullptr; ///< The host whose packet it takes.
 };
 
 /// One deterministic world. The same plan gives the same day.
@@ -95,12 +96,14 @@
     auto hostSettings(const std::string &zone, std::size_t number) -> Init;
     auto surroundingsOf(std::size_t seat) -> UpstreamSurroundings;
     auto beat(std::size_t index) -> void;
+    auto judgeOpening(const UpstreamSeat &seat) -> void;
     auto housekeep() -> void;
     auto callersSurroundings() -> PoolSurroundings;
     auto sendToFabric(std::size_t caller, const FlowPacket &packet) -> void;
     auto toUpstream(const EmulatedHost &host, const PacketTarget &target, const FlowPacket &packet)
             -> void;
-    auto toCaller(const FlowPacket &packet, bool fromHost) -> void;
+    /// @param resetBy why a host reset the flow; nothing for an upstream's packet.
+    auto toCaller(const FlowPacket &packet, std::optional<PacketReason> resetBy) -> void;
     auto rowsNow() -> PacketRows;
 
     VirtualClock time;
--- /dev/null
+++ b/src/emulator/randomday.h
@@ -0,0 +1,15 @@
+/// Days with troubles drawn at random.
+#pragma once
+
+#include "emulator/plan.h"
+
+#include <cstdint>
+
+namespace flamingograde::emulator {
+
+/// Returns `day` with three to six troubles of any kind at any time, and on some seeds packets
+/// lost. The same seed gives the same day. Precondition: the day has two zones and two services.
+/// @remarks Thread safe.
+[[nodiscard]] auto randomDay(DayPlan day, std::uint64_t seed) -> DayPlan;
+
+} // namespace flamingograde::emulator
--- a/src/emulator/troubles.cpp
+++ b/src/emulator/troubles.cpp
@@ -284,6 +284,15 @@
     return kinds().count(kind) != 0;
 }
 
+auto troubleKinds() -> std::vector<std::string>
+{
+    std::vector<std::string> names;
+    for (const auto &[name, act] : kinds()) {
+        names.push_back(name);
+    }
+    return names;
+}
+
 auto planTroubles(Emulation &world) -> void
 {
     for (const auto &trouble : world.plan.troubles) {
--- a/src/emulator/troubles.h
+++ b/src/emulator/troubles.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 namespace flamingograde::emulator {
 
@@ -10,6 +11,9 @@
 /// Returns whether there is such a kind of trouble. Thread safe.
 [[nodiscard]] auto isTroubleKind(const std::string &kind) -> bool;
 
+/// Returns the kinds of trouble, in a fixed order. Thread safe.
+[[nodiscard]] auto troubleKinds() -> std::vector<std::string>;
+
 /// Plans all troubles of the emulation's day from now on.
 /// Precondition: the load begins now, and every kind is one.
 auto planTroubles(Emulation &world) -> void;
