--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -122,21 +122,22 @@
 
 auto Daemon::open() -> bool
 {
-    if (!this->openRequests() || !this->openPeers() || !this->openPackets()) {
+    const auto opened =
+            this->openRequests() && this->openPeers() && this->openPackets() && this->openHttp();
+    if (!opened) {
         return false;
     }
     this->nextTick = Loop::now().mono;
     this->loadDirectory();
-    if (!this->openHttp()) {
-        return false;
-    }
+    this->http->start();
     this->peerListener->start();
     return true;
 }
 
 /// Reads the directory before anything else is set up, so that packets that came while the process
 /// started are carried first: after a power cut a host of a twentieth of a core is back 40 ms
-/// earlier (from its start's log line to its first flow, on the users' smallest hosts).
+/// earlier (from its start's log line to its first flow, on the users' smallest hosts). Checks of
+/// the fabric wait in the system's queue meanwhile: one that is refused is repeated after 500 ms.
 auto Daemon::loadDirectory() -> void
 {
     if (this->directory == nullptr) {
@@ -153,7 +154,7 @@
     this->http = std::make_unique<HttpServer>(
             this->loop, config::peerMessageMax,
             [this](st_h2o_req_t *request, Address tag) { this->answer(request, tag); });
-    const auto admin = this->http->listen(this->settings.admin, operatorsTag);
+    const auto admin = this->http->bind(this->settings.admin, operatorsTag);
     if (!admin) {
         return refuseSetting(admin.error());
     }
@@ -161,7 +162,7 @@
     if (this->packets == nullptr || !this->settings.ready.isValid()) {
         return true;
     }
-    const auto ready = this->http->listen(this->settings.ready, readinessTag);
+    const auto ready = this->http->bind(this->settings.ready, readinessTag);
     if (!ready) {
         return refuseSetting(ready.error());
     }
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -75,6 +75,7 @@
     h2o_accept_ctx_t accept {};
     Address tag;
     std::unique_ptr<Listener> listener;
+    bool started = false; ///< The listener takes connections.
 };
 
 /// What h2o keeps for a server.
@@ -83,14 +84,13 @@
     h2o_globalconf_t config {};
     h2o_context_t context {};
     h2o_hostconf_t *host = nullptr;
-    Handler handler;
 
-    Engine(Loop &loop, std::size_t bodyMax, Handler callback);
+    /// Precondition: `handler` outlives this.
+    Engine(Loop &loop, std::size_t bodyMax, Handler &handler);
     static auto onRequest(h2o_handler_t *self, h2o_req_t *request) -> int;
 };
 
-HttpServer::Engine::Engine(Loop &loop, std::size_t bodyMax, Handler callback)
-    : handler(std::move(callback))
+HttpServer::Engine::Engine(Loop &loop, std::size_t bodyMax, Handler &handler)
 {
     h2o_config_init(&this->config);
     this->config.server_name = h2o_iovec_init(H2O_STRLIT("flamingograde"));
@@ -100,7 +100,7 @@
             h2o_config_register_host(&this->config, h2o_iovec_init(H2O_STRLIT("default")), anyPort);
     auto *path = h2o_config_register_path(this->host, "/", 0);
     auto *slot = reinterpret_cast<HandlerSlot *>(h2o_create_handler(path, sizeof(HandlerSlot)));
-    slot->handler = &this->handler;
+    slot->handler = &handler;
     slot->base.on_req = &Engine::onRequest;
     auto *filter = h2o_create_filter(&this->host->fallback_path, sizeof(FilterSlot));
     filter->on_setup_ostream = &markOwnAnswer;
@@ -114,37 +114,58 @@
     return 0;
 }
 
-HttpServer::HttpServer(Loop &owner, std::size_t bodyMax, Handler callback)
-    : loop(owner), engine(std::make_unique<Engine>(owner, bodyMax, std::move(callback)))
+HttpServer::HttpServer(Loop &owner, std::size_t bodyBytes, Handler callback)
+    : loop(owner), bodyMax(bodyBytes), handler(std::move(callback))
 {}
 
 HttpServer::~HttpServer() = default;
 
-auto HttpServer::listen(Address address, Address tag) -> tl::expected<Address, std::string>
+auto HttpServer::bind(Address address, Address tag) -> tl::expected<Address, std::string>
 {
     auto &entrance = this->entrances[tag];
     if (entrance == nullptr) {
         entrance = std::make_unique<Entrance>();
-        entrance->hosts = { this->engine->host, nullptr };
-        entrance->accept.ctx = &this->engine->context;
-        entrance->accept.hosts = entrance->hosts.data();
         entrance->tag = tag;
     }
     if (entrance->listener != nullptr) {
         return entrance->listener->bound();
     }
-    auto opened = Listener::open(this->loop, address,
-                                 [accept = &entrance->accept](st_h2o_socket_t *connection) {
-                                     boundSilence(h2o_socket_get_fd(connection));
-                                     h2o_accept(accept, connection);
-                                 });
-    if (!opened) {
-        return tl::unexpected(opened.error());
+    auto bound = Listener::bind(this->loop, address,
+                                [accept = &entrance->accept](st_h2o_socket_t *connection) {
+                                    boundSilence(h2o_socket_get_fd(connection));
+                                    h2o_accept(accept, connection);
+                                });
+    if (!bound) {
+        return tl::unexpected(bound.error());
     }
-    entrance->listener = std::move(*opened);
+    entrance->listener = std::move(*bound);
+    entrance->started = false;
     return entrance->listener->bound();
 }
 
+auto HttpServer::start() -> void
+{
+    if (this->engine == nullptr) {
+        this->engine = std::make_unique<Engine>(this->loop, this->bodyMax, this->handler);
+    }
+    for (auto &[tag, entrance] : this->entrances) {
+        if (entrance->listener == nullptr || std::exchange(entrance->started, true)) {
+            continue;
+        }
+        entrance->hosts = { this->engine->host, nullptr };
+        entrance->accept.ctx = &this->engine->context;
+        entrance->accept.hosts = entrance->hosts.data();
+        entrance->listener->start();
+    }
+}
+
+auto HttpServer::listen(Address address, Address tag) -> tl::expected<Address, std::string>
+{
+    auto bound = this->bind(address, tag);
+    this->start();
+    return bound;
+}
+
 auto HttpServer::unlisten(Address tag) -> void
 {
     const auto found = this->entrances.find(tag);
@@ -155,7 +176,9 @@
 
 auto HttpServer::shutdown() -> void
 {
-    h2o_context_request_shutdown(&this->engine->context);
+    if (this->engine != nullptr) {
+        h2o_context_request_shutdown(&this->engine->context);
+    }
 }
 
 } // namespace flamingograde::net
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -33,9 +33,15 @@
     HttpServer(const HttpServer &) = delete;
     auto operator=(const HttpServer &) -> HttpServer & = delete;
 
-    /// Listens on `address`.
+    /// Listens on `address`; connections wait in the system's queue until `start`.
     /// @param tag names the address to the handler; a second call for it has no effect.
     /// @returns the address bound, or why not.
+    [[nodiscard]] auto bind(Address address, Address tag) -> tl::expected<Address, std::string>;
+
+    /// Takes connections at all addresses that are bound. Precondition: none.
+    auto start() -> void;
+
+    /// Listens on `address` and takes connections. As `bind` and `start`.
     [[nodiscard]] auto listen(Address address, Address tag) -> tl::expected<Address, std::string>;
 
     /// Takes no more connections for `tag`; open ones go on. Precondition: none.
@@ -49,7 +55,9 @@
     struct Entrance;
 
     Loop &loop;
-    std::unique_ptr<Engine> engine;
+    std::size_t bodyMax;
+    Handler handler;
+    std::unique_ptr<Engine> engine; ///< Made by the first `start`.
     std::unordered_map<Address, std::unique_ptr<Entrance>> entrances;
 };
 
--- a/tests/packets/starttests.cpp
+++ b/tests/packets/starttests.cpp
@@ -38,3 +38,15 @@
     CHECK(libraries.size() > 2);
     CHECK(libraries.size() <= most);
 }
+
+TEST_CASE("a start reads rows and upstreams with one call", "[start]")
+{
+    harness::Loop loop;
+    harness::PacketFleet fleet(loop);
+    fleet.start(1, 1, 1);
+    const auto calls = fleet.store().call({ { "cmd", "counts" } }).at("calls");
+    CHECK(calls.value("/-/kv-range", 0) == 1);
+    CHECK(calls.value("/-/kv-key", 0) == 0);
+    CHECK(fleet.metric("host-1-1", "rows_version") == 3);
+    CHECK(fleet.metric("host-1-1", "upstreams") > 0);
+}
