Dump and explain packet rows, upstreams and flows

Cause: dump and explain knew only the table of the HTTP rows; on a host that carries packets an engineer saw neither its upstreams nor why a flow would go where it goes. Change: a section `directory` in the dump; explain takes the address of a packet row and, for an open flow, its cookie in place of a token.

--- a/src/core/dump.cpp
+++ b/src/core/dump.cpp
@@ -4,6 +4,7 @@
 #include "core/blackboard.h"
 #include "core/hexid.h"
 #include "core/homes/celldump.h"
+#include "core/packets/packetdump.h"
 
 #include <nlohmann/json.hpp>
 
@@ -243,18 +244,21 @@
 
 auto dumpOf(const Blackboard &board) -> std::string
 {
-    const json dump { { "host", hostJson(board) },
-                      { "members", membersJson(board) },
-                      { "config", configJson(board) },
-                      { "cells", cellsJson(board) },
-                      { "upstreams", upstreamsJson(board) },
-                      { "exchanges", exchangesJson(board) },
-                      { "feeds", feedsJson(board) },
-                      { "keys",
-                        { { "count", board.keys.size() },
-                          { "answer_bytes", board.keys.answerBytes() } } },
-                      { "retries_left", board.retryBudget.left() },
-                      { "stats", statsJson(statsOf(board)) } };
+    json dump { { "host", hostJson(board) },
+                { "members", membersJson(board) },
+                { "config", configJson(board) },
+                { "cells", cellsJson(board) },
+                { "upstreams", upstreamsJson(board) },
+                { "exchanges", exchangesJson(board) },
+                { "feeds", feedsJson(board) },
+                { "keys",
+                  { { "count", board.keys.size() },
+                    { "answer_bytes", board.keys.answerBytes() } } },
+                { "retries_left", board.retryBudget.left() },
+                { "stats", statsJson(statsOf(board)) } };
+    if (board.init.readsDirectory) {
+        dump["directory"] = directoryJson(board);
+    }
     return dump.dump(2, ' ', false, json::error_handler_t::replace);
 }
 
--- a/src/core/explain.cpp
+++ b/src/core/explain.cpp
@@ -5,6 +5,7 @@
 #include "core/feeds/feedplacement.h"
 #include "core/hexid.h"
 #include "core/keys/idempotencykey.h"
+#include "core/packets/packetdump.h"
 #include "core/placement/placement.h"
 #include "core/requests/token.h"
 
@@ -123,21 +124,29 @@
     return row.idempotent || key.empty() ? explainByLoad(board, row) : explainKey(board, row, key);
 }
 
-} // namespace
-
-auto explainOf(const Blackboard &board, Address address, const std::string &token,
-               const std::string &key) -> std::string
+auto explainRequest(const Blackboard &board, Address address, const std::string &token,
+                    const std::string &key) -> json
 {
     json answer { { "address", address.toString() }, { "revision", board.config.revision.number } };
     const auto *row = board.table().rowAt(address);
     if (row == nullptr) {
         answer["refused"] = "unknown-service";
-    } else {
-        answer["row"] = row->name;
-        answer["service"] = row->serviceName;
-        answer["kind"] = toString(row->kind);
-        answer["placement"] = explainRow(board, *row, token, key);
+        return answer;
     }
+    answer["row"] = row->name;
+    answer["service"] = row->serviceName;
+    answer["kind"] = toString(row->kind);
+    answer["placement"] = explainRow(board, *row, token, key);
+    return answer;
+}
+
+} // namespace
+
+auto explainOf(const Blackboard &board, Address address, const std::string &token,
+               const std::string &key) -> std::string
+{
+    const auto answer = board.init.readsDirectory ? explainPacket(board, address, token)
+                                                  : explainRequest(board, address, token, key);
     return answer.dump(2, ' ', false, json::error_handler_t::replace);
 }
 
--- /dev/null
+++ b/src/core/packets/packetdump.cpp
@@ -0,0 +1,197 @@
+/// Writes the directory as JSON, and explains by its entries.
+#include "core/packets/packetdump.h"
+
+#include "core/blackboard.h"
+#include "core/hexid.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+namespace flamingograde {
+
+namespace {
+
+using nlohmann::json;
+
+auto milliseconds(Duration duration) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+auto nameOf(Presence presence) -> const char *
+{
+    switch (presence) {
+    case Presence::Listed:
+        return "listed";
+    case Presence::Missing:
+        return "missing";
+    case Presence::Removed:
+        break;
+    }
+    return "removed";
+}
+
+/// Returns how long ago a time was, or null for never.
+auto ageJson(const Blackboard &board, MonoTime time) -> json
+{
+    return time == MonoTime() ? json() : json(milliseconds(board.now.mono - time));
+}
+
+auto rowJson(const PacketRow &row) -> json
+{
+    auto shares = json::object();
+    for (const auto &share : row.shares) {
+        shares[share.serviceName] = share.weight;
+    }
+    return { { "name", row.name },       { "address", row.address.toString() },
+             { "services", shares },     { "idempotent", row.idempotent },
+             { "urgency", row.urgency }, { "deadline_ms", milliseconds(row.deadline) } };
+}
+
+auto upstreamJson(const Blackboard &board, const UpstreamEntry &entry) -> json
+{
+    const auto &upstream = entry.record.upstream;
+    const auto &evidence = entry.evidence;
+    const auto isActive = upstream.state == UpstreamState::Active;
+    return { { "name", upstream.name },
+             { "service", upstream.serviceName },
+             { "zone", upstream.zoneName },
+             { "address", upstream.address.toString() },
+             { "instance", hexOf(upstream.instance) },
+             { "cookie", entry.cookie.value },
+             { "owns_cookie", entry.ownsCookie },
+             { "state", isActive ? "active" : "draining" },
+             { "presence", nameOf(entry.presence) },
+             { "changed", entry.newest.number },
+             { "slots", upstream.slots },
+             { "busy_here", evidence.busy },
+             { "silent", evidence.silent },
+             { "unanswered", evidence.unanswered },
+             { "heard_ms_ago", ageJson(board, evidence.heard) },
+             { "handshake_ms", milliseconds(evidence.handshake) },
+             { "response_ms", milliseconds(evidence.response) } };
+}
+
+auto readCookie(const std::string &text) -> std::optional<Cookie>
+{
+    Cookie cookie;
+    const auto *end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, cookie.value);
+    if (error != std::errc() || stop != end) {
+        return std::nullopt;
+    }
+    return cookie;
+}
+
+auto explainOpenFlow(const Blackboard &board, const RowEntry &row, const std::string &text) -> json
+{
+    const auto cookie = readCookie(text);
+    if (!cookie) {
+        return { { "why", "the cookie is not a number of 32 bits" }, { "verdict", "drop" } };
+    }
+    const auto *entry = board.directory.byCookie(*cookie);
+    if (entry == nullptr) {
+        return { { "why", "no upstream that this host knows has the cookie" },
+                 { "verdict", "drop" } };
+    }
+    const auto service = entry->record.upstream.service;
+    const auto hadService = std::find(row.had.begin(), row.had.end(), service) != row.had.end();
+    json answer { { "upstream", upstreamJson(board, *entry) } };
+    if (!hadService) {
+        answer["why"] = "the cookie's upstream is of a service that the row never had";
+        answer["verdict"] = "drop";
+    } else if (entry->presence == Presence::Removed) {
+        answer["why"] = "the upstream has left for good";
+        answer["verdict"] = "reset";
+    } else {
+        answer["why"] = "the cookie names the upstream";
+        answer["verdict"] = "forward";
+    }
+    return answer;
+}
+
+/// Returns why an entry takes no new flows, or an empty text.
+auto whyClosed(const UpstreamEntry &entry) -> std::string
+{
+    if (entry.presence == Presence::Removed) {
+        return "removed";
+    }
+    if (entry.record.upstream.state != UpstreamState::Active) {
+        return "draining";
+    }
+    if (!entry.ownsCookie) {
+        return "shares the cookie of an older one";
+    }
+    return entry.evidence.silent ? "silent: on trial only" : "";
+}
+
+auto explainNewFlow(const Blackboard &board, const RowEntry &row) -> json
+{
+    auto candidates = json::array();
+    for (const auto &share : row.row->shares) {
+        for (const auto &entry : board.directory.entries()) {
+            const auto &upstream = entry.record.upstream;
+            if (!upstream.instance.isValid() || upstream.service != share.service) {
+                continue;
+            }
+            candidates.push_back({ { "upstream", upstream.name },
+                                   { "service_weight", share.weight },
+                                   { "near", entry.isNear },
+                                   { "busy_here", entry.evidence.busy },
+                                   { "slots", upstream.slots },
+                                   { "closed", whyClosed(entry) } });
+        }
+    }
+    return { { "why", "the service by weight; of its open upstreams the least busy for its slots, "
+                      "of the own zone unless that is crowded" },
+             { "verdict", "forward" },
+             { "candidates", candidates } };
+}
+
+} // namespace
+
+auto directoryJson(const Blackboard &board) -> json
+{
+    auto rows = json::array();
+    const auto *published = board.directory.rows();
+    if (published != nullptr) {
+        for (const auto &row : published->rows) {
+            rows.push_back(rowJson(row));
+        }
+    }
+    auto upstreams = json::array();
+    for (const auto &entry : board.directory.entries()) {
+        if (entry.record.upstream.instance.isValid()) {
+            upstreams.push_back(upstreamJson(board, entry));
+        }
+    }
+    return { { "revision", board.directory.revision().number },
+             { "rows_version", published == nullptr ? 0 : published->version },
+             { "reads_fail", board.directoryReadsFail },
+             { "flows_watched", board.packets.flows.used },
+             { "rows", rows },
+             { "upstreams", upstreams } };
+}
+
+auto explainPacket(const Blackboard &board, Address address, const std::string &cookie) -> json
+{
+    const auto *rows = board.directory.rows();
+    json answer { { "address", address.toString() },
+                  { "revision", board.directory.revision().number },
+                  { "rows_version", rows == nullptr ? 0 : rows->version } };
+    const auto *row = board.directory.rowAt(address);
+    if (row == nullptr) {
+        answer["refused"] = "unknown-service";
+        answer["placement"] = { { "why", "no row has the address" }, { "verdict", "reset" } };
+        return answer;
+    }
+    answer["row"] = row->row->name;
+    answer["placement"] =
+            cookie.empty() ? explainNewFlow(board, *row) : explainOpenFlow(board, *row, cookie);
+    return answer;
+}
+
+} // namespace flamingograde
