Report on writes before each run of the loop: a closed socket was used after free

All stacks: h2o's run over its pending sockets. h2o frees a closed socket at the start of a run, before it looks at those it has to report a write on. A peer connection that was written to and then dropped between two runs was freed while it stood in that list. Ruled out: memory (20 MB of 80), the store's answers, big configurations. Change: each turn begins with h2o's own report on pending writes; the daemon does so after its events too, and no longer takes an empty turn after each. Conclusion: the fault could come on any site: any host that talks to peers.

--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -110,14 +110,15 @@
 auto Daemon::turn() -> void
 {
     this->tickIfDue();
-    // h2o reports on writes made outside of its run only in its next: no wait before that.
-    const auto handled = this->handleQueued();
+    while (!this->queue.empty()) {
+        this->handleQueued();
+        this->loop.reportWrites(); // May post events.
+    }
     if (this->packets != nullptr) {
         this->packets->startIfServing(Loop::now().mono);
     }
     flushLog(Loop::now().mono);
-    const auto wait = handled ? Duration(0) : this->nextTick - Loop::now().mono;
-    this->loop.turn(std::max(wait, Duration(0)));
+    this->loop.turn(std::max(this->nextTick - Loop::now().mono, Duration(0)));
 }
 
 auto Daemon::open() -> bool
@@ -243,9 +244,8 @@
     }
 }
 
-auto Daemon::handleQueued() -> bool
+auto Daemon::handleQueued() -> void
 {
-    const auto found = !this->queue.empty();
     while (!this->queue.empty()) {
         auto event = std::move(this->queue.front());
         this->queue.pop_front();
@@ -254,7 +254,6 @@
             this->act(action);
         }
     }
-    return found;
 }
 
 auto Daemon::act(const Action &action) -> void
--- a/src/net/daemon.h
+++ b/src/net/daemon.h
@@ -55,8 +55,8 @@
     auto loadDirectory() -> void;
     auto turn() -> void;
     auto post(Event event) -> void;
-    /// Handles what was posted. @returns whether there was anything.
-    auto handleQueued() -> bool;
+    /// Handles what was posted.
+    auto handleQueued() -> void;
     auto act(const Action &action) -> void;
     auto requestStop() -> void;
     auto takeSettings(const Settings &read) -> void;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -62,8 +62,14 @@
     this->deferred.push_back(std::move(task));
 }
 
+auto Loop::reportWrites() -> void
+{
+    h2o_timeout__do_post_callback(this->evloop);
+}
+
 auto Loop::turn(Duration longest) -> void
 {
+    this->reportWrites();
     auto wait = longest;
     if (!this->timers.empty()) {
         wait = std::min(wait, this->timers.begin()->first.first - Loop::now().mono);
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -39,8 +39,15 @@
     /// Runs `task` at the end of this turn, outside of any socket's callback. Precondition: none.
     auto defer(Task task) -> void;
 
-    /// Waits for sockets up to `longest`, then runs what is due. Does not wait where tasks of the
-    /// last turn may have written: h2o reports on writes made outside of its run only in its next.
+    /// Reports on writes made outside of h2o's run, whose callbacks h2o keeps for its next one.
+    ///
+    /// h2o frees a closed socket at the start of a run, before it looks at the sockets it has to
+    /// report on: one that was written to and then closed between two runs would be used after it
+    /// was freed. So each turn begins with this. Precondition: not called from a callback.
+    auto reportWrites() -> void;
+
+    /// Waits for sockets up to `longest`, then runs what is due. Does not wait after tasks of the
+    /// last turn, which may have left something to be handled.
     /// Precondition: not called from a callback.
     auto turn(Duration longest) -> void;
 
--- a/tests/net/looptests.cpp
+++ b/tests/net/looptests.cpp
@@ -2,8 +2,14 @@
 #include "net/loop.h"
 
 #include <catch2/catch.hpp>
+#include <h2o.h>
 
+#include <malloc.h>
+#include <sys/socket.h>
+
+#include <array>
 #include <chrono>
+#include <string>
 
 using namespace flamingograde;
 using namespace flamingograde::net;
@@ -33,3 +39,25 @@
     }
     CHECK(ran == 1);
 }
+
+TEST_CASE("a socket that was written to and closed between two turns is not used again", "[loop]")
+{
+    constexpr auto overwriteFreed = 0x5a; // So that the use of what was freed shows.
+    mallopt(M_PERTURB, overwriteFreed);
+    Loop loop;
+    std::array<int, 2> ends {};
+    REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data()) == 0);
+    loop.turn(0ms);
+    auto *socket = h2o_evloop_socket_create(loop.raw(), ends[0], 0);
+    std::string bytes = "bytes";
+    auto buffer = h2o_iovec_init(bytes.data(), bytes.size());
+    h2o_socket_write(socket, &buffer, 1, [](h2o_socket_t *, const char *) {});
+    h2o_socket_close(socket);
+    loop.turn(0ms);
+    loop.turn(0ms);
+    std::array<char, 8> received {};
+    CHECK(recv(ends[1], received.data(), received.size(), 0) == 5);
+    CHECK(recv(ends[1], received.data(), received.size(), 0) == 0);
+    close(ends[1]);
+    mallopt(M_PERTURB, 0);
+}
