--- a/bench/core/packetbench.cpp
+++ b/bench/core/packetbench.cpp
@@ -17,7 +17,7 @@
 constexpr std::uint32_t upstreamNet = 0x0a800000;
 constexpr std::uint32_t callerNet = 0x64400000;
 constexpr std::size_t zones = 4;
-constexpr std::size_t flows = 4096; ///< Of one packet each; timed in batches.
+constexpr std::uint32_t flows = 4096; ///< Of one packet each; timed in batches.
 
 auto settings() -> Init
 {
