Take no sign of life from flows that another host carried meanwhile

Cause: in an incident a host took an upstream for heard again two seconds after it had died, twice, and sent new flows there. Its neighbour had stopped; flows that the neighbour had carried since came back with newer acknowledgements than this host had last seen of them, from answers that were seconds old. Ruled out: trials that were answered (none was); the address used again by another upstream (it ignores packets for the old instance). Change: an acknowledgement counts only if the flow's last packet came to this host within a second; neither does its time count as a response time. Test: progress of a flow that went another way meanwhile is no sign of life (failed: the upstream was heard).

--- a/include/flamingograde/config.h
+++ b/include/flamingograde/config.h
@@ -75,6 +75,7 @@
 inline constexpr auto distrustTime          = 300ms;  ///< After a start or a pause of the process, openings say nothing of upstreams for this long: callers resend after 200 ms.
 inline constexpr std::uint32_t silentOpenings = 2;    ///< Unanswered openings, copies counted, since its last sign of life that make an upstream silent. A false alarm lasts until its next sign of life: milliseconds where it has open flows.
 inline constexpr auto resendTime            = 180ms;  ///< A request sent again after this was not answered; callers resend after 200 ms.
+inline constexpr auto signFresh             = 1000ms; ///< An acknowledgement says that an upstream lives if the flow's last packet came here within this; callers resend after 200 and 400 ms. Longer ago, the answer may have been taken while another host had the flow.
 inline constexpr auto trialPause            = 1000ms; ///< First pause before a new flow is also sent to a silent upstream; doubles.
 inline constexpr auto trialPauseMax         = 4000ms; ///< Longest such pause.
 inline constexpr auto busyForget            = 3000ms; ///< A request without any packet for this long is taken to be over.
--- a/src/core/packets/flowwatch.cpp
+++ b/src/core/packets/flowwatch.cpp
@@ -61,6 +61,13 @@
     flow.sequence = head.sequence;
 }
 
+/// Returns whether the last packet of a flow came here so long ago that others may have gone
+/// through another host: what this one acknowledges may be as old.
+auto isStale(const Blackboard &board, const FlowEntry &flow) -> bool
+{
+    return FlowTable::clock(board.now.mono) - flow.packetAt >= config::signFresh.count();
+}
+
 /// Takes the first packet after the opening one: its upstream answered.
 auto takeAnswer(Blackboard &board, FlowEntry &flow, const PacketHead &head, std::uint32_t upstream)
         -> void
@@ -69,10 +76,11 @@
     if (flow.upstream != upstream) {
         assign(board, flow, head, upstream); // A copy of the opening was answered first.
     }
-    auto &evidence = board.directory.at(upstream).evidence;
-    addSample(evidence.handshake, took);
-    board.stats.handshakes.add(took);
-    noteSign(board, upstream);
+    if (!isStale(board, flow)) {
+        addSample(board.directory.at(upstream).evidence.handshake, took);
+        board.stats.handshakes.add(took);
+        noteSign(board, upstream);
+    }
     flow.acknowledged = head.acknowledged;
     flow.sequence = head.sequence;
     enter(board, flow, FlowStage::Idle);
@@ -89,6 +97,10 @@
     if (upstreamOf(board, flow) == nullptr) {
         return;
     }
+    if (isStale(board, flow)) {
+        enter(board, flow, FlowStage::Idle);
+        return;
+    }
     noteSign(board, flow.upstream);
     if (flow.stage != FlowStage::Idle) {
         const auto took = FlowTable::clock(board.now.mono) - flow.sentAt;
@@ -204,7 +216,6 @@
     if (flow == nullptr) {
         return;
     }
-    flow->packetAt = FlowTable::clock(board.now.mono);
     if (head.flags.resets) {
         unwatch(board, *flow);
         return;
@@ -215,6 +226,7 @@
         takeProgress(board, *flow, head);
     }
     takeData(board, *flow, head);
+    flow->packetAt = FlowTable::clock(board.now.mono);
     if (head.flags.finishes) {
         unwatch(board, *flow);
     }
--- a/tests/unit/silencetest.cpp
+++ b/tests/unit/silencetest.cpp
@@ -99,6 +99,30 @@
     CHECK_FALSE(host.entry(2).evidence.silent);
 }
 
+TEST_CASE("progress of a flow that went another way meanwhile is no sign of life", "[silence]")
+{
+    PacketBoard host;
+    const auto cookie = Cookie::of(InstanceId(2));
+    const auto send = [&](std::uint32_t acknowledged, std::uint16_t dataBytes) {
+        auto packet = PacketBoard::following(4000, cookie, feedAddress);
+        packet.sequence = acknowledged;
+        packet.acknowledged = acknowledged;
+        packet.dataBytes = dataBytes;
+        host.steer(packet);
+    };
+    // Its upstream answered requests of this flow while another host carried it, and died since.
+    send(5000, 500);
+    host.pass(50ms);
+    send(6000, 0);
+    host.pass(10s);
+    playSilence(host, 2, 60);
+    REQUIRE(host.entry(2).evidence.silent);
+    const auto responses = host.entry(2).evidence.response;
+    send(20000, 500);
+    CHECK(host.entry(2).evidence.silent);
+    CHECK(host.entry(2).evidence.response == responses);
+}
+
 TEST_CASE("no upstream is silent when none answers: the fault is on this side", "[silence]")
 {
     PacketBoard host;
