--- a/include/flamingograde/policy.h
+++ b/include/flamingograde/policy.h
@@ -5,7 +5,8 @@
 
 namespace flamingograde {
 
-/// The placement policies. The first is the product's; the others are baselines of the bench.
+/// The placement policies. The first is the product's; the others are baselines to measure it
+/// against.
 enum class Policy : std::uint8_t {
     CellHome,         ///< One home host per service and zone admits to all its upstreams.
     UpstreamHome,     ///< A queue of its own for each upstream, at its cell's home.
--- a/src/core/directory/directorylog.cpp
+++ b/src/core/directory/directorylog.cpp
@@ -2,6 +2,7 @@
 #include "core/directory/directorylog.h"
 
 #include "core/blackboard.h"
+#include "core/milliseconds.h"
 
 #include <vector>
 
@@ -11,15 +12,10 @@
 
 constexpr std::size_t namesMax = 64; ///< Upstreams named in one line.
 
-auto milliseconds(Duration duration) -> std::string
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 auto sourceOf(const Blackboard &board) -> std::string
 {
-    return " directory=" + std::to_string(board.directory.revision().number)
-           + " platform_age_ms=" + milliseconds(board.config.platformAge(board.now.mono));
+    return " directory=" + std::to_string(board.directory.revision().number) + " platform_age_ms="
+           + std::to_string(milliseconds(board.config.platformAge(board.now.mono)));
 }
 
 auto logEach(Blackboard &board, LogEvent event, const std::vector<std::uint32_t> &indices) -> void
--- a/src/core/dump.cpp
+++ b/src/core/dump.cpp
@@ -4,6 +4,7 @@
 #include "core/blackboard.h"
 #include "core/hexid.h"
 #include "core/homes/celldump.h"
+#include "core/milliseconds.h"
 #include "core/packets/packetdump.h"
 
 #include <nlohmann/json.hpp>
@@ -39,11 +40,6 @@
     return member == nullptr ? std::string() : member->name;
 }
 
-auto milliseconds(Duration duration) -> std::int64_t
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 auto hostJson(const Blackboard &board) -> json
 {
     const auto &self = board.init.self;
--- a/src/core/packets/packetdump.cpp
+++ b/src/core/packets/packetdump.cpp
@@ -3,6 +3,7 @@
 
 #include "core/blackboard.h"
 #include "core/hexid.h"
+#include "core/milliseconds.h"
 
 #include <nlohmann/json.hpp>
 
@@ -16,11 +17,6 @@
 
 using nlohmann::json;
 
-auto milliseconds(Duration duration) -> std::int64_t
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 auto nameOf(Presence presence) -> const char *
 {
     switch (presence) {
