--- a/tools/flamingogradesim/main.cpp
+++ b/tools/flamingogradesim/main.cpp
@@ -140,7 +140,8 @@
                                             : day;
             played.seed += static_cast<std::uint64_t>(i);
             if (options.randomTroubles) {
-                played = randomDay(std::move(played), played.seed);
+                const auto seed = played.seed;
+                played = randomDay(std::move(played), seed);
                 played.name += "-" + std::to_string(played.seed);
             }
             played.policy = policy;
