Add counters by reason with one function

Cause: the loop over refusals stood again for packets' reasons. Change: addByReason serves both; names, help and labels are as before.

--- a/src/net/metrics.cpp
+++ b/src/net/metrics.cpp
@@ -105,18 +105,25 @@
     return number(resident) * static_cast<double>(sysconf(_SC_PAGESIZE));
 }
 
-auto addRefusals(MetricList &list, const Stats &stats) -> void
+/// Adds a counter with a value for each reason, in the order of `Reason`.
+template<typename Reason, typename Counts>
+auto addByReason(MetricList &list, const std::string &name, const std::string &help,
+                 const Counts &counts) -> void
 {
     std::vector<prometheus::ClientMetric> metrics;
-    for (std::size_t index = 0; index < stats.refused.size(); ++index) {
+    for (std::size_t index = 0; index < counts.size(); ++index) {
         prometheus::ClientMetric metric;
-        const auto reason = toString(static_cast<RefusalReason>(index));
+        const auto reason = toString(static_cast<Reason>(index));
         metric.label = { { "reason", std::string(reason) } };
-        metric.counter.value = number(stats.refused[index]);
+        metric.counter.value = number(counts[index]);
         metrics.push_back(std::move(metric));
     }
-    list.add("refused_total", "Refusals by reason.", prometheus::MetricType::Counter,
-             std::move(metrics));
+    list.add(name, help, prometheus::MetricType::Counter, std::move(metrics));
+}
+
+auto addRefusals(MetricList &list, const Stats &stats) -> void
+{
+    addByReason<RefusalReason>(list, "refused_total", "Refusals by reason.", stats.refused);
 }
 
 auto addExchanges(MetricList &list, const Stats &stats) -> void
@@ -170,23 +177,9 @@
     list.counter("peer_connections", "Peer connections opened.", number(traffic.connectionsOpened));
 }
 
-auto addPacketReasons(MetricList &list, const Stats &stats) -> void
-{
-    std::vector<prometheus::ClientMetric> metrics;
-    for (std::size_t index = 0; index < stats.packets.size(); ++index) {
-        prometheus::ClientMetric metric;
-        const auto reason = toString(static_cast<PacketReason>(index));
-        metric.label = { { "reason", std::string(reason) } };
-        metric.counter.value = number(stats.packets[index]);
-        metrics.push_back(std::move(metric));
-    }
-    list.add("packets_total", "Packets by what was decided.", prometheus::MetricType::Counter,
-             std::move(metrics));
-}
-
 auto addPackets(MetricList &list, const Stats &stats, const PacketTraffic &packets) -> void
 {
-    addPacketReasons(list, stats);
+    addByReason<PacketReason>(list, "packets_total", "Packets by what was decided.", stats.packets);
     list.counter("datagrams_received", "Datagrams read.", number(packets.received));
     list.counter("datagrams_malformed", "Datagrams that are no packet.", number(packets.malformed));
     list.counter("datagrams_sent", "Datagrams sent.", number(packets.sent));
