Add a demo of the packet path

Cause: make demo showed HTTP rows only; packets could be seen in virtual time alone. Ruled out: a program of its own, which would repeat the harness of the packet tests.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 
 demo: all
 	$(BUILD)/demo examples/demo.toml
+	$(BUILD)/demo --packets
 
 test: all
 	scripts/run-tests $(BUILD)
--- a/tests/demo/main.cpp
+++ b/tests/demo/main.cpp
@@ -1,5 +1,6 @@
-/// Runs the demo: a whole deployment under load and change, then what was kept and what was not.
+/// Runs a demo: a whole deployment under load and change, then what was kept and what was not.
 #include "demo.h"
+#include "packetdemo.h"
 
 #include "harness/loop.h"
 
@@ -7,17 +8,28 @@
 #include <cstdlib>
 #include <exception>
 #include <iostream>
+#include <string>
+
+namespace {
+
+/// Runs the demo of a file, or that of packets. @returns whether every promise was kept.
+auto runDemo(const std::string &what) -> bool
+{
+    harness::Loop loop;
+    return what == "--packets" ? PacketDemo(loop).run() : Demo(loop, what).run();
+}
+
+} // namespace
 
 auto main(int argc, char **argv) -> int
 {
     if (argc != 2) {
-        std::cerr << "usage: demo FILE\n";
+        std::cerr << "usage: demo FILE | --packets\n";
         return EXIT_FAILURE;
     }
     int signal = 0;
     try {
-        harness::Loop loop;
-        return Demo(loop, argv[1]).run() ? EXIT_SUCCESS : EXIT_FAILURE;
+        return runDemo(argv[1]) ? EXIT_SUCCESS : EXIT_FAILURE;
     } catch (const harness::Interrupted &stop) {
         signal = stop.signal;
     } catch (const std::exception &error) {
