Log requests of open flows that are sent again

Cause: a flow that stays open for many requests had one line, at its opening; nothing led from a later request without an answer to its upstream. Change: the first packet that shows a request to be overdue is steered with a reason of its own, counted and told once (705 FlowOverdue: flow, upstream, its load, when it was last heard, how long the request waits, versions and ages), within the bound of 100 lines a second on packets. Lines on placed flows say when the upstream was last heard, too. Ruled out: a line for each packet or each request (unbounded, and the cookie decides the same way each time). Test: a request of an open flow that is sent again is told once, with its age (failed first: no such reason).

--- a/include/flamingograde/logevent.h
+++ b/include/flamingograde/logevent.h
@@ -71,6 +71,7 @@
     PacketDropped       = 702, ///< A packet was dropped.
     PacketMalformed     = 703, ///< Bytes that are no packet.
     LinesLeftOut        = 704, ///< Lines that were left out of the log.
+    FlowOverdue         = 705, ///< A request of an open flow was sent again: no answer came.
 };
 
 // clang-format on
--- a/include/flamingograde/packetdecision.h
+++ b/include/flamingograde/packetdecision.h
@@ -21,6 +21,7 @@
 /// Why. The order is that of `Stats::packets` and of `toString`.
 enum class PacketReason : std::uint8_t {
     Steered,         ///< The cookie names the upstream.
+    SteeredOverdue,  ///< The same; the caller sent its request again, as no answer came in time.
     Placed,          ///< A new flow, at the upstream chosen for it.
     PlacedElsewhere, ///< A copy of an opening packet: the upstream chosen before did not answer.
     PlacedOnTrial,   ///< A new flow, also sent to a silent upstream to see whether it is back.
--- a/src/core/logevent.cpp
+++ b/src/core/logevent.cpp
@@ -11,7 +11,7 @@
 
 using Name = std::pair<LogEvent, std::string_view>;
 
-constexpr std::array<Name, 54> names { {
+constexpr std::array<Name, 55> names { {
         { LogEvent::Started, "Started" },
         { LogEvent::StopBegan, "StopBegan" },
         { LogEvent::StopWaits, "StopWaits" },
@@ -66,6 +66,7 @@
         { LogEvent::PacketDropped, "PacketDropped" },
         { LogEvent::PacketMalformed, "PacketMalformed" },
         { LogEvent::LinesLeftOut, "LinesLeftOut" },
+        { LogEvent::FlowOverdue, "FlowOverdue" },
 } };
 
 } // namespace
--- a/src/core/packets/flowtable.cpp
+++ b/src/core/packets/flowtable.cpp
@@ -32,13 +32,13 @@
     : entries(allocate(capacity), &std::free), count(capacity)
 {}
 
-auto FlowTable::first(const FlowKey &key) -> FlowEntry *
+auto FlowTable::first(const FlowKey &key) const -> FlowEntry *
 {
     const auto groups = this->count / neighbours;
     return &this->entries[(key.hash() & (groups - 1)) * neighbours];
 }
 
-auto FlowTable::find(const FlowKey &key) -> FlowEntry *
+auto FlowTable::search(const FlowKey &key) const -> FlowEntry *
 {
     auto *group = this->first(key);
     for (std::size_t i = 0; i < neighbours; ++i) {
--- a/src/core/packets/flowtable.h
+++ b/src/core/packets/flowtable.h
@@ -21,7 +21,11 @@
     explicit FlowTable(std::size_t capacity);
 
     /// Returns the flow, or null. Precondition: the capacity is not 0.
-    [[nodiscard]] auto find(const FlowKey &key) -> FlowEntry *;
+    [[nodiscard]] auto find(const FlowKey &key) -> FlowEntry * { return this->search(key); }
+    [[nodiscard]] auto find(const FlowKey &key) const -> const FlowEntry *
+    {
+        return this->search(key);
+    }
 
     /// Returns an entry for a flow that `find` does not return. Its key and stage are those of the
     /// flow that it held before; the caller settles that one and overwrites the entry.
@@ -50,7 +54,8 @@
 private:
     static constexpr std::size_t neighbours = 8;
 
-    [[nodiscard]] auto first(const FlowKey &key) -> FlowEntry *;
+    [[nodiscard]] auto first(const FlowKey &key) const -> FlowEntry *;
+    [[nodiscard]] auto search(const FlowKey &key) const -> FlowEntry *;
 
     /// Zeroed by the system page by page as flows come: a start writes none of it.
     std::unique_ptr<FlowEntry[], decltype(&std::free)> entries;
--- a/src/core/packets/flowwatch.cpp
+++ b/src/core/packets/flowwatch.cpp
@@ -111,34 +111,37 @@
 }
 
 /// Takes a request that its caller sent again: nothing came within its resend time.
-auto takeResend(Blackboard &board, FlowEntry &flow) -> void
+/// @returns whether the request was not known to be overdue before.
+auto takeResend(Blackboard &board, FlowEntry &flow) -> bool
 {
     const auto sentFor = FlowTable::clock(board.now.mono) - flow.sentAt;
     const auto isTrusted = board.now.mono >= board.packets.trustedFrom;
     if (flow.stage != FlowStage::Waiting || sentFor < config::resendTime.count() || !isTrusted
         || upstreamOf(board, flow) == nullptr) {
-        return;
+        return false;
     }
     enter(board, flow, FlowStage::Overdue);
     noteUnanswered(board, flow.upstream, flow.sentAt);
+    return true;
 }
 
-auto takeData(Blackboard &board, FlowEntry &flow, const PacketHead &head) -> void
+/// Takes what a packet carries. @returns what `takeResend` does.
+auto takeData(Blackboard &board, FlowEntry &flow, const PacketHead &head) -> bool
 {
     const auto advance = static_cast<std::int32_t>(head.sequence - flow.sequence);
     const auto isNew = advance > 0 || flow.stage == FlowStage::Idle;
     if (head.dataBytes == 0) {
-        return;
+        return false;
     }
     if (!isNew) {
-        takeResend(board, flow);
-        return;
+        return takeResend(board, flow);
     }
     flow.sequence = head.sequence;
     if (flow.stage == FlowStage::Idle) {
         flow.sentAt = FlowTable::clock(board.now.mono);
         enter(board, flow, FlowStage::Waiting);
     }
+    return false;
 }
 
 /// Returns the watched flow of a packet, or null: packets without data begin no watch.
@@ -210,26 +213,27 @@
     }
 }
 
-auto watchPacket(Blackboard &board, const PacketHead &head, std::uint32_t upstream) -> void
+auto watchPacket(Blackboard &board, const PacketHead &head, std::uint32_t upstream) -> bool
 {
     auto *flow = flowOf(board, head, upstream);
     if (flow == nullptr) {
-        return;
+        return false;
     }
     if (head.flags.resets) {
         unwatch(board, *flow);
-        return;
+        return false;
     }
     if (flow->stage == FlowStage::Opening) {
         takeAnswer(board, *flow, head, upstream);
     } else {
         takeProgress(board, *flow, head);
     }
-    takeData(board, *flow, head);
+    const auto isOverdue = takeData(board, *flow, head);
     flow->packetAt = FlowTable::clock(board.now.mono);
     if (head.flags.finishes) {
         unwatch(board, *flow);
     }
+    return isOverdue;
 }
 
 auto unwatch(Blackboard &board, FlowEntry &flow) -> void
--- a/src/core/packets/flowwatch.h
+++ b/src/core/packets/flowwatch.h
@@ -18,7 +18,8 @@
 
 /// Takes a later packet of a flow that is forwarded to the upstream at `upstream`.
 /// Precondition: the packet opens nothing.
-auto watchPacket(Blackboard &board, const PacketHead &head, std::uint32_t upstream) -> void;
+/// @returns whether it is the first to show that a request is overdue: its caller sent it again.
+auto watchPacket(Blackboard &board, const PacketHead &head, std::uint32_t upstream) -> bool;
 
 /// Ends the watch of a flow: its request, if any, is no longer counted.
 auto unwatch(Blackboard &board, FlowEntry &flow) -> void;
--- a/src/core/packets/packetnote.cpp
+++ b/src/core/packets/packetnote.cpp
@@ -3,6 +3,7 @@
 
 #include "core/blackboard.h"
 #include "core/hexid.h"
+#include "core/packets/silence.h"
 
 namespace flamingograde {
 
@@ -14,11 +15,22 @@
     if (const auto *entry = board.directory.byCookie(target.cookie)) {
         text += " zone=" + entry->record.upstream.zoneName
                 + " busy=" + std::to_string(entry->evidence.busy)
-                + " slots=" + std::to_string(entry->record.upstream.slots);
+                + " slots=" + std::to_string(entry->record.upstream.slots)
+                + " heard_ms_ago=" + heardAgo(board.now.mono, entry->evidence);
     }
     return text;
 }
 
+/// Returns since when the request of a flow is under way.
+auto describeRequest(const Blackboard &board, const PacketHead &head) -> std::string
+{
+    const auto *flow = board.packets.flows.find(FlowKey::of(head));
+    if (flow == nullptr) {
+        return "";
+    }
+    return " sent_ms_ago=" + std::to_string(FlowTable::clock(board.now.mono) - flow->sentAt);
+}
+
 } // namespace
 
 auto describePacket(const Blackboard &board, const PacketHead &head, const PacketDecision &decision)
@@ -32,6 +44,9 @@
     for (std::size_t i = 0; i < decision.targetCount; ++i) {
         text += describeTarget(board, decision.targets[i]);
     }
+    if (decision.reason == PacketReason::SteeredOverdue) {
+        text += describeRequest(board, head);
+    }
     if (head.flags.opens) {
         text += " copy=" + std::to_string(head.copy);
     } else {
--- a/src/core/packets/packetsteering.cpp
+++ b/src/core/packets/packetsteering.cpp
@@ -120,8 +120,8 @@
     if (entry->presence == Presence::Removed) {
         return reset(head, PacketReason::UpstreamGone);
     }
-    watchPacket(board, head, board.directory.indexOf(*entry));
-    return forward(*entry, PacketReason::Steered);
+    const auto isOverdue = watchPacket(board, head, board.directory.indexOf(*entry));
+    return forward(*entry, isOverdue ? PacketReason::SteeredOverdue : PacketReason::Steered);
 }
 
 auto decide(Blackboard &board, const PacketHead &head) -> PacketDecision
--- a/src/core/packets/silence.cpp
+++ b/src/core/packets/silence.cpp
@@ -12,17 +12,6 @@
 
 namespace {
 
-/// Returns for how long nothing was heard of an upstream, or "never".
-auto heardAgo(const Blackboard &board, const UpstreamEvidence &evidence) -> std::string
-{
-    if (evidence.heard == MonoTime()) {
-        return "never";
-    }
-    const auto age =
-            std::chrono::duration_cast<std::chrono::milliseconds>(board.now.mono - evidence.heard);
-    return std::to_string(age.count());
-}
-
 auto silence(Blackboard &board, UpstreamEntry &entry) -> void
 {
     auto &evidence = entry.evidence;
@@ -34,7 +23,7 @@
     board.notes.push_back({ LogEvent::UpstreamSilent,
                             describeUpstream(entry)
                                     + " unanswered=" + std::to_string(evidence.unanswered)
-                                    + " heard_ms_ago=" + heardAgo(board, evidence) });
+                                    + " heard_ms_ago=" + heardAgo(board.now.mono, evidence) });
 }
 
 auto hear(Blackboard &board, UpstreamEntry &entry) -> void
@@ -48,6 +37,15 @@
 
 } // namespace
 
+auto heardAgo(MonoTime now, const UpstreamEvidence &evidence) -> std::string
+{
+    if (evidence.heard == MonoTime()) {
+        return "never";
+    }
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - evidence.heard);
+    return std::to_string(age.count());
+}
+
 auto noteSign(Blackboard &board, std::uint32_t upstream) -> void
 {
     auto &entry = board.directory.at(upstream);
--- a/src/core/packets/silence.h
+++ b/src/core/packets/silence.h
@@ -1,13 +1,17 @@
 /// Which upstreams do not answer.
 #pragma once
 
+#include <flamingograde/clock.h>
+
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace flamingograde {
 
 class Blackboard;
 struct ServicePool;
+struct UpstreamEvidence;
 
 /// Takes a sign of life of the upstream at `upstream`. Precondition: it is in the directory.
 auto noteSign(Blackboard &board, std::uint32_t upstream) -> void;
@@ -20,6 +24,9 @@
 /// Precondition: as above.
 auto noteUnanswered(Blackboard &board, std::uint32_t upstream, std::uint32_t sentAt) -> void;
 
+/// Returns for how many milliseconds nothing was heard of an upstream, or "never", for the log.
+[[nodiscard]] auto heardAgo(MonoTime now, const UpstreamEvidence &evidence) -> std::string;
+
 /// Returns a silent upstream of the pool to which a new flow is to be sent beside its own, to see
 /// whether it is back; counts the trial.
 [[nodiscard]] auto takeTrial(Blackboard &board, const ServicePool &pool)
--- a/src/net/packetplane.cpp
+++ b/src/net/packetplane.cpp
@@ -21,6 +21,9 @@
 
 auto eventOf(const PacketDecision &decision) -> LogEvent
 {
+    if (decision.reason == PacketReason::SteeredOverdue) {
+        return LogEvent::FlowOverdue;
+    }
     switch (decision.verdict) {
     case PacketVerdict::Forward:
         return LogEvent::FlowPlaced;
--- a/tests/unit/silencetest.cpp
+++ b/tests/unit/silencetest.cpp
@@ -1,6 +1,8 @@
 /// Upstreams that fall silent, as callers' packets show it, and false alarms.
 #include "packetboard.h"
 
+#include "core/packets/packetnote.h"
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -99,6 +101,35 @@
     CHECK_FALSE(host.entry(2).evidence.silent);
 }
 
+TEST_CASE("a request of an open flow that is sent again is told once, with its age", "[silence]")
+{
+    PacketBoard host;
+    auto request = PacketBoard::following(951, Cookie::of(InstanceId(2)), feedAddress);
+    request.dataBytes = 300;
+    CHECK(host.steer(request).reason == PacketReason::Steered);
+    host.pass(100ms);
+    CHECK(host.steer(request).reason == PacketReason::Steered); // Too early to be a resend.
+    host.pass(150ms);
+    const auto overdue = host.steer(request);
+    CHECK(overdue.reason == PacketReason::SteeredOverdue);
+    CHECK(overdue.verdict == PacketVerdict::Forward);
+    CHECK(overdue.targets[0].instance == InstanceId(2));
+    const auto line = describePacket(host.board, request, overdue);
+    CHECK_THAT(line, Catch::Contains("reason=steered-overdue"));
+    CHECK_THAT(line, Catch::Contains(" sent_ms_ago=250 "));
+    CHECK_THAT(line, Catch::Contains(" heard_ms_ago=never "));
+    CHECK(host.steer(request).reason == PacketReason::Steered);
+
+    request.sequence += 300;
+    request.acknowledged += 1000; // Answered; the next request is another one.
+    host.steer(request);
+    host.pass(250ms);
+    const auto next = host.steer(request);
+    CHECK(next.reason == PacketReason::SteeredOverdue);
+    CHECK_THAT(describePacket(host.board, request, next),
+               Catch::Contains(" heard_ms_ago=250 sent_ms_ago=250 "));
+}
+
 TEST_CASE("progress of a flow that went another way meanwhile is no sign of life", "[silence]")
 {
     PacketBoard host;
