Let large fleets wait for the push before they ask for changes

Cause: a host that heard by gossip of newer changes asked whoever told it at once, and most who tell are of other zones or of its own zone's many. Change: above flatMembershipHosts a host that has a directory asks another of its zone after 400 ms, one of another zone after 1 s from when it first heard; what is pushed ends the wait. A host with nothing asks at once; small fleets as before. Ruled out: the log, false suspicions (they follow from it), one encoding for all hosts of a push (not needed for this). Tests: three in directorycontrollertest (large fleet, small fleet, a host with nothing); the first failed before.

--- a/src/core/directory/directorycontroller.cpp
+++ b/src/core/directory/directorycontroller.cpp
@@ -76,6 +76,20 @@
     return config::directoryStale + config::probePeriod * static_cast<int>(rounds);
 }
 
+/// Returns for how long a host waits for changes to be pushed before it asks `newer` for them.
+///
+/// Guards against all hosts asking at once for what is on its way: a version of 1,100 rows is
+/// 100 KB for each, across zones for most.
+auto patienceWith(const Blackboard &board, const MemberRecord &newer) -> Duration
+{
+    const auto isSmall = board.membership.records().size() <= config::flatMembershipHosts;
+    if (isSmall || !board.directory.revision().isValid()) {
+        return Duration(0);
+    }
+    return newer.member.zone == board.init.self.zone ? Duration(config::directoryAskZone)
+                                                     : Duration(config::directoryAskFar);
+}
+
 /// Returns whether a host of this one's zone sent an update, so that it pushes to the zone itself.
 auto isPushedByZone(const Blackboard &board, HostId from) -> bool
 {
@@ -195,9 +209,19 @@
     }
     record->directory = gossip.directory;
     record->readsFail = gossip.readsFail;
+    if (board.directory.revision() < gossip.directory) {
+        this->askIfDue(board, *record);
+    }
+}
+
+auto DirectoryController::askIfDue(Blackboard &board, const MemberRecord &newer) -> void
+{
     const auto now = board.now.mono;
-    if (board.directory.revision() < gossip.directory && now >= this->nextRequest
-        && sendPeer(board, from, DirectoryRequest { board.directory.revision() })) {
+    this->behindSince = this->behindSince.value_or(now);
+    if (now < this->nextRequest || now - *this->behindSince < patienceWith(board, newer)) {
+        return;
+    }
+    if (sendPeer(board, newer.member.id, DirectoryRequest { board.directory.revision() })) {
         this->nextRequest = now + config::directoryPeerTimeout;
     }
 }
@@ -242,6 +266,7 @@
     if (!changes.advanced) {
         return;
     }
+    this->behindSince.reset();
     ++board.stats.directoryUpdates;
     logChanges(board, changes);
     if (isPushedByZone(board, from)) {
--- a/src/core/directory/directorycontroller.h
+++ b/src/core/directory/directorycontroller.h
@@ -6,10 +6,13 @@
 #include <flamingograde/event.h>
 #include <flamingograde/ids.h>
 
+#include <optional>
+
 namespace flamingograde {
 
 class Blackboard;
 struct DirectoryChanges;
+struct MemberRecord;
 
 /// Reads and watches the platform's directory and spreads its changes between hosts.
 ///
@@ -30,6 +33,8 @@
     auto on(Blackboard &board, const PeerMessage &received) -> void;
     auto on(Blackboard &board, const Tick &tick) -> void;
     auto noteGossip(Blackboard &board, HostId from, const Gossip &gossip) -> void;
+    /// Asks a host that has newer changes for them, unless they may be on their way.
+    auto askIfDue(Blackboard &board, const MemberRecord &newer) -> void;
 
     auto start(Blackboard &board) -> void;
     auto read(Blackboard &board, const ReadDirectory &action) -> void;
@@ -43,9 +48,10 @@
     bool readsAll = false; ///< The changes this host would ask for are no longer kept.
     MonoTime givenUp;      ///< When the read under way counts as failed.
     MonoTime nextRead;
-    MonoTime nextRecheck;   ///< A host whose reads fail tries again then.
-    MonoTime nextRequest;   ///< Other hosts are not asked before this.
-    MonoTime lastChange;    ///< When a read last brought changes.
+    MonoTime nextRecheck;                ///< A host whose reads fail tries again then.
+    MonoTime nextRequest;                ///< Other hosts are not asked before this.
+    std::optional<MonoTime> behindSince; ///< Since when a host is known to have newer changes.
+    MonoTime lastChange;                 ///< When a read last brought changes.
     MonoTime platformBack;  ///< When the platform last answered after a failure or a long silence.
     bool everLost = false;  ///< Whether `platformBack` was ever set.
     Duration backoff { 0 }; ///< Pause after the next failed read.
--- a/tests/unit/directorycontrollertest.cpp
+++ b/tests/unit/directorycontrollertest.cpp
@@ -6,7 +6,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <optional>
+#include <string>
+#include <vector>
 
 using namespace flamingograde;
 using namespace std::chrono_literals;
@@ -63,8 +66,31 @@
         return *this->board.directory.byCookie(Cookie::of(InstanceId(2)));
     }
 
+    /// Adds a connected host. @returns its id.
+    auto meet(const std::string &name, const std::string &zone) -> HostId
+    {
+        Member other;
+        other.name = name;
+        other.zoneName = zone;
+        auto &record = addMember(this->board, other);
+        record.connected = true;
+        return record.member.id;
+    }
+
+    /// Takes a message of a host that has a revision. @returns whether that host is asked for it.
+    auto isAskedAfter(HostId from, Revision has) -> bool
+    {
+        Gossip gossip;
+        gossip.directory = has;
+        this->handle(PeerMessage { from, Ping { 0, gossip } });
+        return std::any_of(this->sent.begin(), this->sent.end(), [&](const SendPeer &it) {
+            return it.host == from && std::holds_alternative<DirectoryRequest>(it.message);
+        });
+    }
+
     Blackboard board;
     std::optional<ReadDirectory> asked; ///< The last read.
+    std::vector<SendPeer> sent;         ///< Messages of the last event.
 
 private:
     static auto settings() -> Init
@@ -81,8 +107,12 @@
     auto handle(const Event &event) -> void
     {
         this->board.outbox.clear();
+        this->sent.clear();
         this->controller.handle(this->board, event);
         for (const auto &action : this->board.outbox) {
+            if (const auto *message = std::get_if<SendPeer>(&action)) {
+                this->sent.push_back(*message);
+            }
             if (const auto *read = std::get_if<ReadDirectory>(&action)) {
                 this->asked = *read;
             }
@@ -134,3 +164,50 @@
     host.removeSecond(12);
     CHECK(host.untilRead(2s) >= config::directoryGather);
 }
+
+TEST_CASE("a host of a small fleet asks for newer changes at once", "[directory]")
+{
+    ReadingHost host;
+    const auto far = host.meet("far", "b");
+    CHECK(host.isAskedAfter(far, { 11 }));
+    host.pass(config::directoryPeerTimeout - 1ms);
+    CHECK_FALSE(host.isAskedAfter(far, { 11 }));
+    host.pass(1ms);
+    CHECK(host.isAskedAfter(far, { 11 }));
+}
+
+TEST_CASE("a host of a large fleet asks for changes that its zone's reader did not send in time",
+          "[directory]")
+{
+    ReadingHost host;
+    const auto near = host.meet("near", "a");
+    const auto far = host.meet("far", "b");
+    for (std::size_t i = 0; i < config::flatMembershipHosts; ++i) {
+        host.meet("other-" + std::to_string(i), "c");
+    }
+    CHECK_FALSE(host.isAskedAfter(near, { 11 }));
+    host.pass(config::directoryAskZone - 1ms);
+    CHECK_FALSE(host.isAskedAfter(near, { 11 }));
+    CHECK_FALSE(host.isAskedAfter(far, { 11 }));
+    host.pass(1ms);
+    CHECK_FALSE(host.isAskedAfter(far, { 11 }));
+    CHECK(host.isAskedAfter(near, { 11 }));
+
+    host.removeSecond(12); // What was pushed ends the wait.
+    host.pass(config::directoryAskFar);
+    CHECK_FALSE(host.isAskedAfter(far, { 13 }));
+    host.pass(config::directoryAskFar - 1ms);
+    CHECK_FALSE(host.isAskedAfter(far, { 13 }));
+    host.pass(1ms);
+    CHECK(host.isAskedAfter(far, { 13 }));
+}
+
+TEST_CASE("a host of a large fleet that has nothing asks at once", "[directory]")
+{
+    ReadingHost host;
+    for (std::size_t i = 0; i < config::flatMembershipHosts; ++i) {
+        host.meet("other-" + std::to_string(i), "c");
+    }
+    host.board.directory = Directory(host.board.init.self.zone);
+    CHECK(host.isAskedAfter(host.meet("far", "b"), { 11 }));
+}
