--- a/src/core/dump.cpp
+++ b/src/core/dump.cpp
@@ -34,12 +34,6 @@
     return names.at(static_cast<std::size_t>(value));
 }
 
-auto hostName(const Blackboard &board, HostId host) -> std::string
-{
-    const auto *member = board.membership.find(host);
-    return member == nullptr ? std::string() : member->name;
-}
-
 auto hostJson(const Blackboard &board) -> json
 {
     const auto &self = board.init.self;
@@ -100,10 +94,10 @@
         const auto home = board.membership.homeOf(cell, upstream->zone);
         list.push_back({ { "service", upstream->serviceName },
                          { "zone", upstream->zoneName },
-                         { "home", hostName(board, home) },
+                         { "home", board.membership.nameOf(home) },
                          { "tenure", board.tenure.since(cell).has_value() },
                          { "claiming", board.tenure.isClaiming(cell) },
-                         { "former_home", hostName(board, board.tenure.formerHome(cell)) },
+                         { "former_home", board.membership.nameOf(board.tenure.formerHome(cell)) },
                          { "rows", cellRowsJson(board, cell) },
                          { "running", board.cells.runningIn(cell) },
                          { "queued", board.cells.queuedIn(cell) } });
@@ -139,7 +133,7 @@
              { "origin", exchange.origin == Origin::Caller ? "caller" : "relay" },
              { "row", row == nullptr ? hexOf(exchange.row) : row->name },
              { "stage", nameOf(stageNames, exchange.stage) },
-             { "home", hostName(board, exchange.home) },
+             { "home", board.membership.nameOf(exchange.home) },
              { "upstream", upstream == nullptr ? std::string() : upstream->name },
              { "key", exchange.key },
              { "attempt", exchange.attempt },
--- a/src/core/explain.cpp
+++ b/src/core/explain.cpp
@@ -23,12 +23,6 @@
     return upstream == nullptr ? hexOf(id) : upstream->name;
 }
 
-auto hostName(const Blackboard &board, HostId host) -> std::string
-{
-    const auto *member = board.membership.find(host);
-    return member == nullptr ? std::string() : member->name;
-}
-
 auto faultName(TokenFault fault) -> const char *
 {
     switch (fault) {
@@ -67,7 +61,7 @@
     const auto cell = cellOf(row.service, zone);
     return { { "why", "the idempotency key decides the zone" },
              { "zone", zoneNameOf(board, cell) },
-             { "home", hostName(board, board.membership.homeOf(cell, zone)) },
+             { "home", board.membership.nameOf(board.membership.homeOf(cell, zone)) },
              { "key_has_birth", keyBirthOf(key).has_value() } };
 }
 
@@ -77,7 +71,7 @@
     for (const auto &choice : cellChoices(board, row.service)) {
         const auto load = board.cells.loadOf(choice.cell, board.now.mono).value_or(CellLoad {});
         candidates.push_back({ { "zone", zoneNameOf(board, choice.cell) },
-                               { "home", hostName(board, choice.home) },
+                               { "home", board.membership.nameOf(choice.home) },
                                { "ready", choice.ready },
                                { "weight", choice.slots },
                                { "running", load.running },
--- a/src/core/membership/membershipstate.cpp
+++ b/src/core/membership/membershipstate.cpp
@@ -5,7 +5,10 @@
 
 #include <flamingograde/config.h>
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace flamingograde {
@@ -28,16 +31,11 @@
     return found == index.end() ? noHosts : found->second;
 }
 
-/// Returns a well-mixed number of two.
-auto mix(std::uint64_t a, std::uint64_t b) -> std::uint64_t
+/// Returns a number of a member's life.
+auto hashOf(const Member &member) -> std::uint64_t
 {
-    constexpr std::uint64_t first =
-            0x9e3779b97f4a7c15; // The golden ratio, as in Fibonacci hashing.
-    constexpr std::uint64_t second = 0xbf58476d1ce4e5b9; // A multiplier of splitmix64.
-    constexpr auto shift = 31U;
-    auto mixed = (a + b * first) * second;
-    mixed = (mixed ^ (mixed >> shift)) * first;
-    return mixed ^ (mixed >> shift);
+    const std::array<std::uint64_t, 2> life { member.id.value(), member.incarnation };
+    return XXH3_64bits(life.data(), sizeof(life));
 }
 
 } // namespace
@@ -48,6 +46,12 @@
     return found == nullptr ? nullptr : &found->member;
 }
 
+auto MembershipState::nameOf(HostId host) const -> std::string
+{
+    const auto *found = this->find(host);
+    return found == nullptr ? std::string() : found->name;
+}
+
 auto MembershipState::candidates(ZoneId zone) const -> const std::vector<HostId> &
 {
     return hostsOf(this->candidatesByZone, zone);
@@ -121,7 +125,7 @@
     std::uint64_t sum = 0;
     for (const auto &[id, record] : this->byId) {
         if (record.member.state != MemberState::Dead) {
-            sum += mix(id.value(), record.member.incarnation);
+            sum += hashOf(record.member);
         }
     }
     constexpr auto half = 32U;
--- a/src/core/membership/membershipstate.h
+++ b/src/core/membership/membershipstate.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -23,6 +24,9 @@
     /// Returns the member, this host included, or null.
     [[nodiscard]] auto find(HostId host) const -> const Member *;
 
+    /// Returns the member's name; empty for an unknown one.
+    [[nodiscard]] auto nameOf(HostId host) const -> std::string;
+
     /// Returns the hosts of `zone` that may be homes: alive or suspect, neither leaving nor dead.
     [[nodiscard]] auto candidates(ZoneId zone) const -> const std::vector<HostId> &;
 
--- a/tests/unit/packetboard.h
+++ b/tests/unit/packetboard.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace flamingograde {
@@ -89,6 +90,16 @@
         this->board.directory.take(update, this->board.now.mono);
     }
 
+    /// Takes other rows, as changed at revision 12.
+    auto takeRows(std::vector<PacketRow> rows) -> void
+    {
+        DirectoryUpdate update;
+        update.after = { 10 };
+        update.upTo = { 12 };
+        update.rows = packetRows(12, std::move(rows));
+        this->take(update);
+    }
+
     /// Lets time pass in ticks.
     auto pass(Duration duration) -> void
     {
--- a/tests/unit/packetsteeringtest.cpp
+++ b/tests/unit/packetsteeringtest.cpp
@@ -57,11 +57,7 @@
     PacketBoard host;
     auto row = packetRow("papers", papersAddress, "live");
     row.kind = RequestKind::Upload;
-    DirectoryUpdate update;
-    update.after = { 10 };
-    update.upTo = { 12 };
-    update.rows = packetRows(12, { row });
-    host.take(update);
+    host.takeRows({ row });
     for (std::uint16_t port = 1; port <= 24; ++port) {
         CHECK(instanceOf(host.open(port, papersAddress)) < 4);
     }
@@ -130,11 +126,7 @@
 TEST_CASE("an open flow stays where it is when its row gets another service", "[packets]")
 {
     PacketBoard host;
-    DirectoryUpdate update;
-    update.after = { 10 };
-    update.upTo = { 12 };
-    update.rows = packetRows(12, { packetRow("feed", feedAddress, "papers") });
-    host.take(update);
+    host.takeRows({ packetRow("feed", feedAddress, "papers") });
     CHECK(host.acknowledge(9, Cookie::of(InstanceId(1))).reason == PacketReason::Steered);
     CHECK(instanceOf(host.open(10)) == 5);
 }
@@ -255,11 +247,7 @@
     auto row = packetRow("feed", feedAddress, "live");
     row.shares = { { ServiceId::ofName("live"), "live", 3 },
                    { ServiceId::ofName("papers"), "papers", 1 } };
-    DirectoryUpdate update;
-    update.after = { 10 };
-    update.upTo = { 12 };
-    update.rows = packetRows(12, { row });
-    host.take(update);
+    host.takeRows({ row });
     int papers = 0;
     constexpr int flows = 4000;
     for (int i = 0; i < flows; ++i) {
@@ -277,11 +265,7 @@
     auto row = packetRow("papers", papersAddress, "papers");
     row.shares = { { ServiceId::ofName("gone"), "gone", 1 },
                    { ServiceId::ofName("papers"), "papers", 0 } };
-    DirectoryUpdate update;
-    update.after = { 10 };
-    update.upTo = { 12 };
-    update.rows = packetRows(12, { row });
-    host.take(update);
+    host.takeRows({ row });
     CHECK(host.open(9, papersAddress).verdict == PacketVerdict::Reset);
 }
 
