Ask for the own zone, and for milliseconds, in one place

Change: isInOwnZone (membership/ownzone.h) and milliseconds() in their place; no behaviour changed. Ruled out: the casts of wire, table and emulator, which need other types or belong to other libraries.

--- a/src/core/configuration/tablespread.cpp
+++ b/src/core/configuration/tablespread.cpp
@@ -3,6 +3,7 @@
 
 #include "core/blackboard.h"
 #include "core/membership/gossip.h"
+#include "core/membership/ownzone.h"
 
 #include <algorithm>
 
@@ -24,7 +25,7 @@
 auto isHeardDirectly(const Blackboard &board, const MemberRecord &record) -> bool
 {
     return board.membership.records().size() <= config::flatMembershipHosts || record.connected
-           || record.member.zone == board.init.self.zone;
+           || isInOwnZone(board, record);
 }
 
 } // namespace
--- a/src/core/directory/directorycontroller.cpp
+++ b/src/core/directory/directorycontroller.cpp
@@ -5,6 +5,7 @@
 #include "core/directory/directorylog.h"
 #include "core/directory/readerelection.h"
 #include "core/membership/gossip.h"
+#include "core/membership/ownzone.h"
 #include "core/overloaded.h"
 
 #include <flamingograde/config.h>
@@ -44,7 +45,7 @@
 {
     std::vector<HostId> hosts;
     for (const auto &[id, record] : board.membership.records()) {
-        if (id != board.membership.self && record.member.zone == board.init.self.zone) {
+        if (id != board.membership.self && isInOwnZone(board, record)) {
             hosts.push_back(id);
         }
     }
@@ -57,7 +58,7 @@
 auto tellReadsFail(Blackboard &board) -> void
 {
     for (const auto &[id, record] : board.membership.records()) {
-        if (record.connected && record.member.zone == board.init.self.zone) {
+        if (record.connected && isInOwnZone(board, record)) {
             sendPeer(board, id, Ping { 0, makeGossip(board, id) });
         }
     }
@@ -87,8 +88,8 @@
     if (isSmall || !board.directory.revision().isValid()) {
         return Duration(0);
     }
-    return newer.member.zone == board.init.self.zone ? Duration(config::directoryAskZone)
-                                                     : Duration(config::directoryAskFar);
+    return isInOwnZone(board, newer) ? Duration(config::directoryAskZone)
+                                     : Duration(config::directoryAskFar);
 }
 
 /// Returns whether a host of this one's zone sent an update, so that it pushes to the zone itself.
--- a/src/core/membership/deathevidence.cpp
+++ b/src/core/membership/deathevidence.cpp
@@ -5,6 +5,7 @@
 #include "core/membership/deathevidence.h"
 
 #include "core/blackboard.h"
+#include "core/membership/ownzone.h"
 
 #include <algorithm>
 
@@ -49,7 +50,7 @@
     if (!record.confirmed || board.now.mono - membership.isolatedAt < config::refusedTimeout) {
         return false;
     }
-    const auto neighbour = record.member.zone == board.init.self.zone;
+    const auto neighbour = isInOwnZone(board, record);
     return !neighbour || refused || knowsUs(board, record) || (unlisted && membership.listedSelf);
 }
 
@@ -70,7 +71,7 @@
     if (now - since < config::refusedTimeout) {
         return false;
     }
-    if (record.member.zone != board.init.self.zone) {
+    if (!isInOwnZone(board, record)) {
         return true;
     }
     if (!record.unanswered || now - record.unansweredSince < config::refusedTimeout) {
@@ -92,7 +93,7 @@
     const auto &records = board.membership.records();
     return std::all_of(records.begin(), records.end(), [&](const auto &entry) {
         const auto &record = entry.second;
-        return entry.first == board.membership.self || record.member.zone != board.init.self.zone
+        return entry.first == board.membership.self || !isInOwnZone(board, record)
                || board.now.mono - record.acked < config::pauseThreshold;
     });
 }
--- a/src/core/membership/dialer.cpp
+++ b/src/core/membership/dialer.cpp
@@ -2,6 +2,7 @@
 #include "core/membership/dialer.h"
 
 #include "core/blackboard.h"
+#include "core/membership/ownzone.h"
 #include "core/rendezvous.h"
 
 #include <algorithm>
@@ -19,11 +20,6 @@
 constexpr Duration dialTimeout = 2500ms;     ///< A dial without any answer is tried again.
 constexpr Duration dialCourtesy = 300ms; ///< The host with the higher id lets the other dial first.
 
-auto ownZone(const Blackboard &board, const MemberRecord &record) -> bool
-{
-    return record.member.zone == board.init.self.zone;
-}
-
 } // namespace
 
 auto Dialer::tick(Blackboard &board) -> void
@@ -62,7 +58,7 @@
     record->connected = false;
     board.membership.touch();
     record->refusals += down.loss == PeerLoss::Refused ? 1 : 0;
-    const auto most = ownZone(board, *record) ? redialMaxOwnZone : redialMax;
+    const auto most = isInOwnZone(board, *record) ? redialMaxOwnZone : redialMax;
     record->backoff = std::clamp<Duration>(record->backoff * 2, redialMin, most);
     std::uniform_int_distribution<Duration::rep> draw(record->backoff.count() / 2,
                                                       record->backoff.count());
@@ -85,7 +81,7 @@
         if (id == self) {
             continue;
         }
-        if (flat || ownZone(board, record)) {
+        if (flat || isInOwnZone(board, record)) {
             this->wanted.insert(id);
         } else if (record.member.state != MemberState::Dead) {
             others[record.member.zone].emplace(-rendezvousScore(self.value(), { id.value() }), id);
--- a/src/core/membership/failuredetector.cpp
+++ b/src/core/membership/failuredetector.cpp
@@ -6,6 +6,7 @@
 #include "core/membership/dialer.h"
 #include "core/membership/gossip.h"
 #include "core/membership/membermerge.h"
+#include "core/membership/ownzone.h"
 
 #include <algorithm>
 #include <iterator>
@@ -193,7 +194,7 @@
 auto FailureDetector::introduce(Blackboard &board) -> void
 {
     for (const auto &[id, record] : board.membership.records()) {
-        if (record.connected && record.member.zone == board.init.self.zone
+        if (record.connected && isInOwnZone(board, record)
             && record.member.state != MemberState::Dead && !knowsUs(board, record)) {
             this->probe(board, id, std::nullopt);
         }
@@ -212,7 +213,7 @@
         if (!record.connected || record.member.state > MemberState::Leaving) {
             continue;
         }
-        if (record.member.zone == board.init.self.zone || others++ < contactProbes) {
+        if (isInOwnZone(board, record) || others++ < contactProbes) {
             this->probe(board, id, std::nullopt);
         }
     }
--- a/src/core/membership/gossip.cpp
+++ b/src/core/membership/gossip.cpp
@@ -2,6 +2,7 @@
 #include "core/membership/gossip.h"
 
 #include "core/blackboard.h"
+#include "core/milliseconds.h"
 
 #include <algorithm>
 #include <chrono>
@@ -23,8 +24,7 @@
 /// Returns the age of the platform's last word in the unit of the wire.
 auto platformAgeMs(const Blackboard &board) -> std::uint32_t
 {
-    const auto age = board.config.platformAge(board.now.mono);
-    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+    const auto ms = milliseconds(board.config.platformAge(board.now.mono));
     return ms > static_cast<std::int64_t>(unknownAge) ? unknownAge : static_cast<std::uint32_t>(ms);
 }
 
--- a/src/core/membership/listexchange.cpp
+++ b/src/core/membership/listexchange.cpp
@@ -3,6 +3,7 @@
 
 #include "core/blackboard.h"
 #include "core/membership/gossip.h"
+#include "core/membership/ownzone.h"
 
 #include <flamingograde/config.h>
 
@@ -15,11 +16,6 @@
 
 constexpr double memberBytes = 72; ///< Of a member in a message, with names of 13 letters.
 
-auto isInZone(const Blackboard &board, const MemberRecord &record) -> bool
-{
-    return record.member.zone == board.init.self.zone;
-}
-
 } // namespace
 
 auto ListExchange::heard(Blackboard &board, HostId from, const Gossip &gossip) -> void
@@ -39,7 +35,7 @@
     }
     if (this->takeAllowance(board)) {
         sendPeer(board, from, Ping { 0, makeFullGossip(board) });
-    } else if (record.isNew && isInZone(board, record)) {
+    } else if (record.isNew && isInOwnZone(board, record)) {
         sendZoneView(board, from); // Hosts of a zone decide together who is home of a cell.
     } else {
         return;
--- a/src/core/membership/membermerge.cpp
+++ b/src/core/membership/membermerge.cpp
@@ -4,6 +4,7 @@
 #include "core/blackboard.h"
 #include "core/membership/deathevidence.h"
 #include "core/membership/gossip.h"
+#include "core/membership/ownzone.h"
 
 #include <algorithm>
 #include <cmath>
@@ -102,7 +103,7 @@
     auto *record = board.membership.record(said.id);
     if (record == nullptr) {
         auto &added = addMember(board, said);
-        if (added.member.zone == board.init.self.zone && said.state == MemberState::Dead) {
+        if (isInOwnZone(board, added) && said.state == MemberState::Dead) {
             changeMember(board, added, MemberState::Suspect);
         }
         return;
--- a/src/core/membership/membershipcontroller.cpp
+++ b/src/core/membership/membershipcontroller.cpp
@@ -4,6 +4,7 @@
 #include "core/blackboard.h"
 #include "core/membership/gossip.h"
 #include "core/membership/membermerge.h"
+#include "core/milliseconds.h"
 #include "core/overloaded.h"
 
 #include <vector>
@@ -131,8 +132,7 @@
     ++board.stats.pauses;
     ++board.membership.pauses;
     board.membership.pausedAt = board.now.mono;
-    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(gap).count();
-    board.log(LogEvent::PauseNoticed, "ms=" + std::to_string(ms));
+    board.log(LogEvent::PauseNoticed, "ms=" + std::to_string(milliseconds(gap)));
     this->detector.reset(board);
     raiseIncarnation(board, 0);
 }
--- a/src/core/packets/packetnote.cpp
+++ b/src/core/packets/packetnote.cpp
@@ -3,6 +3,7 @@
 
 #include "core/blackboard.h"
 #include "core/hexid.h"
+#include "core/milliseconds.h"
 #include "core/packets/silence.h"
 
 namespace flamingograde {
@@ -37,8 +38,7 @@
         -> std::string
 {
     const auto *row = board.directory.rowAt(head.service);
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-            board.config.platformAge(board.now.mono));
+    const auto age = milliseconds(board.config.platformAge(board.now.mono));
     std::string text = "reason=" + std::string(toString(decision.reason))
                        + " row=" + (row == nullptr ? std::string("none") : row->row->name);
     for (std::size_t i = 0; i < decision.targetCount; ++i) {
@@ -55,7 +55,7 @@
     const auto *rows = board.directory.rows();
     return text + " rows=" + std::to_string(rows == nullptr ? 0 : rows->version)
            + " directory=" + std::to_string(board.directory.revision().number)
-           + " platform_age_ms=" + std::to_string(age.count());
+           + " platform_age_ms=" + std::to_string(age);
 }
 
 } // namespace flamingograde
--- a/src/core/packets/silence.cpp
+++ b/src/core/packets/silence.cpp
@@ -3,6 +3,7 @@
 
 #include "core/blackboard.h"
 #include "core/directory/directorylog.h"
+#include "core/milliseconds.h"
 
 #include <flamingograde/config.h>
 
@@ -42,8 +43,7 @@
     if (evidence.heard == MonoTime()) {
         return "never";
     }
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - evidence.heard);
-    return std::to_string(age.count());
+    return std::to_string(milliseconds(now - evidence.heard));
 }
 
 auto noteSign(Blackboard &board, std::uint32_t upstream) -> void
