Tell the starts of one instance apart, and close upstreams whose entries cannot be used

Cause: an upstream may start again under the id it had; nothing read when it started, so silence, load and flows of the former life counted for the next one. An entry that another writer left was passed over, so that the record it replaced went on taking new flows; a whole read took it for a removal and reset the open flows of a living upstream. Ruled out: ordering two lives by the start they state: it is read off a clock that may step back, and a draining record of the newer life would be passed over. The store's revision orders them; the start only tells them apart. Resetting flows of the former life here: the new life resets what it does not hold, and a flow carried by another host may be new. Change: records, peers' messages (lists of their own, hosts without them read the rest), dumps, counters and two log events. In one life an upstream changes neither name nor service.

--- a/include/flamingograde/directoryupdate.h
+++ b/include/flamingograde/directoryupdate.h
@@ -27,6 +27,14 @@
     Revision at;
 };
 
+/// An upstream whose entry cannot be used any more: another writer left something there that is no
+/// upstream, or one that it cannot be.
+struct DirectoryFault
+{
+    InstanceId instance;
+    Revision at;
+};
+
 /// Every change of the directory above one revision, or all that it holds.
 ///
 /// Taking one twice, or two in another order, gives the same state.
@@ -37,6 +45,8 @@
     Revision upTo;  ///< Changes above this may be left out.
     std::vector<DirectoryRecord> present;
     std::vector<DirectoryRemoval> removed;
+    std::vector<DirectoryFault> faulty; ///< Get no new flows; `present` may have their last good
+                                        ///< record, an older one.
     Duration settlesIn { 0 }; ///< Removals are not believed before: they may register again.
     std::shared_ptr<const PacketRows> rows; ///< Null: unchanged.
 
--- a/include/flamingograde/event.h
+++ b/include/flamingograde/event.h
@@ -174,7 +174,8 @@
 /// Some of what the directory published cannot be read. The rest of the answer is good.
 struct DirectoryItemsFaulty
 {
-    std::string what; ///< The items and what is wrong with them.
+    std::size_t count = 0; ///< Items.
+    std::string what;      ///< The items and what is wrong with them.
 };
 
 /// The settings name other seeds now.
--- a/include/flamingograde/logevent.h
+++ b/include/flamingograde/logevent.h
@@ -64,6 +64,8 @@
     UpstreamSilent      = 610, ///< An upstream does not answer callers' packets.
     UpstreamHeard       = 611, ///< A silent upstream answers again.
     DirectoryLoaded     = 613, ///< The first directory: all upstreams at once.
+    UpstreamRestarted   = 614, ///< An upstream started again under its former id.
+    UpstreamUnusable    = 615, ///< An upstream's entry was replaced by one that cannot be used.
     CookieShared        = 612, ///< Two upstreams have one cookie; the younger gets no flows.
     // 7xx: packets.
     FlowPlaced          = 700, ///< A new flow was given to an upstream.
--- a/include/flamingograde/stats.h
+++ b/include/flamingograde/stats.h
@@ -43,6 +43,8 @@
     std::uint64_t upstreamsSilenced = 0;   ///< Times an upstream was held to be silent.
     std::uint64_t upstreamsHeardAgain = 0; ///< Times a silent upstream showed life.
     std::uint64_t directoryUpdates = 0;    ///< Updates that changed the directory.
+    std::uint64_t directoryFaults = 0;     ///< Items of the directory that could not be read.
+    std::uint64_t upstreamRestarts = 0;    ///< Further starts of one instance.
     std::uint64_t revision = 0;            ///< Gauge: the table in force.
     std::uint64_t membersAlive = 0;        ///< Gauge: hosts held to be alive.
     std::uint64_t exchanges = 0;           ///< Gauge: requests under way.
--- a/include/flamingograde/upstream.h
+++ b/include/flamingograde/upstream.h
@@ -31,6 +31,8 @@
     UpstreamState state = UpstreamState::Active;
     InstanceId instance;    ///< Needed to reach it with packets; invalid: not reached so.
     Duration warmup { 0 };  ///< How much longer it was slow after its start, when it said so.
+    WallTime born;          ///< When it started, by its own clock; 1970: it does not say. Another
+                            ///< start of the same instance holds nothing of the one before.
     std::string version;    ///< Of its software; empty where it does not say.
     std::uint32_t line = 0; ///< Where the table's text has it.
 
--- a/src/core/directory/directory.cpp
+++ b/src/core/directory/directory.cpp
@@ -15,7 +15,7 @@
 
 auto isOpen(const UpstreamEntry &entry) -> bool
 {
-    return entry.presence != Presence::Removed && entry.ownsCookie
+    return entry.presence != Presence::Removed && entry.ownsCookie && !entry.isFaulty
            && entry.record.upstream.state == UpstreamState::Active;
 }
 
@@ -28,6 +28,23 @@
     return a.upstream.instance < b.upstream.instance;
 }
 
+/// Returns whether a record tells of another start than the one before.
+auto isOtherLife(const DirectoryRecord &before, const DirectoryRecord &record) -> bool
+{
+    return record.upstream.born != WallTime() && before.upstream.born != record.upstream.born;
+}
+
+/// Returns whether a record cannot be of the upstream that has its instance: two ids end in one
+/// number, or something else wrote over its entry. In one life no upstream changes its service.
+auto isForeign(const UpstreamEntry &entry, const DirectoryRecord &record) -> bool
+{
+    const auto &known = entry.record.upstream;
+    const auto isSameLife =
+            entry.presence == Presence::Listed && !isOtherLife(entry.record, record);
+    return known.name != record.upstream.name
+           || (isSameLife && known.service != record.upstream.service);
+}
+
 /// Adds to `had` what it lacks of the services of `row`.
 auto addServices(const PacketRow &row, std::vector<ServiceId> &had) -> void
 {
@@ -57,6 +74,9 @@
     for (const auto &removal : update.removed) {
         this->takeRemoval(removal, update.settlesIn, now, changes);
     }
+    for (const auto &fault : update.faulty) {
+        this->takeFault(fault, changes);
+    }
     if (update.isWhole()) {
         this->takeAbsent(update, now, changes);
     }
@@ -76,6 +96,15 @@
     if (!isNew && !(entry.newest < record.changed)) {
         return;
     }
+    if (!isNew && isForeign(entry, record)) {
+        this->takeFault({ record.upstream.instance, record.changed }, changes);
+        return;
+    }
+    // The platform's order of its entries decides which start is the newer: `born` is read off a
+    // clock that may step back, and only tells one start from another.
+    if (!isNew && isOtherLife(entry.record, record)) {
+        this->beginLife(entry, changes);
+    }
     const auto wasActive = entry.record.upstream.state == UpstreamState::Active;
     const auto wasListed = !isNew && entry.presence == Presence::Listed;
     this->unsettled -= !isNew && !wasListed ? 1 : 0;
@@ -83,6 +112,7 @@
     entry.record = record;
     entry.newest = record.changed;
     entry.presence = Presence::Listed;
+    entry.isFaulty = false;
     entry.warmAt = now + record.upstream.warmup;
     if (!wasListed) {
         entry.since = now;
@@ -94,6 +124,32 @@
     }
 }
 
+/// Open flows of a former life are not reset here: their packets reach the new one, which resets
+/// what it does not hold half a round trip later, and a flow that another host carried may be new.
+auto Directory::beginLife(UpstreamEntry &entry, DirectoryChanges &changes) -> void
+{
+    ++entry.life;
+    entry.evidence = UpstreamEvidence();
+    this->poolsStale = true;
+    changes.restarted.push_back(this->indexOf(entry));
+}
+
+auto Directory::takeFault(const DirectoryFault &fault, DirectoryChanges &changes) -> void
+{
+    const auto found = this->byInstance.find(fault.instance);
+    if (found == this->byInstance.end()) {
+        return;
+    }
+    auto &entry = this->slots[found->second];
+    if (!(entry.newest < fault.at)) {
+        return;
+    }
+    entry.newest = fault.at;
+    if (!std::exchange(entry.isFaulty, true)) {
+        changes.faulty.push_back(this->indexOf(entry));
+    }
+}
+
 auto Directory::takeRemoval(const DirectoryRemoval &removal, Duration settlesIn, MonoTime now,
                             DirectoryChanges &changes) -> void
 {
@@ -125,6 +181,9 @@
     for (const auto &record : update.present) {
         present.insert(record.upstream.instance);
     }
+    for (const auto &fault : update.faulty) {
+        present.insert(fault.instance);
+    }
     std::vector<InstanceId> absent;
     for (const auto &[instance, index] : this->byInstance) {
         if (present.count(instance) == 0) {
@@ -258,6 +317,9 @@
         }
         if (entry.presence == Presence::Listed) {
             update.present.push_back(entry.record);
+            if (entry.isFaulty) {
+                update.faulty.push_back({ entry.record.upstream.instance, entry.newest });
+            }
             continue;
         }
         update.removed.push_back({ entry.record.upstream.instance, entry.newest });
--- a/src/core/directory/directory.h
+++ b/src/core/directory/directory.h
@@ -91,6 +91,8 @@
 
 private:
     auto takeRecord(const DirectoryRecord &record, MonoTime now, DirectoryChanges &changes) -> void;
+    auto takeFault(const DirectoryFault &fault, DirectoryChanges &changes) -> void;
+    auto beginLife(UpstreamEntry &entry, DirectoryChanges &changes) -> void;
     auto takeRemoval(const DirectoryRemoval &removal, Duration settlesIn, MonoTime now,
                      DirectoryChanges &changes) -> void;
     auto takeAbsent(const DirectoryUpdate &update, MonoTime now, DirectoryChanges &changes) -> void;
--- a/src/core/directory/directorychanges.h
+++ b/src/core/directory/directorychanges.h
@@ -15,6 +15,8 @@
     std::vector<std::uint32_t> leaving;      ///< Draining now.
     std::vector<std::uint32_t> missing;      ///< May come back.
     std::vector<std::uint32_t> removed;      ///< Gone.
+    std::vector<std::uint32_t> restarted;    ///< Started again under the same instance.
+    std::vector<std::uint32_t> faulty;       ///< Their entries cannot be used any more.
     std::vector<std::uint32_t> sharedCookie; ///< Have the cookie of an older one.
 };
 
--- a/src/core/directory/directorycontroller.cpp
+++ b/src/core/directory/directorycontroller.cpp
@@ -108,9 +108,7 @@
     }
     std::visit(Overloaded { [&](const DirectoryRead &it) { this->on(board, it); },
                             [&](const DirectoryReadFailed &it) { this->on(board, it); },
-                            [&](const DirectoryItemsFaulty &it) {
-                                board.log(LogEvent::DirectoryRefused, "what=\"" + it.what + "\"");
-                            },
+                            [&](const DirectoryItemsFaulty &it) { this->on(board, it); },
                             [&](const PeerUp &it) { this->on(board, it); },
                             [&](const PeerMessage &it) { this->on(board, it); },
                             [&](const Tick &it) { this->on(board, it); },
@@ -172,6 +170,16 @@
     this->nextRead = board.now.mono + jittered(board, this->backoff);
 }
 
+auto DirectoryController::on(Blackboard &board, const DirectoryItemsFaulty &faulty) -> void
+{
+    board.stats.directoryFaults += faulty.count;
+    // A host that reads everything again finds the same faults each time.
+    if (std::exchange(this->lastFaults, faulty.what) != faulty.what) {
+        board.log(LogEvent::DirectoryRefused, "items=" + std::to_string(faulty.count) + " what=\""
+                                                      + faulty.what + "\"");
+    }
+}
+
 auto DirectoryController::on(Blackboard &board, const PeerUp &up) -> void
 {
     auto *record = board.membership.record(up.member.id);
@@ -270,6 +278,7 @@
     }
     this->behindSince.reset();
     ++board.stats.directoryUpdates;
+    board.stats.upstreamRestarts += changes.restarted.size();
     logChanges(board, changes);
     if (isPushedByZone(board, from)) {
         return;
--- a/src/core/directory/directorycontroller.h
+++ b/src/core/directory/directorycontroller.h
@@ -7,6 +7,7 @@
 #include <flamingograde/ids.h>
 
 #include <optional>
+#include <string>
 
 namespace flamingograde {
 
@@ -29,6 +30,7 @@
 private:
     auto on(Blackboard &board, const DirectoryRead &read) -> void;
     auto on(Blackboard &board, const DirectoryReadFailed &failed) -> void;
+    auto on(Blackboard &board, const DirectoryItemsFaulty &faulty) -> void;
     auto on(Blackboard &board, const PeerUp &up) -> void;
     auto on(Blackboard &board, const PeerMessage &received) -> void;
     auto on(Blackboard &board, const Tick &tick) -> void;
@@ -54,6 +56,7 @@
     MonoTime lastChange;                 ///< When a read last brought changes.
     MonoTime platformBack;  ///< When the platform last answered after a failure or a long silence.
     bool everLost = false;  ///< Whether `platformBack` was ever set.
+    std::string lastFaults; ///< What could not be read the last time that anything could not.
     Duration backoff { 0 }; ///< Pause after the next failed read.
 };
 
--- a/src/core/directory/directorylog.cpp
+++ b/src/core/directory/directorylog.cpp
@@ -63,6 +63,8 @@
     logEach(board, LogEvent::UpstreamLeaving, changes.leaving);
     logEach(board, LogEvent::UpstreamMissing, changes.missing);
     logEach(board, LogEvent::UpstreamRemoved, changes.removed);
+    logEach(board, LogEvent::UpstreamRestarted, changes.restarted);
+    logEach(board, LogEvent::UpstreamUnusable, changes.faulty);
     logEach(board, LogEvent::CookieShared, changes.sharedCookie);
     if (changes.rowsChanged) {
         const auto &rows = *board.directory.rows();
--- a/src/core/directory/upstreamentry.h
+++ b/src/core/directory/upstreamentry.h
@@ -29,6 +29,8 @@
     MonoTime warmAt;        ///< Slow after its start until this.
     Cookie cookie;          ///< Of its instance.
     bool ownsCookie = true; ///< Whether the cookie stands for this one.
+    bool isFaulty = false;  ///< What the platform has of it now cannot be used: open flows go on.
+    std::uint16_t life = 0; ///< Counts the starts of its instance that this host has seen.
     bool isNear = false;    ///< In the own availability zone.
     bool isPooled = false;  ///< Among `ServicePool::near` of its service.
     UpstreamEvidence evidence;
--- a/src/core/logevent.cpp
+++ b/src/core/logevent.cpp
@@ -11,7 +11,7 @@
 
 using Name = std::pair<LogEvent, std::string_view>;
 
-constexpr std::array<Name, 55> names { {
+constexpr std::array<Name, 57> names { {
         { LogEvent::Started, "Started" },
         { LogEvent::StopBegan, "StopBegan" },
         { LogEvent::StopWaits, "StopWaits" },
@@ -59,6 +59,8 @@
         { LogEvent::UpstreamRemoved, "UpstreamRemoved" },
         { LogEvent::UpstreamSilent, "UpstreamSilent" },
         { LogEvent::UpstreamHeard, "UpstreamHeard" },
+        { LogEvent::UpstreamRestarted, "UpstreamRestarted" },
+        { LogEvent::UpstreamUnusable, "UpstreamUnusable" },
         { LogEvent::CookieShared, "CookieShared" },
         { LogEvent::DirectoryLoaded, "DirectoryLoaded" },
         { LogEvent::FlowPlaced, "FlowPlaced" },
--- a/src/core/packets/flowwatch.cpp
+++ b/src/core/packets/flowwatch.cpp
@@ -20,11 +20,12 @@
     return stage != FlowStage::Free && stage != FlowStage::Idle;
 }
 
-/// Returns the entry that a flow belongs to, or null where its index was given to another.
+/// Returns the entry that a flow belongs to, or null where its index was given to another, or its
+/// upstream started again since.
 auto upstreamOf(Blackboard &board, const FlowEntry &flow) -> UpstreamEntry *
 {
     auto &entry = board.directory.at(flow.upstream);
-    return entry.cookie == flow.cookie ? &entry : nullptr;
+    return entry.cookie == flow.cookie && entry.life == flow.life ? &entry : nullptr;
 }
 
 /// Moves a flow to another stage and counts requests under way.
@@ -57,6 +58,7 @@
     flow.key = FlowKey::of(head);
     flow.upstream = upstream;
     flow.cookie = board.directory.at(upstream).cookie;
+    flow.life = board.directory.at(upstream).life;
     flow.acknowledged = head.acknowledged;
     flow.sequence = head.sequence;
 }
--- a/src/core/packets/packetdump.cpp
+++ b/src/core/packets/packetdump.cpp
@@ -62,6 +62,8 @@
              { "state", isActive ? "active" : "draining" },
              { "presence", nameOf(entry.presence) },
              { "changed", entry.newest.number },
+             { "born_unix_ms", milliseconds(upstream.born.time_since_epoch()) },
+             { "usable", !entry.isFaulty },
              { "slots", upstream.slots },
              { "busy_here", evidence.busy },
              { "silent", evidence.silent },
@@ -118,6 +120,9 @@
     if (entry.record.upstream.state != UpstreamState::Active) {
         return "draining";
     }
+    if (entry.isFaulty) {
+        return "its entry cannot be used";
+    }
     if (!entry.ownsCookie) {
         return "shares the cookie of an older one";
     }
--- a/src/net/metrics.cpp
+++ b/src/net/metrics.cpp
@@ -192,6 +192,10 @@
     list.counter("upstreams_heard_again", "Times a silent upstream showed life.",
                  number(stats.upstreamsHeardAgain));
     list.counter("directory_updates", "Updates of the directory.", number(stats.directoryUpdates));
+    list.counter("directory_faults", "Items of the directory that could not be read.",
+                 number(stats.directoryFaults));
+    list.counter("upstream_restarts", "Further starts of one upstream's instance.",
+                 number(stats.upstreamRestarts));
     list.gauge("directory_revision", "The directory's newest change.",
                number(stats.directoryRevision));
     list.gauge("rows_version", "The version of the packet rows.", number(stats.rowsVersion));
--- a/src/wire/directorycodec.cpp
+++ b/src/wire/directorycodec.cpp
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <limits>
+#include <utility>
 
 namespace flamingograde {
 
@@ -22,9 +23,10 @@
 constexpr std::size_t sharesMax = 1000;      ///< More services are no row.
 constexpr std::size_t versionBytesMax = 200; ///< Longest version of an upstream's software.
 constexpr std::size_t recordFields = 12;     ///< Entries of a record's list.
-constexpr std::size_t removalFields = 2;     ///< Entries of a removal's list.
+constexpr std::size_t removalFields = 2;     ///< Entries of a removal's or a fault's list.
 constexpr std::size_t rowFields = 9;         ///< Entries of a row's list.
 constexpr std::size_t shareFields = 2;       ///< Entries of a share's list.
+constexpr std::uint64_t startMax = 32503680000000; ///< Milliseconds up to the year 3000.
 constexpr std::uint64_t max32 = std::numeric_limits<std::uint32_t>::max();
 constexpr std::uint64_t max16 = std::numeric_limits<std::uint16_t>::max();
 
@@ -152,7 +154,8 @@
     return rows;
 }
 
-auto unpackRemoval(WireReader &reader, const Json &value) -> DirectoryRemoval
+/// Reads an instance and the revision of what happened to it.
+auto unpackInstance(WireReader &reader, const Json &value) -> std::pair<InstanceId, Revision>
 {
     const auto *fields = reader.tuple(value, removalFields);
     if (fields == nullptr) {
@@ -161,6 +164,27 @@
     return { InstanceId(reader.number((*fields)[0])), { reader.number((*fields)[1]) } };
 }
 
+/// Writes when the upstreams of `present` started, in its order. A list of its own: hosts that do
+/// not know it read the rest.
+auto packStarts(const DirectoryUpdate &update) -> Json
+{
+    auto starts = Json::array();
+    for (const auto &record : update.present) {
+        const auto born = record.upstream.born.time_since_epoch();
+        starts.push_back(milliseconds(born));
+    }
+    return starts;
+}
+
+auto unpackStarts(WireReader &reader, const Json &value, DirectoryUpdate &update) -> void
+{
+    const auto *starts = reader.tuple(value, update.present.size());
+    for (std::size_t i = 0; starts != nullptr && i < update.present.size(); ++i) {
+        const auto born = std::chrono::milliseconds(reader.number((*starts)[i], startMax));
+        update.present[i].upstream.born = WallTime(born);
+    }
+}
+
 } // namespace
 
 auto packUpdate(const DirectoryUpdate &update) -> Json
@@ -173,10 +197,16 @@
     for (const auto &removal : update.removed) {
         removed.push_back(Json::array({ removal.instance.value(), removal.at.number }));
     }
+    auto faulty = Json::array();
+    for (const auto &fault : update.faulty) {
+        faulty.push_back(Json::array({ fault.instance.value(), fault.at.number }));
+    }
     Json map { { "a", update.after.number },
                { "u", update.upTo.number },
                { "p", std::move(present) },
                { "x", std::move(removed) },
+               { "b", packStarts(update) },
+               { "f", std::move(faulty) },
                { "s", milliseconds(update.settlesIn) } };
     if (update.rows != nullptr) {
         map["r"] = packRows(*update.rows);
@@ -193,7 +223,17 @@
         update.present.push_back(unpackRecord(reader, record));
     }
     for (const auto &removal : reader.list(reader.field(map, "x"), recordsMax)) {
-        update.removed.push_back(unpackRemoval(reader, removal));
+        const auto [instance, at] = unpackInstance(reader, removal);
+        update.removed.push_back({ instance, at });
+    }
+    if (map.contains("b")) {
+        unpackStarts(reader, map["b"], update);
+    }
+    if (map.contains("f")) {
+        for (const auto &fault : reader.list(map["f"], recordsMax)) {
+            const auto [instance, at] = unpackInstance(reader, fault);
+            update.faulty.push_back({ instance, at });
+        }
     }
     update.settlesIn = unpackDuration(reader, reader.field(map, "s"));
     if (map.contains("r")) {
--- a/tests/unit/directorytest.cpp
+++ b/tests/unit/directorytest.cpp
@@ -236,4 +236,115 @@
     CHECK(directory.rowAt(papersAddress) == nullptr);
 }
 
+TEST_CASE("a second start of an instance begins with no evidence and cold", "[directory][born]")
+{
+    Directory directory(ZoneId::ofName("a"));
+    auto first = record(1, "live", "a", 3);
+    first.upstream.born = WallTime(1000s);
+    directory.take(whole(9, { first }), start);
+    auto &entry = directory.at(0);
+    entry.evidence.silent = true;
+    entry.evidence.unanswered = 7;
+    entry.evidence.heard = start;
+    directory.beginRequest(entry);
+    directory.touchPools();
+    REQUIRE(directory.poolOf(ServiceId::ofName("live")).silent.size() == 1);
+
+    auto second = record(1, "live", "a", 11);
+    second.created = first.created;
+    second.upstream.born = WallTime(1005s);
+    second.upstream.warmup = 2s;
+    const auto changes = directory.take(delta(9, 11, { second }), start + 5s);
+    REQUIRE(changes.restarted.size() == 1);
+    CHECK(changes.listed.empty());
+    CHECK(entry.evidence.busy == 0);
+    CHECK(entry.evidence.unanswered == 0);
+    CHECK(entry.evidence.heard == MonoTime());
+    CHECK(entry.warmAt == start + 7s);
+    const auto &pool = directory.poolOf(ServiceId::ofName("live"));
+    CHECK(pool.near.size() == 1);
+    CHECK(pool.nearBusy == 0);
+    // What the first life wrote arrives late, by itself and in a whole answer of another host.
+    CHECK(directory.take(delta(9, 12, { first }), start + 6s).restarted.empty());
+    CHECK(directory.take(whole(13, { second, record(2, "live", "a", 12) }), start + 6s)
+                  .restarted.empty());
+    CHECK(entry.record.upstream.born == WallTime(1005s));
+    CHECK(entry.life == 1);
+}
+
+TEST_CASE("a start after the entry was removed is another life too", "[directory][born]")
+{
+    Directory directory(ZoneId::ofName("a"));
+    auto first = record(1, "live", "a", 3);
+    first.upstream.born = WallTime(1000s);
+    directory.take(whole(9, { first }), start);
+    auto gone = delta(9, 10, {});
+    gone.removed = { { InstanceId(1), { 10 } } };
+    directory.take(gone, start + 1s);
+    REQUIRE(directory.at(0).presence == Presence::Removed);
+    auto second = record(1, "papers", "a", 11);
+    second.upstream.born = WallTime(1005s);
+    const auto changes = directory.take(delta(10, 11, { second }), start + 2s);
+    CHECK(changes.restarted.size() == 1);
+    CHECK(changes.listed.size() == 1);
+    // The next life of an id may belong to another service.
+    CHECK(directory.poolOf(ServiceId::ofName("live")).near.empty());
+    CHECK(directory.poolOf(ServiceId::ofName("papers")).near.size() == 1);
+}
+
+TEST_CASE("an entry that says no start keeps its meaning", "[directory][born]")
+{
+    Directory directory(ZoneId::ofName("a"));
+    directory.take(whole(9, { record(1, "live", "a", 3) }), start);
+    directory.at(0).evidence.heard = start;
+    auto draining = record(1, "live", "a", 11);
+    draining.upstream.state = UpstreamState::Draining;
+    CHECK(directory.take(delta(9, 11, { draining }), start).restarted.empty());
+    CHECK(directory.at(0).evidence.heard == start);
+}
+
+TEST_CASE("a faulty entry closes its upstream to new flows until a good one takes its place",
+          "[directory][faulty]")
+{
+    Directory directory(ZoneId::ofName("a"));
+    directory.take(whole(9, { record(1, "live", "a", 3), record(2, "live", "a", 4) }), start);
+    auto update = delta(9, 11, {});
+    update.faulty = { { InstanceId(1), { 11 } }, { InstanceId(77), { 10 } } };
+    CHECK(directory.take(update, start).faulty.size() == 1);
+    CHECK(directory.poolOf(ServiceId::ofName("live")).near.size() == 1);
+    // Its open flows go on: nobody said that it is gone.
+    REQUIRE(directory.byCookie(Cookie::of(InstanceId(1))) != nullptr);
+    CHECK(directory.byCookie(Cookie::of(InstanceId(1)))->presence == Presence::Listed);
+    // The same in a whole answer, which lacks the good record.
+    auto all = whole(12, { record(2, "live", "a", 4) });
+    all.faulty = { { InstanceId(1), { 11 } } };
+    const auto changes = directory.take(all, start);
+    CHECK(changes.faulty.empty());
+    CHECK(changes.removed.empty());
+    // A host that lacks both learns both.
+    Directory other(ZoneId::ofName("a"));
+    other.take(directory.updateSince({}, start), start);
+    CHECK(other.poolOf(ServiceId::ofName("live")).near.size() == 1);
+    CHECK(other.byCookie(Cookie::of(InstanceId(1))) != nullptr);
+    // A late word of before the fault changes nothing; the next good one does.
+    directory.take(delta(9, 13, { record(1, "live", "a", 3) }), start);
+    CHECK(directory.poolOf(ServiceId::ofName("live")).near.size() == 1);
+    directory.take(delta(13, 14, { record(1, "live", "a", 14) }), start);
+    CHECK(directory.poolOf(ServiceId::ofName("live")).near.size() == 2);
+}
+
+TEST_CASE("an entry that cannot be its upstream's own closes it too", "[directory][faulty]")
+{
+    Directory directory(ZoneId::ofName("a"));
+    directory.take(whole(9, { record(1, "live", "a", 3), record(2, "live", "a", 4) }), start);
+    // In one life an upstream changes neither its service nor its name.
+    CHECK(directory.take(delta(9, 11, { record(1, "nowhere", "a", 11) }), start).faulty.size()
+          == 1);
+    auto twin = record(2, "live", "a", 12);
+    twin.upstream.name = "other-2";
+    CHECK(directory.take(delta(11, 12, { twin }), start).faulty.size() == 1);
+    CHECK(directory.poolOf(ServiceId::ofName("live")).near.empty());
+    CHECK(directory.byCookie(Cookie::of(InstanceId(1)))->record.upstream.serviceName == "live");
+}
+
 } // namespace flamingograde
--- a/tests/unit/messagecodectest.cpp
+++ b/tests/unit/messagecodectest.cpp
@@ -6,6 +6,7 @@
 #include <flamingograde/config.h>
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include <random>
 
@@ -81,7 +82,9 @@
     update.present[0].upstream.state = UpstreamState::Draining;
     update.present[0].upstream.warmup = std::chrono::milliseconds(1500);
     update.present[0].upstream.version = "v2";
+    update.present[1].upstream.born = WallTime(std::chrono::milliseconds(1764700000123));
     update.removed = { { InstanceId(9), { 43 } } };
+    update.faulty = { { InstanceId(~0ULL), { 45 } } };
     update.settlesIn = std::chrono::milliseconds(2200);
     auto row = packetRow("feed", feedAddress, "live");
     row.shares.push_back({ ServiceId::ofName("papers"), "papers", 10 });
@@ -185,6 +188,11 @@
     CHECK(upstream.warmup == sent.present[0].upstream.warmup);
     CHECK(upstream.version == "v2");
     CHECK(update.present[1].created.number == 42);
+    CHECK(upstream.born == WallTime());
+    CHECK(update.present[1].upstream.born == sent.present[1].upstream.born);
+    REQUIRE(update.faulty.size() == 1);
+    CHECK(update.faulty[0].instance == InstanceId(~0ULL));
+    CHECK(update.faulty[0].at == Revision { 45 });
     REQUIRE(update.removed.size() == 1);
     CHECK(update.removed[0].at.number == 43);
     REQUIRE(update.rows != nullptr);
@@ -299,4 +307,22 @@
             encode(TableBody { Revision { 1 }, std::string(config::tableBytesMax + 1, 'x') })));
 }
 
+TEST_CASE("an update of a host that knows neither starts nor faulty entries is read", "[codec]")
+{
+    auto map = nlohmann::json::from_cbor(encode(sampleUpdate()));
+    const auto count = map.size();
+    map.erase("b");
+    map.erase("f");
+    REQUIRE(map.size() == count - 2);
+    const auto decoded = decode(nlohmann::json::to_cbor(map));
+    REQUIRE(decoded);
+    const auto &update = std::get<DirectoryUpdate>(*decoded);
+    CHECK(update.present.size() == 2);
+    CHECK(update.present[1].upstream.born == WallTime());
+    CHECK(update.faulty.empty());
+    // One start too few is no such update.
+    map["b"] = { 1 };
+    CHECK_FALSE(decode(nlohmann::json::to_cbor(map)));
+}
+
 } // namespace flamingograde
--- a/tests/unit/packetsteeringtest.cpp
+++ b/tests/unit/packetsteeringtest.cpp
@@ -323,4 +323,30 @@
     CHECK(busy == host.board.packets.flows.used);
 }
 
+TEST_CASE("requests of a former life do not count for the next one", "[packets][born]")
+{
+    PacketBoard host;
+    const auto cookie = Cookie::of(InstanceId(2));
+    auto request = PacketBoard::following(41, cookie, feedAddress);
+    request.dataBytes = 300;
+    host.steer(request);
+    REQUIRE(host.entry(2).evidence.busy == 1);
+    DirectoryUpdate update;
+    update.after = { 10 };
+    update.upTo = { 12 };
+    update.present = { record(2, "live", "a", 12) };
+    update.present[0].upstream.born = WallTime(std::chrono::seconds(1005));
+    host.take(update);
+    REQUIRE(host.entry(2).evidence.busy == 0);
+    auto other = PacketBoard::following(42, cookie, feedAddress);
+    other.dataBytes = 300;
+    host.steer(other);
+    CHECK(host.entry(2).evidence.busy == 1);
+    // The former life's flow is carried on, where it is reset, and shows neither end nor life.
+    request.flags.finishes = true;
+    CHECK(host.steer(request).verdict == PacketVerdict::Forward);
+    CHECK(host.entry(2).evidence.busy == 1);
+    CHECK(host.entry(2).evidence.heard == MonoTime());
+}
+
 } // namespace flamingograde
