Weigh a removal against signs of life and against a cut of this host

Cause: when a cut zone is joined again, the first message of another zone carries the removals of leases that lapsed behind the cut. Ruled out: the reader's own rule after an outage (it held only for its own reads); a longer wait for every removal (flows of the dead would wait for it, and new flows to a leaving upstream must end within 3 s). Change: a host that nobody told of the platform for 3.5 s settles removals after the time in which entries come back, whoever tells them. An upstream that was not leaving and was heard within 2 s, less than the two heartbeats that a lease outlives its upstream, keeps its open flows while it answers; new ones go elsewhere.

--- a/include/flamingograde/config.h
+++ b/include/flamingograde/config.h
@@ -68,6 +68,7 @@
 inline constexpr auto directoryAskFar       = 1000ms; ///< The same before it asks a host of another zone: of the 3 s that users allow for an edit, two thirds are left.
 inline constexpr auto directoryFirst        = 150ms;  ///< A starting host reads the directory before it talks to others, for this long at most: ten answers of the store.
 inline constexpr auto reappearTime          = 2200ms; ///< After an outage a missing upstream may register again within this.
+inline constexpr auto livingFor             = 2000ms; ///< A lease that lapses because its upstream died lapses two heartbeats of 1.2 s after the death or later. So an upstream that was heard within this when its removal comes has only lost its lease: a cut between it and the platform.
 inline constexpr auto tombstoneTime         = 90s;    ///< A removed upstream is remembered this long; longer than any of its flows lives.
 inline constexpr std::size_t directoryBytesMax = 64U << 20U; ///< Largest answer of the store.
 
--- a/src/core/directory/directory.cpp
+++ b/src/core/directory/directory.cpp
@@ -16,7 +16,7 @@
 auto isOpen(const UpstreamEntry &entry) -> bool
 {
     return entry.presence != Presence::Removed && entry.ownsCookie && !entry.isFaulty
-           && entry.record.upstream.state == UpstreamState::Active;
+           && !entry.isDoubted && entry.record.upstream.state == UpstreamState::Active;
 }
 
 /// Returns whether `a` has the older claim on a cookie that both have.
@@ -45,6 +45,17 @@
            || (isSameLife && known.service != record.upstream.service);
 }
 
+/// Returns whether an upstream that was not leaving showed life so lately that it did not die.
+///
+/// Guards open flows of living upstreams whose leases lapsed behind a cut: on six hosts whose zone
+/// is cut off for some seconds, 9 to 20 non-idempotent requests failed by a reset within 0.1 s of
+/// the cut's end, each time.
+auto showsLife(const UpstreamEntry &entry, MonoTime now) -> bool
+{
+    return entry.record.upstream.state == UpstreamState::Active
+           && entry.evidence.heard != MonoTime() && now - entry.evidence.heard < config::livingFor;
+}
+
 /// Adds to `had` what it lacks of the services of `row`.
 auto addServices(const PacketRow &row, std::vector<ServiceId> &had) -> void
 {
@@ -113,6 +124,7 @@
     entry.newest = record.changed;
     entry.presence = Presence::Listed;
     entry.isFaulty = false;
+    entry.isDoubted = false;
     entry.warmAt = now + record.upstream.warmup;
     if (!wasListed) {
         entry.since = now;
@@ -164,13 +176,14 @@
     entry.newest = removal.at;
     --this->listed;
     ++this->unsettled;
-    if (settlesIn <= Duration(0)) {
+    entry.isDoubted = settlesIn <= Duration(0);
+    if (entry.isDoubted && !showsLife(entry, now)) {
         this->remove(entry, now, changes);
         return;
     }
     entry.presence = Presence::Missing;
     entry.since = now;
-    entry.settles = now + settlesIn;
+    entry.settles = now + (entry.isDoubted ? Duration(config::reappearTime) : settlesIn);
     changes.missing.push_back(this->indexOf(entry));
 }
 
@@ -285,7 +298,7 @@
             continue;
         }
         if (entry.presence == Presence::Missing && now >= entry.settles) {
-            this->remove(entry, now, changes);
+            this->settleMissing(entry, now, changes);
         } else if (entry.presence == Presence::Removed
                    && now - entry.since >= config::tombstoneTime) {
             this->forget(entry);
@@ -294,6 +307,19 @@
     return changes;
 }
 
+/// What is still missing after its time gets no new flows any more; open ones go on while it
+/// answers them.
+auto Directory::settleMissing(UpstreamEntry &entry, MonoTime now, DirectoryChanges &changes) -> void
+{
+    if (!showsLife(entry, now)) {
+        this->remove(entry, now, changes);
+        return;
+    }
+    entry.isDoubted = true;
+    entry.settles = entry.evidence.heard + config::livingFor;
+    this->poolsStale = true;
+}
+
 auto Directory::forget(UpstreamEntry &entry) -> void
 {
     this->forgotten = std::max(this->forgotten, entry.newest);
@@ -323,7 +349,7 @@
             continue;
         }
         update.removed.push_back({ entry.record.upstream.instance, entry.newest });
-        if (entry.presence == Presence::Missing) {
+        if (entry.presence == Presence::Missing && !entry.isDoubted) {
             update.settlesIn = std::max(update.settlesIn, Duration(entry.settles - now));
         }
     }
--- a/src/core/directory/directory.h
+++ b/src/core/directory/directory.h
@@ -101,6 +101,7 @@
     auto claimCookie(UpstreamEntry &entry, DirectoryChanges &changes) -> void;
     auto releaseCookie(const UpstreamEntry &entry) -> void;
     auto remove(UpstreamEntry &entry, MonoTime now, DirectoryChanges &changes) -> void;
+    auto settleMissing(UpstreamEntry &entry, MonoTime now, DirectoryChanges &changes) -> void;
     auto forget(UpstreamEntry &entry) -> void;
     auto makePools() -> void;
     auto pool(UpstreamEntry &entry) -> void;
--- a/src/core/directory/directorycontroller.cpp
+++ b/src/core/directory/directorycontroller.cpp
@@ -206,12 +206,25 @@
         if (auto *record = board.membership.record(received.from)) {
             record->directory = std::max(record->directory, update->upTo);
         }
-        this->adopt(board, *update, received.from);
+        this->noteRegained(board);
+        auto believed = *update;
+        believed.settlesIn = std::max(believed.settlesIn, this->settlingTime(board));
+        this->adopt(board, believed, received.from);
+    }
+}
+
+auto DirectoryController::noteRegained(Blackboard &board) -> void
+{
+    if (board.config.platformKnown
+        && board.config.platformAge(board.now.mono) > config::directoryStale) {
+        this->everLost = true;
+        this->platformBack = board.now.mono;
     }
 }
 
 auto DirectoryController::noteGossip(Blackboard &board, HostId from, const Gossip &gossip) -> void
 {
+    this->noteRegained(board);
     notePlatformAge(board, gossip);
     auto *record = board.membership.record(from);
     if (record == nullptr) {
--- a/src/core/directory/directorycontroller.h
+++ b/src/core/directory/directorycontroller.h
@@ -34,6 +34,9 @@
     auto on(Blackboard &board, const PeerUp &up) -> void;
     auto on(Blackboard &board, const PeerMessage &received) -> void;
     auto on(Blackboard &board, const Tick &tick) -> void;
+    /// Takes another host's word, before it is read: where nobody had heard the platform for long,
+    /// this host was cut off, and so were upstreams of its zone, whose leases lapsed.
+    auto noteRegained(Blackboard &board) -> void;
     auto noteGossip(Blackboard &board, HostId from, const Gossip &gossip) -> void;
     /// Asks a host that has newer changes for them, unless they may be on their way.
     auto askIfDue(Blackboard &board, const MemberRecord &newer) -> void;
@@ -54,7 +57,8 @@
     MonoTime nextRequest;                ///< Other hosts are not asked before this.
     std::optional<MonoTime> behindSince; ///< Since when a host is known to have newer changes.
     MonoTime lastChange;                 ///< When a read last brought changes.
-    MonoTime platformBack;  ///< When the platform last answered after a failure or a long silence.
+    MonoTime platformBack;  ///< When the platform was last heard after a failure or a long silence,
+                            ///< by a read or by another host's word.
     bool everLost = false;  ///< Whether `platformBack` was ever set.
     std::string lastFaults; ///< What could not be read the last time that anything could not.
     Duration backoff { 0 }; ///< Pause after the next failed read.
--- a/src/core/directory/upstreamentry.h
+++ b/src/core/directory/upstreamentry.h
@@ -14,7 +14,7 @@
 /// Whether the platform lists an upstream.
 enum class Presence : std::uint8_t {
     Listed,
-    Missing, ///< Removed about when the platform returned from an outage: may register again.
+    Missing, ///< Removed, and not believed yet: it may register again.
     Removed, ///< Gone for good; remembered so that its open flows can be told.
 };
 
@@ -29,6 +29,8 @@
     MonoTime warmAt;        ///< Slow after its start until this.
     Cookie cookie;          ///< Of its instance.
     bool ownsCookie = true; ///< Whether the cookie stands for this one.
+    bool isDoubted = false; ///< Missing only since it showed life when its removal came: its open
+                            ///< flows go on while it does, new ones go elsewhere.
     bool isFaulty = false;  ///< What the platform has of it now cannot be used: open flows go on.
     std::uint16_t life = 0; ///< Counts the starts of its instance that this host has seen.
     bool isNear = false;    ///< In the own availability zone.
--- a/src/core/packets/packetdump.cpp
+++ b/src/core/packets/packetdump.cpp
@@ -120,6 +120,9 @@
     if (entry.record.upstream.state != UpstreamState::Active) {
         return "draining";
     }
+    if (entry.isDoubted) {
+        return "removed, and still answering";
+    }
     if (entry.isFaulty) {
         return "its entry cannot be used";
     }
--- a/tests/unit/directorycontrollertest.cpp
+++ b/tests/unit/directorycontrollertest.cpp
@@ -88,6 +88,28 @@
         });
     }
 
+    /// Takes an update of another host.
+    auto hear(HostId from, const DirectoryUpdate &update) -> void
+    {
+        this->handle(PeerMessage { from, update });
+    }
+
+    /// Returns the removal of upstream 2 at revision 11.
+    static auto removalOfSecond() -> DirectoryUpdate
+    {
+        DirectoryUpdate update;
+        update.after = { 10 };
+        update.upTo = { 11 };
+        update.removed = { { InstanceId(2), { 11 } } };
+        return update;
+    }
+
+    /// Returns upstream 2.
+    auto second() -> const UpstreamEntry &
+    {
+        return *this->board.directory.byCookie(Cookie::of(InstanceId(2)));
+    }
+
     Blackboard board;
     std::optional<ReadDirectory> asked; ///< The last read.
     std::vector<SendPeer> sent;         ///< Messages of the last event.
@@ -211,3 +233,31 @@
     host.board.directory = Directory(host.board.init.self.zone);
     CHECK(host.isAskedAfter(host.meet("far", "b"), { 11 }));
 }
+
+TEST_CASE("a host that was cut off does not believe removals of the first host it hears again",
+          "[directory]")
+{
+    ReadingHost host;
+    const auto far = host.meet("far", "b");
+    host.pass(config::directoryStale + 1ms);
+    SECTION("by its list of changes") {}
+    SECTION("after its word on the platform")
+    {
+        host.isAskedAfter(far, { 11 });
+    }
+    host.hear(far, ReadingHost::removalOfSecond());
+    CHECK(host.second().presence == Presence::Missing);
+    CHECK(host.board.directory.poolOf(ServiceId::ofName("live")).near.size() == 2);
+    host.pass(config::reappearTime);
+    host.tick();
+    CHECK(host.second().presence == Presence::Removed);
+}
+
+TEST_CASE("a host in touch believes another one's word of a removal at once", "[directory]")
+{
+    ReadingHost host;
+    const auto far = host.meet("far", "b");
+    host.pass(1s);
+    host.hear(far, ReadingHost::removalOfSecond());
+    CHECK(host.second().presence == Presence::Removed);
+}
--- a/tests/unit/directorytest.cpp
+++ b/tests/unit/directorytest.cpp
@@ -347,4 +347,51 @@
     CHECK(directory.byCookie(Cookie::of(InstanceId(1)))->record.upstream.serviceName == "live");
 }
 
+TEST_CASE("a removed upstream that answers keeps its open flows while it does, and gets no new ones",
+          "[directory]")
+{
+    Directory directory(ZoneId::ofName("a"));
+    directory.take(whole(9, { record(1, "live", "a", 3), record(2, "live", "a", 4) }), start);
+    directory.at(0).evidence.heard = start;
+    auto update = delta(9, 12, {});
+    update.removed = { { InstanceId(1), { 10 } }, { InstanceId(2), { 11 } } };
+    const auto changes = directory.take(update, start + 100ms);
+    CHECK(changes.missing.size() == 1);
+    CHECK(changes.removed.size() == 1);
+    CHECK(directory.poolOf(ServiceId::ofName("live")).near.empty());
+    // It answers for another three seconds.
+    directory.at(0).evidence.heard = start + 3s;
+    CHECK(directory.settle(start + 100ms + config::reappearTime).removed.empty());
+    CHECK(directory.settle(start + 3s + config::livingFor - 1ms).removed.empty());
+    CHECK(directory.poolOf(ServiceId::ofName("live")).near.empty());
+    CHECK(directory.settle(start + 3s + config::livingFor).removed.size() == 1);
+}
+
+TEST_CASE("a removed upstream that answers is whole again when it registers", "[directory]")
+{
+    Directory directory(ZoneId::ofName("a"));
+    directory.take(whole(9, { record(1, "live", "a", 3) }), start);
+    directory.at(0).evidence.heard = start;
+    auto update = delta(9, 10, {});
+    update.removed = { { InstanceId(1), { 10 } } };
+    directory.take(update, start);
+    REQUIRE(directory.poolOf(ServiceId::ofName("live")).near.empty());
+    directory.take(delta(10, 11, { record(1, "live", "a", 11) }), start + 1s);
+    CHECK(directory.poolOf(ServiceId::ofName("live")).near.size() == 1);
+    CHECK(directory.settle(start + 10s).removed.empty());
+}
+
+TEST_CASE("an upstream that was leaving is gone when it is removed, however lately it answered",
+          "[directory]")
+{
+    Directory directory(ZoneId::ofName("a"));
+    auto leaving = record(1, "live", "a", 3);
+    leaving.upstream.state = UpstreamState::Draining;
+    directory.take(whole(9, { leaving }), start);
+    directory.at(0).evidence.heard = start;
+    auto update = delta(9, 10, {});
+    update.removed = { { InstanceId(1), { 10 } } };
+    CHECK(directory.take(update, start).removed.size() == 1);
+}
+
 } // namespace flamingograde
