Reset requests that may be repeated at an upstream that answers nobody

Cause: an upstream that dies without a word stays listed until its lease lapses, 3.5 s. Change: a caller sends its request a third time only if not even the second was acknowledged, which a living upstream does at once however slow. After two such flows, while others answered this host from before the request until after its first resend, requests with data of idempotent rows are reset at upstreams of the own zone. Kinds that may not be repeated wait.

--- a/include/flamingograde/packetdecision.h
+++ b/include/flamingograde/packetdecision.h
@@ -28,6 +28,7 @@
     NoRow,           ///< No row has the address.
     NoUpstream,      ///< No upstream of the row's services takes new flows.
     UpstreamGone,    ///< The flow's upstream has left for good.
+    UpstreamSilent,  ///< A request that may be repeated, at an upstream that answers nobody.
     CookieUnknown,   ///< No upstream that this host knows has the cookie.
     CookieOfAnother, ///< The cookie's upstream belongs to a service that the row never had.
     AlreadyOpen,     ///< A late copy of the opening packet of an open flow.
--- a/include/flamingograde/stats.h
+++ b/include/flamingograde/stats.h
@@ -12,7 +12,7 @@
 struct Stats
 {
     static constexpr std::size_t reasons = 17;       ///< Number of `RefusalReason`s.
-    static constexpr std::size_t packetReasons = 12; ///< Number of `PacketReason`s.
+    static constexpr std::size_t packetReasons = 13; ///< Number of `PacketReason`s.
 
     std::uint64_t callersArrived = 0;              ///< Requests, feeds and uploads from callers.
     std::uint64_t relaysArrived = 0;               ///< Requests relayed to this host.
--- a/src/core/directory/upstreamevidence.h
+++ b/src/core/directory/upstreamevidence.h
@@ -12,6 +12,8 @@
 {
     std::uint32_t busy = 0;       ///< Requests and openings of this host's flows under way.
     std::uint32_t unanswered = 0; ///< What it did not answer since the last sign of life.
+    std::uint32_t lostFlows = 0;  ///< Of these, flows whose request was sent three times while
+                                  ///< others answered this host.
     bool silent = false;          ///< Gets no new flows but on trial.
     MonoTime heard;               ///< When it last showed life.
     MonoTime nextTrial;           ///< Of a silent one: not tried before this.
--- a/src/core/packets/flowentry.h
+++ b/src/core/packets/flowentry.h
@@ -16,6 +16,7 @@
     Idle,    ///< It is open and no request is under way.
     Waiting, ///< It is open and a request is under way.
     Overdue, ///< The same, and its caller has sent the request again.
+    Lost,    ///< The same, and its caller has sent the request a third time.
 };
 
 /// A watched flow. Nothing is decided by it that a lost entry would break.
--- a/src/core/packets/flowwatch.cpp
+++ b/src/core/packets/flowwatch.cpp
@@ -82,6 +82,7 @@
         addSample(board.directory.at(upstream).evidence.handshake, took);
         board.stats.handshakes.add(took);
         noteSign(board, upstream);
+        noteAnswered(board, flow.sentAt);
     }
     flow.acknowledged = head.acknowledged;
     flow.sequence = head.sequence;
@@ -107,6 +108,7 @@
     if (flow.stage != FlowStage::Idle) {
         const auto took = FlowTable::clock(board.now.mono) - flow.sentAt;
         addSample(board.directory.at(flow.upstream).evidence.response, took);
+        noteAnswered(board, flow.sentAt);
         board.stats.responses.add(took);
         enter(board, flow, FlowStage::Idle);
     }
@@ -118,32 +120,39 @@
 {
     const auto sentFor = FlowTable::clock(board.now.mono) - flow.sentAt;
     const auto isTrusted = board.now.mono >= board.packets.trustedFrom;
-    if (flow.stage != FlowStage::Waiting || sentFor < config::resendTime.count() || !isTrusted
-        || upstreamOf(board, flow) == nullptr) {
+    auto *entry = upstreamOf(board, flow);
+    if (!isTrusted || entry == nullptr) {
         return false;
     }
-    enter(board, flow, FlowStage::Overdue);
-    noteUnanswered(board, flow.upstream, flow.sentAt);
-    return true;
+    if (flow.stage == FlowStage::Waiting && sentFor >= config::resendTime.count()) {
+        enter(board, flow, FlowStage::Overdue);
+        noteUnanswered(board, flow.upstream, flow.sentAt);
+        return true;
+    }
+    if (flow.stage == FlowStage::Overdue && sentFor >= config::resendAgainTime.count()) {
+        enter(board, flow, FlowStage::Lost);
+        noteLost(board, *entry, flow.sentAt);
+    }
+    return false;
 }
 
-/// Takes what a packet carries. @returns what `takeResend` does.
-auto takeData(Blackboard &board, FlowEntry &flow, const PacketHead &head) -> bool
+/// Takes what a packet carries.
+auto takeData(Blackboard &board, FlowEntry &flow, const PacketHead &head) -> RequestSign
 {
     const auto advance = static_cast<std::int32_t>(head.sequence - flow.sequence);
     const auto isNew = advance > 0 || flow.stage == FlowStage::Idle;
     if (head.dataBytes == 0) {
-        return false;
+        return RequestSign::None;
     }
     if (!isNew) {
-        return takeResend(board, flow);
+        return takeResend(board, flow) ? RequestSign::Overdue : RequestSign::Asks;
     }
     flow.sequence = head.sequence;
     if (flow.stage == FlowStage::Idle) {
         flow.sentAt = FlowTable::clock(board.now.mono);
         enter(board, flow, FlowStage::Waiting);
     }
-    return false;
+    return RequestSign::Asks;
 }
 
 /// Returns the watched flow of a packet, or null: packets without data begin no watch.
@@ -215,27 +224,27 @@
     }
 }
 
-auto watchPacket(Blackboard &board, const PacketHead &head, std::uint32_t upstream) -> bool
+auto watchPacket(Blackboard &board, const PacketHead &head, std::uint32_t upstream) -> RequestSign
 {
     auto *flow = flowOf(board, head, upstream);
     if (flow == nullptr) {
-        return false;
+        return RequestSign::None;
     }
     if (head.flags.resets) {
         unwatch(board, *flow);
-        return false;
+        return RequestSign::None;
     }
     if (flow->stage == FlowStage::Opening) {
         takeAnswer(board, *flow, head, upstream);
     } else {
         takeProgress(board, *flow, head);
     }
-    const auto isOverdue = takeData(board, *flow, head);
+    const auto sign = takeData(board, *flow, head);
     flow->packetAt = FlowTable::clock(board.now.mono);
     if (head.flags.finishes) {
         unwatch(board, *flow);
     }
-    return isOverdue;
+    return sign;
 }
 
 auto unwatch(Blackboard &board, FlowEntry &flow) -> void
--- a/src/core/packets/flowwatch.h
+++ b/src/core/packets/flowwatch.h
@@ -11,6 +11,13 @@
 
 class Blackboard;
 
+/// What a packet of an open flow says of a request.
+enum class RequestSign : std::uint8_t {
+    None,    ///< It has no data, or its flow is not watched.
+    Asks,    ///< Data of a request that waits for its answer.
+    Overdue, ///< The same, and the first to show that its caller sent the request again.
+};
+
 /// Watches the flow of an opening packet that is forwarded to the upstream at `upstream`.
 /// Precondition: `flow` is in the table under the packet's key, or was claimed for it.
 auto watchOpening(Blackboard &board, FlowEntry &flow, const PacketHead &head,
@@ -18,8 +25,8 @@
 
 /// Takes a later packet of a flow that is forwarded to the upstream at `upstream`.
 /// Precondition: the packet opens nothing.
-/// @returns whether it is the first to show that a request is overdue: its caller sent it again.
-auto watchPacket(Blackboard &board, const PacketHead &head, std::uint32_t upstream) -> bool;
+/// @returns what it says of a request.
+auto watchPacket(Blackboard &board, const PacketHead &head, std::uint32_t upstream) -> RequestSign;
 
 /// Ends the watch of a flow: its request, if any, is no longer counted.
 auto unwatch(Blackboard &board, FlowEntry &flow) -> void;
--- a/src/core/packets/packetreason.cpp
+++ b/src/core/packets/packetreason.cpp
@@ -8,10 +8,11 @@
 namespace {
 
 /// In the order of `PacketReason`.
-constexpr std::array<std::string_view, 12> names {
-    "steered",      "steered-overdue", "placed",        "placed-elsewhere", "placed-on-trial",
-    "no-row",       "no-upstream",     "upstream-gone", "cookie-unknown",   "cookie-of-another",
-    "already-open", "malformed"
+constexpr std::array<std::string_view, 13> names {
+    "steered",         "steered-overdue", "placed",        "placed-elsewhere",
+    "placed-on-trial", "no-row",          "no-upstream",   "upstream-gone",
+    "upstream-silent", "cookie-unknown",  "cookie-of-another", "already-open",
+    "malformed"
 };
 
 } // namespace
--- a/src/core/packets/packetstate.h
+++ b/src/core/packets/packetstate.h
@@ -28,6 +28,8 @@
     MonoTime lastPacket;     ///< When a packet last came.
     MonoTime trustedFrom;    ///< Openings before this may have waited: their callers may have left.
     MonoTime lastSign;       ///< When any upstream last showed life.
+    MonoTime lastAnswered;   ///< When the newest opening or request that was answered was sent.
+    MonoTime answeredSince;  ///< Since when such were sent without a gap of `config::answerGap`.
     std::uint32_t swept = 0; ///< The next entry of `flows` to be looked at for a forgotten request.
 };
 
--- a/src/core/packets/packetsteering.cpp
+++ b/src/core/packets/packetsteering.cpp
@@ -118,7 +118,14 @@
     if (entry->presence == Presence::Removed) {
         return reset(head, PacketReason::UpstreamGone);
     }
-    const auto isOverdue = watchPacket(board, head, board.directory.indexOf(*entry));
+    const auto sign = watchPacket(board, head, board.directory.indexOf(*entry));
+    // A caller that may repeat its request does so at once on a new flow; one that may not would
+    // win nothing, as its flow was open. Gains requests in the seconds in which an upstream that
+    // died without a word is still listed.
+    if (sign != RequestSign::None && row.row->idempotent && isLost(board, *entry)) {
+        return reset(head, PacketReason::UpstreamSilent);
+    }
+    const auto isOverdue = sign == RequestSign::Overdue;
     return forward(*entry, head, isOverdue ? PacketReason::SteeredOverdue : PacketReason::Steered);
 }
 
--- a/src/core/packets/silence.cpp
+++ b/src/core/packets/silence.cpp
@@ -51,12 +51,37 @@
     auto &entry = board.directory.at(upstream);
     entry.evidence.heard = board.now.mono;
     entry.evidence.unanswered = 0;
+    entry.evidence.lostFlows = 0;
     board.packets.lastSign = board.now.mono;
     if (entry.evidence.silent) {
         hear(board, entry);
     }
 }
 
+auto noteAnswered(Blackboard &board, std::uint32_t sentAt) -> void
+{
+    const auto sentFor = FlowTable::clock(board.now.mono) - sentAt;
+    if (sentFor >= config::resendTime.count()) {
+        return; // Its caller may have sent it again, through another host.
+    }
+    const MonoTime sent = board.now.mono - std::chrono::milliseconds(sentFor);
+    auto &packets = board.packets;
+    if (sent - packets.lastAnswered >= config::answerGap) {
+        packets.answeredSince = sent;
+    }
+    packets.lastAnswered = std::max(packets.lastAnswered, sent);
+}
+
+auto noteLost(Blackboard &board, UpstreamEntry &entry, std::uint32_t sentAt) -> void
+{
+    const auto sentFor = FlowTable::clock(board.now.mono) - sentAt;
+    const MonoTime sent = board.now.mono - std::chrono::milliseconds(sentFor);
+    const auto &packets = board.packets;
+    const auto reachesOthers =
+            packets.answeredSince <= sent && packets.lastAnswered >= sent + config::resendTime;
+    entry.evidence.lostFlows += reachesOthers ? 1 : 0;
+}
+
 auto noteUnanswered(Blackboard &board, std::uint32_t upstream, std::uint32_t sentAt) -> void
 {
     auto &entry = board.directory.at(upstream);
@@ -70,6 +95,13 @@
     }
 }
 
+auto isLost(const Blackboard &board, const UpstreamEntry &entry) -> bool
+{
+    const auto &evidence = entry.evidence;
+    return evidence.silent && evidence.lostFlows >= config::lostFlows && entry.isNear
+           && board.now.mono >= board.packets.trustedFrom;
+}
+
 auto takeTrial(Blackboard &board, const ServicePool &pool) -> std::optional<std::uint32_t>
 {
     for (const auto index : pool.silent) {
--- a/src/core/packets/silence.h
+++ b/src/core/packets/silence.h
@@ -11,11 +11,15 @@
 
 class Blackboard;
 struct ServicePool;
+struct UpstreamEntry;
 struct UpstreamEvidence;
 
 /// Takes a sign of life of the upstream at `upstream`. Precondition: it is in the directory.
 auto noteSign(Blackboard &board, std::uint32_t upstream) -> void;
 
+/// Takes that an opening or a request, forwarded at `sentAt` of `FlowTable::clock`, was answered.
+auto noteAnswered(Blackboard &board, std::uint32_t sentAt) -> void;
+
 /// Takes an opening or a request, forwarded at `sentAt` of `FlowTable::clock`, that was not
 /// answered in time.
 ///
@@ -24,6 +28,18 @@
 /// Precondition: as above.
 auto noteUnanswered(Blackboard &board, std::uint32_t upstream, std::uint32_t sentAt) -> void;
 
+/// Takes that a request of an upstream, first forwarded at `sentAt`, was sent a third time.
+///
+/// It counts only if others answered what this host sent them from before the request until after
+/// its first resend. A host that is cut off, or was, reached nobody then.
+auto noteLost(Blackboard &board, UpstreamEntry &entry, std::uint32_t sentAt) -> void;
+
+/// Returns whether an upstream is so surely silent that open flows need not wait for it: besides
+/// what makes it silent, `config::lostFlows` callers sent it a request three times while others
+/// answered this host. Upstreams of other zones never are: those zones may be cut off.
+/// Precondition: `entry` is of the board's directory.
+[[nodiscard]] auto isLost(const Blackboard &board, const UpstreamEntry &entry) -> bool;
+
 /// Returns for how many milliseconds nothing was heard of an upstream, or "never", for the log.
 [[nodiscard]] auto heardAgo(MonoTime now, const UpstreamEvidence &evidence) -> std::string;
 
--- a/tests/unit/silencetest.cpp
+++ b/tests/unit/silencetest.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 
 namespace flamingograde {
 
@@ -264,4 +265,124 @@
     CHECK(host.open(3000).targets[0].instance == InstanceId(4));
 }
 
+namespace {
+
+/// Plays requests on open flows: each `step` one at upstream 1 that is answered after 20 ms, and at
+/// upstream 2, on flows 1 to `count`, one that its caller sends again after 200 and 600 ms.
+class LostPlay
+{
+public:
+    explicit LostPlay(PacketBoard &board) : host(board) {}
+
+    /// Sends the request of a flow at upstream 2. @returns the decision.
+    auto ask(std::uint16_t port) -> PacketDecision
+    {
+        return this->host.steer(request(port, 2, 2000));
+    }
+
+    /// Lets time pass; upstream 1 answers meanwhile if `others` do.
+    auto pass(Duration duration, bool others) -> void
+    {
+        for (Duration done { 0 }; done < duration; done += step) {
+            const auto from = this->next;
+            this->next += 100;
+            this->host.steer(request(800, 1, from));
+            this->host.pass(step / 2);
+            auto answered = request(800, 1, from + 100);
+            answered.dataBytes = 0;
+            answered.acknowledged = others ? from : 5001;
+            this->host.steer(answered);
+            this->host.pass(step / 2);
+        }
+    }
+
+    /// Plays two flows whose requests nobody answers. @returns the decision on a third one.
+    auto play(bool othersBefore, bool othersMeanwhile, bool othersAfter) -> PacketDecision
+    {
+        this->pass(600ms, othersBefore);
+        this->ask(1);
+        this->ask(2);
+        this->pass(200ms, othersMeanwhile);
+        this->ask(1);
+        this->ask(2);
+        this->pass(400ms, othersAfter);
+        this->ask(1);
+        this->ask(2);
+        return this->ask(3);
+    }
+
+    static auto request(std::uint16_t port, std::uint64_t upstream, std::uint32_t sequence)
+            -> PacketHead
+    {
+        auto head = PacketBoard::following(port, Cookie::of(InstanceId(upstream)), feedAddress);
+        head.sequence = sequence;
+        head.dataBytes = 100;
+        return head;
+    }
+
+    static constexpr Duration step = 40ms;
+
+private:
+    PacketBoard &host;
+    std::uint32_t next = 100000;
+};
+
+} // namespace
+
+TEST_CASE("requests at an upstream that answers nobody are reset, so that callers repeat them",
+          "[silence][lost]")
+{
+    PacketBoard host;
+    LostPlay play(host);
+    const auto third = play.play(true, true, true);
+    CHECK(third.verdict == PacketVerdict::Reset);
+    CHECK(third.reason == PacketReason::UpstreamSilent);
+    // Acknowledgements without data are carried on, and one sign of life ends it.
+    auto progress = LostPlay::request(1, 2, 2100);
+    progress.dataBytes = 0;
+    progress.acknowledged = 6000;
+    CHECK(host.steer(progress).verdict == PacketVerdict::Forward);
+    CHECK(play.ask(4).verdict == PacketVerdict::Forward);
+}
+
+TEST_CASE("a request that may not be repeated waits for its upstream", "[silence][lost]")
+{
+    PacketBoard host;
+    auto row = packetRow("feed", feedAddress, "live");
+    row.idempotent = false;
+    host.takeRows({ row, packetRow("papers", papersAddress, "papers") });
+    CHECK(LostPlay(host).play(true, true, true).verdict == PacketVerdict::Forward);
+}
+
+TEST_CASE("a host that reached nobody takes no upstream for lost", "[silence][lost]")
+{
+    // Cut off from before the requests, from after them, until the third time they are sent, or
+    // between the first resend and the second.
+    for (const auto &[before, meanwhile, after] :
+         { std::tuple(false, false, false), std::tuple(true, false, false),
+           std::tuple(false, false, true), std::tuple(true, false, true),
+           std::tuple(true, true, false) }) {
+        PacketBoard host;
+        CHECK(LostPlay(host).play(before, meanwhile, after).verdict == PacketVerdict::Forward);
+    }
+}
+
+TEST_CASE("a slow upstream that acknowledges resends is not lost", "[silence][lost]")
+{
+    // Eight requests of 1.6 s each: every caller sends its request twice, no one a third time.
+    PacketBoard host;
+    LostPlay play(host);
+    play.pass(600ms, true);
+    for (std::uint16_t port = 1; port <= 8; ++port) {
+        play.ask(port);
+    }
+    play.pass(200ms, true);
+    for (std::uint16_t port = 1; port <= 8; ++port) {
+        CHECK(play.ask(port).verdict == PacketVerdict::Forward);
+    }
+    play.pass(1400ms, true);
+    REQUIRE(host.entry(2).evidence.silent);
+    CHECK(play.ask(9).verdict == PacketVerdict::Forward);
+}
+
 } // namespace flamingograde
