--- a/tests/unit/directorycontrollertest.cpp
+++ b/tests/unit/directorycontrollertest.cpp
@@ -278,7 +278,7 @@
     for (int i = 0; i < others; ++i) {
         hosts.push_back(host.meet("near-" + std::to_string(i), "a"));
     }
-    const auto tell = [&](HostId id, double mbps, bool readsFail) {
+    const auto tell = [&](HostId id, std::uint32_t mbps, bool readsFail) {
         Gossip gossip;
         gossip.linkMbps = mbps;
         gossip.readsFail = readsFail;
--- a/tests/unit/settingstests.cpp
+++ b/tests/unit/settingstests.cpp
@@ -87,6 +87,23 @@
     CHECK(settings->init.seed == HostId::ofName("a").value());
 }
 
+TEST_CASE("the bandwidth of a host's link is rounded up, and above 0", "[settings]")
+{
+    const auto read = [](const std::string &value) {
+        return parseSettings("[host]\nname = \"a\"\nzone = \"z\"\nlink_mbps = " + value
+                                     + "\n[platform]\naddress = \"10.0.0.1:80\"\n",
+                             "host.toml");
+    };
+    CHECK(read("200.0")->init.linkMbps == 200);
+    CHECK(read("10.5")->init.linkMbps == 11);
+    CHECK(read("1e300")->init.linkMbps == 1000000);
+    for (const auto *wrong : { "0", "-5", "nan", "inf", "\"wide\"" }) {
+        const auto settings = read(wrong);
+        REQUIRE_FALSE(settings);
+        CHECK(hasFinding(settings.error(), 4, "link_mbps"));
+    }
+}
+
 TEST_CASE("all faults are told at once, each in its place", "[settings]")
 {
     const auto settings = parseSettings("[host]\n"
