--- a/src/core/directory/directory.cpp
+++ b/src/core/directory/directory.cpp
@@ -142,7 +142,6 @@
 {
     ++entry.life;
     entry.evidence = UpstreamEvidence();
-    this->poolsStale = true;
     changes.restarted.push_back(this->indexOf(entry));
 }
 
--- a/src/core/packets/silence.cpp
+++ b/src/core/packets/silence.cpp
@@ -36,6 +36,13 @@
     board.notes.push_back({ LogEvent::UpstreamHeard, describeUpstream(entry) });
 }
 
+/// Returns when something was sent whose time is `sentAt` of `FlowTable::clock`.
+auto timeOf(const Blackboard &board, std::uint32_t sentAt) -> MonoTime
+{
+    const auto sentFor = FlowTable::clock(board.now.mono) - sentAt;
+    return board.now.mono - std::chrono::milliseconds(sentFor);
+}
+
 } // namespace
 
 auto heardAgo(MonoTime now, const UpstreamEvidence &evidence) -> std::string
@@ -60,11 +67,10 @@
 
 auto noteAnswered(Blackboard &board, std::uint32_t sentAt) -> void
 {
-    const auto sentFor = FlowTable::clock(board.now.mono) - sentAt;
-    if (sentFor >= config::resendTime.count()) {
+    const auto sent = timeOf(board, sentAt);
+    if (board.now.mono - sent >= config::resendTime) {
         return; // Its caller may have sent it again, through another host.
     }
-    const MonoTime sent = board.now.mono - std::chrono::milliseconds(sentFor);
     auto &packets = board.packets;
     if (sent - packets.lastAnswered >= config::answerGap) {
         packets.answeredSince = sent;
@@ -74,8 +80,7 @@
 
 auto noteLost(Blackboard &board, UpstreamEntry &entry, std::uint32_t sentAt) -> void
 {
-    const auto sentFor = FlowTable::clock(board.now.mono) - sentAt;
-    const MonoTime sent = board.now.mono - std::chrono::milliseconds(sentFor);
+    const auto sent = timeOf(board, sentAt);
     const auto &packets = board.packets;
     const auto reachesOthers =
             packets.answeredSince <= sent && packets.lastAnswered >= sent + config::resendTime;
