--- a/include/flamingograde/init.h
+++ b/include/flamingograde/init.h
@@ -17,10 +17,9 @@
 /// The settings of the deciding library. The defaults are those of `config.h`.
 struct Init
 {
-    Member self;                        ///< This host: name, zone and addresses.
+    Member self;                        ///< This host: name, zone, addresses and link.
     std::vector<Member> seeds;          ///< Peers to ask first; may be incomplete or out of date.
     std::vector<Address> seedAddresses; ///< Peer addresses of hosts whose names are not known.
-    std::uint32_t linkMbps = 0;         ///< Bandwidth of this host's link, in Mbit/s; 0: not known.
     bool readsDirectory = false;        ///< The platform publishes a directory in place of a table.
     PacketPolicy packetPolicy = PacketPolicy::LeastBusy; ///< How new flows are placed.
     std::size_t flowsTracked = 0;     ///< Packet flows that are watched; 0: no packets are carried.
--- a/include/flamingograde/logevent.h
+++ b/include/flamingograde/logevent.h
@@ -38,6 +38,7 @@
     PeerConnected       = 305,
     PeerSilent          = 306, ///< A peer connection went silent and is replaced.
     PeerMessageBad      = 307, ///< A malformed or oversized peer message.
+    MembersChanged      = 308, ///< Hosts of the own zone came, stop, or ended.
     // 4xx: homes and keys.
     TenureBegan         = 400, ///< This host is home of cells.
     TenureEnded         = 401, ///< This host is no longer home of cells.
--- a/include/flamingograde/message.h
+++ b/include/flamingograde/message.h
@@ -24,6 +24,13 @@
     std::uint32_t queued = 0;  ///< Requests waiting.
 };
 
+/// What a host keeps a connection with another one for.
+enum class LinkUse : std::uint8_t {
+    None,  ///< Nothing: it may be closed.
+    Spare, ///< In reserve, or to tell hosts of other zones.
+    Feed,  ///< To be sent what is new.
+};
+
 /// What every membership message carries beside its purpose.
 struct Gossip
 {
@@ -37,7 +44,7 @@
     bool agreed = false;          ///< The sender knows all hosts to have had these placements.
     Revision directory;           ///< The sender has all changes of the directory up to this.
     std::uint32_t members = 0;    ///< Digest of the hosts that the sender holds to be at work.
-    std::uint32_t linkMbps = 0;   ///< Bandwidth of the sender's link; 0: not known.
+    LinkUse linkUse = LinkUse::None; ///< What the sender keeps the connection for.
     bool readsFail = false;       ///< The sender's own reads of the directory fail.
 };
 
--- a/src/core/blackboard.h
+++ b/src/core/blackboard.h
@@ -8,6 +8,7 @@
 #include "core/homes/tenurestate.h"
 #include "core/keys/keyregistry.h"
 #include "core/membership/membershipstate.h"
+#include "core/overlay/linkstate.h"
 #include "core/packets/packetstate.h"
 #include "core/placement/placedshares.h"
 #include "core/requests/exchangestore.h"
@@ -53,6 +54,7 @@
     PacketState packets;             ///< Packet flows that are watched.
     std::vector<Log> notes;          ///< What packets changed; logged with the next tick.
     MembershipState membership;      ///< The other hosts.
+    LinkState links;                 ///< With which of them this host keeps connections.
     TenureState tenure;              ///< The cells this host is home of.
     ExchangeStore exchanges;         ///< Requests under way.
     FeedStore feeds;                 ///< Feeds held.
--- a/src/core/controllers.cpp
+++ b/src/core/controllers.cpp
@@ -9,6 +9,7 @@
 {
     if (init.readsDirectory) {
         this->directory.emplace();
+        this->membership.emplace<OverlayController>();
     } else {
         this->requests.emplace(init.policy);
     }
@@ -19,7 +20,7 @@
     if (this->requests) {
         this->requests->configure(board, event);
     }
-    this->membership.handle(board, event);
+    std::visit([&](auto &membership) { membership.handle(board, event); }, this->membership);
     if (this->directory) {
         this->directory->handle(board, event);
     }
--- a/src/core/controllers.h
+++ b/src/core/controllers.h
@@ -4,12 +4,14 @@
 #include "core/directory/directorycontroller.h"
 #include "core/membership/membershipcontroller.h"
 #include "core/packets/packetcontroller.h"
+#include "core/overlay/overlaycontroller.h"
 #include "core/requestcontrollers.h"
 #include "core/stop/stopcontroller.h"
 
 #include <flamingograde/event.h>
 
 #include <optional>
+#include <variant>
 
 namespace flamingograde {
 
@@ -18,7 +20,8 @@
 
 /// Owns the controllers. Each reads and writes the blackboard; none calls another.
 ///
-/// A host that reads a directory has no HTTP rows: it has no controllers for them.
+/// A host that reads a directory has no HTTP rows: it has no controllers for them, and the
+/// membership that needs no agreement.
 /// @remarks Not thread safe.
 class Controllers
 {
@@ -32,7 +35,7 @@
 private:
     std::optional<RequestControllers> requests;
     std::optional<DirectoryController> directory;
-    MembershipController membership;
+    std::variant<MembershipController, OverlayController> membership;
     StopController stop;
     PacketController packet;
 };
--- a/src/core/directory/directorycontroller.cpp
+++ b/src/core/directory/directorycontroller.cpp
@@ -6,6 +6,8 @@
 #include "core/directory/readerelection.h"
 #include "core/membership/gossip.h"
 #include "core/membership/ownzone.h"
+#include "core/overlay/fleetsize.h"
+#include "core/overlay/linkchoice.h"
 #include "core/overloaded.h"
 
 #include <flamingograde/config.h>
@@ -40,20 +42,6 @@
     record->directory = update.upTo;
 }
 
-/// Sends an update to the other hosts of the zone.
-auto pushToZone(Blackboard &board, const DirectoryUpdate &update) -> void
-{
-    std::vector<HostId> hosts;
-    for (const auto &[id, record] : board.membership.records()) {
-        if (id != board.membership.self && isInOwnZone(board, record)) {
-            hosts.push_back(id);
-        }
-    }
-    for (const auto host : hosts) {
-        push(board, host, update);
-    }
-}
-
 /// Tells the hosts of the zone, and one of each other, that this host's reads fail or no longer do.
 auto tellReadsFail(Blackboard &board) -> void
 {
@@ -84,21 +72,13 @@
 /// and a storm of versions, served requests rose from 0.88 to 0.99 of all.
 auto patienceWith(const Blackboard &board, const MemberRecord &newer) -> Duration
 {
-    const auto isSmall = board.membership.records().size() <= config::flatMembershipHosts;
-    if (isSmall || !board.directory.revision().isValid()) {
+    if (!isLargeFleet(board) || !board.directory.revision().isValid()) {
         return Duration(0);
     }
     return isInOwnZone(board, newer) ? Duration(config::directoryAskZone)
                                      : Duration(config::directoryAskFar);
 }
 
-/// Returns whether a host of this one's zone sent an update, so that it pushes to the zone itself.
-auto isPushedByZone(const Blackboard &board, HostId from) -> bool
-{
-    const auto *member = board.membership.find(from);
-    return member != nullptr && from != board.init.self.id && member->zone == board.init.self.zone;
-}
-
 } // namespace
 
 auto DirectoryController::handle(Blackboard &board, const Event &event) -> void
@@ -232,7 +212,6 @@
     }
     record->directory = gossip.directory;
     record->readsFail = gossip.readsFail;
-    record->linkMbps = gossip.linkMbps;
     if (board.directory.revision() < gossip.directory) {
         this->askIfDue(board, *record);
     }
@@ -294,10 +273,9 @@
     ++board.stats.directoryUpdates;
     board.stats.upstreamRestarts += changes.restarted.size();
     logChanges(board, changes);
-    if (isPushedByZone(board, from)) {
-        return;
+    for (const auto host : spreadTargets(board, from)) {
+        push(board, host, update);
     }
-    pushToZone(board, update);
     if (from == board.membership.self) {
         for (const auto host : directoryBridges(board)) {
             push(board, host, update);
--- a/src/core/directory/directorycontroller.h
+++ b/src/core/directory/directorycontroller.h
@@ -17,9 +17,9 @@
 
 /// Reads and watches the platform's directory and spreads its changes between hosts.
 ///
-/// Few hosts watch (see `isDirectoryReader`). They push changes to their zone and to one host of
-/// each other zone, which pushes them on; whoever is missed hears of a newer revision by gossip and
-/// asks for the changes. A host that hears nothing for too long reads for itself.
+/// Few hosts watch (see `isDirectoryReader`). They push changes to the hubs of their zone and to
+/// one host of each other zone; hubs push them on to the hosts that they feed (`spreadTargets`).
+/// Whoever is missed hears of a newer revision by gossip and asks for the changes. A host that hears nothing for too long reads for itself.
 /// @remarks Not thread safe. Throws nothing.
 class DirectoryController
 {
--- a/src/core/directory/readerelection.cpp
+++ b/src/core/directory/readerelection.cpp
@@ -2,6 +2,8 @@
 #include "core/directory/readerelection.h"
 
 #include "core/blackboard.h"
+#include "core/overlay/fleetsize.h"
+#include "core/overlay/zonehubs.h"
 #include "core/rendezvous.h"
 
 #include <flamingograde/config.h>
@@ -12,16 +14,15 @@
 
 namespace {
 
-/// The key under which readers and their zones are drawn.
-const auto readerKey = hashName("directory reader");
+/// The key under which zones are drawn whose candidates read.
+const auto zoneKey = hashName("directory reader");
 
 /// A zone's candidate.
 struct Candidate
 {
     HostId host;
     bool fails = false;         ///< Its reads fail, as those of all reachable hosts of its zone.
-    std::uint32_t linkMbps = 0; ///< Of its link; 0: not known.
-    double score = 0;
+    HubRank rank;
 };
 
 /// Returns whether this host hears from another one.
@@ -39,11 +40,6 @@
     return record.member.id == board.membership.self ? board.directoryReadsFail : record.readsFail;
 }
 
-auto linkOf(const Blackboard &board, const MemberRecord &record) -> std::uint32_t
-{
-    return record.member.id == board.membership.self ? board.init.linkMbps : record.linkMbps;
-}
-
 /// Returns whether `a` goes before `b`.
 ///
 /// A reader's link carries each version from the platform, and to each host of its zone. A storm
@@ -54,7 +50,7 @@
     if (a.fails != b.fails) {
         return b.fails;
     }
-    return a.linkMbps != b.linkMbps ? a.linkMbps > b.linkMbps : a.score > b.score;
+    return a.rank.isBefore(b.rank);
 }
 
 /// Returns the candidate of each zone that has a reachable host.
@@ -65,8 +61,7 @@
         if (!isReachable(board, record)) {
             continue;
         }
-        const Candidate candidate { id, readsFail(board, record), linkOf(board, record),
-                                    rendezvousScore(readerKey, { id.value() }) };
+        const Candidate candidate { id, readsFail(board, record), hubRankOf(record.member) };
         const auto [found, added] = candidates.emplace(record.member.zone, candidate);
         if (!added && isBetter(candidate, found->second)) {
             found->second = candidate;
@@ -84,12 +79,12 @@
     if (own == candidates.end() || own->second.host != board.membership.self) {
         return false;
     }
-    if (board.membership.records().size() > config::flatMembershipHosts) {
+    if (isLargeFleet(board)) {
         return true;
     }
     const auto rankOf = [](const std::pair<const ZoneId, Candidate> &entry) {
-        return Candidate { entry.second.host, entry.second.fails, 0,
-                           rendezvousScore(readerKey, { entry.first.value() }) };
+        const auto score = rendezvousScore(zoneKey, { entry.first.value() });
+        return Candidate { entry.second.host, entry.second.fails, HubRank { 0, score } };
     };
     std::size_t better = 0;
     for (const auto &entry : candidates) {
--- a/src/core/logevent.cpp
+++ b/src/core/logevent.cpp
@@ -11,7 +11,7 @@
 
 using Name = std::pair<LogEvent, std::string_view>;
 
-constexpr std::array<Name, 57> names { {
+constexpr std::array<Name, 58> names { {
         { LogEvent::Started, "Started" },
         { LogEvent::StopBegan, "StopBegan" },
         { LogEvent::StopWaits, "StopWaits" },
@@ -37,6 +37,7 @@
         { LogEvent::PeerConnected, "PeerConnected" },
         { LogEvent::PeerSilent, "PeerSilent" },
         { LogEvent::PeerMessageBad, "PeerMessageBad" },
+        { LogEvent::MembersChanged, "MembersChanged" },
         { LogEvent::TenureBegan, "TenureBegan" },
         { LogEvent::TenureEnded, "TenureEnded" },
         { LogEvent::KeyAnsweredAgain, "KeyAnsweredAgain" },
--- a/src/core/membership/dialer.cpp
+++ b/src/core/membership/dialer.cpp
@@ -1,12 +1,10 @@
-/// Whom to be connected with, and when to dial.
+/// When to dial.
 #include "core/membership/dialer.h"
 
 #include "core/blackboard.h"
 #include "core/membership/ownzone.h"
-#include "core/rendezvous.h"
 
 #include <algorithm>
-#include <map>
 
 namespace flamingograde {
 
@@ -22,11 +20,10 @@
 
 } // namespace
 
-auto Dialer::tick(Blackboard &board) -> void
+auto Dialer::tick(Blackboard &board, const std::vector<HostId> &wanted) -> void
 {
-    this->choose(board);
     const auto now = board.now.mono;
-    for (const auto host : this->wanted) {
+    for (const auto host : wanted) {
         auto *record = board.membership.record(host);
         if (record == nullptr || record->connected || now < record->nextDial) {
             continue;
@@ -65,37 +62,4 @@
     record->nextDial = board.now.mono + Duration(draw(board.random));
 }
 
-auto Dialer::choose(const Blackboard &board) -> void
-{
-    const auto &records = board.membership.records();
-    if (this->chosenVersion == board.membership.version() && this->chosenSize == records.size()) {
-        return;
-    }
-    this->chosenVersion = board.membership.version();
-    this->chosenSize = records.size();
-    this->wanted.clear();
-    const auto flat = records.size() <= config::flatMembershipHosts;
-    std::map<ZoneId, std::multimap<double, HostId>> others;
-    const auto self = board.membership.self;
-    for (const auto &[id, record] : records) {
-        if (id == self) {
-            continue;
-        }
-        if (flat || isInOwnZone(board, record)) {
-            this->wanted.insert(id);
-        } else if (record.member.state != MemberState::Dead) {
-            others[record.member.zone].emplace(-rendezvousScore(self.value(), { id.value() }), id);
-        }
-    }
-    for (const auto &[zone, ranked] : others) {
-        std::size_t bridges = 0;
-        for (const auto &[score, id] : ranked) {
-            if (bridges++ == config::bridgesPerZone) {
-                break;
-            }
-            this->wanted.insert(id);
-        }
-    }
-}
-
 } // namespace flamingograde
--- a/src/core/membership/failuredetector.cpp
+++ b/src/core/membership/failuredetector.cpp
@@ -3,9 +3,9 @@
 
 #include "core/blackboard.h"
 #include "core/membership/deathevidence.h"
-#include "core/membership/dialer.h"
 #include "core/membership/gossip.h"
 #include "core/membership/membermerge.h"
+#include "core/membership/meshlinks.h"
 #include "core/membership/ownzone.h"
 
 #include <algorithm>
@@ -61,7 +61,7 @@
 
 } // namespace
 
-auto FailureDetector::tick(Blackboard &board, const Dialer &dialer) -> void
+auto FailureDetector::tick(Blackboard &board, const MeshLinks &mesh) -> void
 {
     this->expireProbes(board);
     if (board.membership.isIsolated(board.now.mono)) {
@@ -69,7 +69,7 @@
     }
     if (board.now.mono >= this->nextProbe) {
         this->nextProbe = board.now.mono + config::probePeriod;
-        this->probeNext(board, dialer);
+        this->probeNext(board, mesh);
         this->introduce(board);
     }
     this->keepContact(board);
@@ -166,10 +166,10 @@
     }
 }
 
-auto FailureDetector::probeNext(Blackboard &board, const Dialer &dialer) -> void
+auto FailureDetector::probeNext(Blackboard &board, const MeshLinks &mesh) -> void
 {
     const auto isProbed = [&](const MemberRecord &record) {
-        return record.member.id != board.membership.self && dialer.wants(record.member.id)
+        return record.member.id != board.membership.self && mesh.wants(record.member.id)
                && (record.member.state != MemberState::Dead || record.connected);
     };
     if (this->ring.empty()) {
--- a/src/core/membership/failuredetector.h
+++ b/src/core/membership/failuredetector.h
@@ -14,7 +14,7 @@
 namespace flamingograde {
 
 class Blackboard;
-class Dialer;
+class MeshLinks;
 struct MemberRecord;
 
 /// Probes one host a period, asks others to probe a silent one, suspects it, and declares it dead
@@ -29,7 +29,7 @@
 {
 public:
     /// Probes and judges what is due. Precondition: to be called on each `Tick`.
-    auto tick(Blackboard &board, const Dialer &dialer) -> void;
+    auto tick(Blackboard &board, const MeshLinks &mesh) -> void;
     /// Takes the answer to a probe.
     auto acked(Blackboard &board, const Ack &ack) -> void;
     /// Probes a host for another one.
@@ -57,7 +57,7 @@
         bool expired = false;
     };
 
-    auto probeNext(Blackboard &board, const Dialer &dialer) -> void;
+    auto probeNext(Blackboard &board, const MeshLinks &mesh) -> void;
     auto introduce(Blackboard &board) -> void;
     auto keepContact(Blackboard &board) -> void;
     auto probe(Blackboard &board, HostId target, std::optional<Requester> requester) -> void;
--- a/src/core/membership/gossip.cpp
+++ b/src/core/membership/gossip.cpp
@@ -28,8 +28,8 @@
     return ms > static_cast<std::int64_t>(unknownAge) ? unknownAge : static_cast<std::uint32_t>(ms);
 }
 
-/// Returns the part of the gossip that does not concern members.
-auto makeBase(Blackboard &board) -> Gossip
+/// Returns the part of the gossip to `host` that does not concern members.
+auto makeBase(Blackboard &board, HostId host) -> Gossip
 {
     Gossip gossip;
     gossip.loads = board.cells.ownLoads();
@@ -40,7 +40,7 @@
     gossip.platformAgeMs = platformAgeMs(board);
     gossip.directory = board.directory.revision();
     gossip.readsFail = board.directoryReadsFail;
-    gossip.linkMbps = board.init.linkMbps;
+    gossip.linkUse = board.links.useOf(host);
     gossip.members = board.membership.digest();
     return gossip;
 }
@@ -64,9 +64,9 @@
 
 /// Returns gossip of all members for which `isWanted` holds and that are still told of.
 template<typename Predicate>
-auto gossipOfMembers(Blackboard &board, Predicate isWanted) -> Gossip
+auto gossipOfMembers(Blackboard &board, HostId host, Predicate isWanted) -> Gossip
 {
-    auto gossip = makeBase(board);
+    auto gossip = makeBase(board, host);
     for (const auto &[id, record] : board.membership.records()) {
         if (isWanted(record.member) && isTold(board, record)) {
             gossip.updates.push_back(record.member);
@@ -97,7 +97,7 @@
 
 auto makeGossip(Blackboard &board, HostId host) -> Gossip
 {
-    auto gossip = makeBase(board);
+    auto gossip = makeBase(board, host);
     for (auto *record : freshest(board.membership)) {
         --record->tellings;
         gossip.updates.push_back(record->member);
@@ -111,9 +111,9 @@
     return gossip;
 }
 
-auto makeFullGossip(Blackboard &board) -> Gossip
+auto makeFullGossip(Blackboard &board, HostId host) -> Gossip
 {
-    return gossipOfMembers(board, [](const Member &) { return true; });
+    return gossipOfMembers(board, host, [](const Member &) { return true; });
 }
 
 auto sendZoneView(Blackboard &board, HostId host) -> void
@@ -121,7 +121,7 @@
     const auto isOwnZone = [zone = board.init.self.zone](const Member &member) {
         return member.zone == zone;
     };
-    sendPeer(board, host, Ping { 0, gossipOfMembers(board, isOwnZone) });
+    sendPeer(board, host, Ping { 0, gossipOfMembers(board, host, isOwnZone) });
 }
 
 auto pushGossip(Blackboard &board) -> void
--- a/src/core/membership/gossip.h
+++ b/src/core/membership/gossip.h
@@ -17,8 +17,8 @@
 /// this host's loads and table.
 [[nodiscard]] auto makeGossip(Blackboard &board, HostId host) -> Gossip;
 
-/// Returns all that this host knows of the fleet, for a host whose view differs.
-[[nodiscard]] auto makeFullGossip(Blackboard &board) -> Gossip;
+/// Returns all that this host knows of the fleet, for `host`, whose view differs.
+[[nodiscard]] auto makeFullGossip(Blackboard &board, HostId host) -> Gossip;
 
 /// Returns whether `record` is still worth telling of: dead hosts are, while someone may not know.
 [[nodiscard]] auto isTold(const Blackboard &board, const MemberRecord &record) -> bool;
--- a/src/core/membership/listexchange.cpp
+++ b/src/core/membership/listexchange.cpp
@@ -34,7 +34,7 @@
         return;
     }
     if (this->takeAllowance(board)) {
-        sendPeer(board, from, Ping { 0, makeFullGossip(board) });
+        sendPeer(board, from, Ping { 0, makeFullGossip(board, from) });
     } else if (record.isNew && isInOwnZone(board, record)) {
         sendZoneView(board, from); // Hosts of a zone decide together who is home of a cell.
     } else {
--- a/src/core/membership/membermerge.cpp
+++ b/src/core/membership/membermerge.cpp
@@ -79,18 +79,27 @@
 
 } // namespace
 
-auto addMember(Blackboard &board, Member member) -> MemberRecord &
+auto insertMember(Blackboard &board, Member member) -> std::pair<MemberRecord &, bool>
 {
     member.id = HostId::ofName(member.name);
     member.zone = ZoneId::ofName(member.zoneName);
     const auto [found, added] = board.membership.records().try_emplace(member.id);
     auto &record = found->second;
+    if (added) {
+        record.member = std::move(member);
+        record.heard = board.now.mono;
+        noteLeaving(record);
+        board.membership.touch();
+    }
+    return { record, added };
+}
+
+auto addMember(Blackboard &board, Member member) -> MemberRecord &
+{
+    const auto [record, added] = insertMember(board, std::move(member));
     if (!added) {
         return record;
     }
-    record.member = std::move(member);
-    record.heard = board.now.mono;
-    noteLeaving(record);
     markChanged(board, record);
     if (record.member.id != board.membership.self) {
         logState(board, record.member);
--- a/src/core/membership/membermerge.h
+++ b/src/core/membership/membermerge.h
@@ -6,10 +6,16 @@
 #include <flamingograde/ids.h>
 #include <flamingograde/member.h>
 
+#include <utility>
+
 namespace flamingograde {
 
 class Blackboard;
 
+/// Adds a member if it is new, and tells nobody of it.
+/// @returns its record, and whether it was added.
+auto insertMember(Blackboard &board, Member member) -> std::pair<MemberRecord &, bool>;
+
 /// Adds a member that a seed or the platform names, if it is new.
 /// @returns its record; `MemberRecord::member` is left as it is where it was known.
 auto addMember(Blackboard &board, Member member) -> MemberRecord &;
--- a/src/core/membership/memberrecord.h
+++ b/src/core/membership/memberrecord.h
@@ -1,6 +1,8 @@
 /// What this host notes of one member beside what the membership protocol carries.
 #pragma once
 
+#include "core/overlay/linkrecord.h"
+
 #include <flamingograde/clock.h>
 #include <flamingograde/member.h>
 #include <flamingograde/revision.h>
@@ -14,6 +16,7 @@
 struct MemberRecord
 {
     Member member;
+    LinkRecord link;              ///< Its connection, on hosts that keep few.
     MonoTime changed;             ///< When its state or incarnation last changed.
     MonoTime heard;               ///< When it last sent anything; when it was added, before that.
     MonoTime acked;               ///< When the newest probe that it answered was sent.
@@ -28,7 +31,6 @@
     std::uint32_t refusals = 0;   ///< Refused dials in a row.
     std::uint32_t tellings = 0;   ///< How often its last change is still to be gossiped.
     std::optional<MonoTime> differsSince; ///< Since when its view of the fleet is another one.
-    std::uint32_t linkMbps = 0;           ///< Of its link, as it last said; 0: not known.
     bool readsFail = false;               ///< Its reads of the directory fail, as it last said.
     bool everHeard = false;
     bool connected = false;
--- a/src/core/membership/membershipcontroller.cpp
+++ b/src/core/membership/membershipcontroller.cpp
@@ -4,7 +4,7 @@
 #include "core/blackboard.h"
 #include "core/membership/gossip.h"
 #include "core/membership/membermerge.h"
-#include "core/milliseconds.h"
+#include "core/membership/membershipstart.h"
 #include "core/overloaded.h"
 
 #include <vector>
@@ -102,24 +102,7 @@
 {
     this->started = true;
     this->lastEvent = board.now.mono;
-    auto &self = board.init.self;
-    self.id = HostId::ofName(self.name);
-    self.zone = ZoneId::ofName(self.zoneName);
-    if (self.incarnation == 0) {
-        const auto age = board.now.wall.time_since_epoch();
-        self.incarnation = static_cast<std::uint64_t>(
-                std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
-    }
-    auto &membership = board.membership;
-    membership.self = self.id;
-    membership.seeded = !board.init.seeds.empty() || !board.init.seedAddresses.empty();
-    membership.startedAt = board.now.mono;
-    membership.pausedAt = board.now.mono;
-    membership.contactAt = board.now.mono - config::pauseThreshold;
-    addMember(board, self);
-    for (const auto &seed : board.init.seeds) {
-        addMember(board, seed);
-    }
+    beginMembership(board);
 }
 
 auto MembershipController::noticePause(Blackboard &board) -> void
@@ -129,10 +112,7 @@
     if (gap <= config::pauseThreshold) {
         return;
     }
-    ++board.stats.pauses;
-    ++board.membership.pauses;
-    board.membership.pausedAt = board.now.mono;
-    board.log(LogEvent::PauseNoticed, "ms=" + std::to_string(milliseconds(gap)));
+    notePause(board, gap);
     this->detector.reset(board);
     raiseIncarnation(board, 0);
 }
@@ -214,9 +194,10 @@
         changeMember(board, *board.membership.record(board.membership.self), MemberState::Dead);
         return;
     }
-    this->dialer.tick(board);
+    this->mesh.choose(board);
+    this->dialer.tick(board, this->mesh.wanted());
     this->seeds.tick(board);
-    this->detector.tick(board, this->dialer);
+    this->detector.tick(board, this->mesh);
     board.membership.refresh();
     board.stats.membersAlive = board.membership.aliveCount();
 }
--- a/src/core/membership/membershipcontroller.h
+++ b/src/core/membership/membershipcontroller.h
@@ -4,6 +4,7 @@
 #include "core/membership/dialer.h"
 #include "core/membership/failuredetector.h"
 #include "core/membership/listexchange.h"
+#include "core/membership/meshlinks.h"
 #include "core/membership/seeddialer.h"
 
 #include <flamingograde/clock.h>
@@ -35,8 +36,9 @@
     auto on(Blackboard &board, const Tick &tick) -> void;
     auto leave(Blackboard &board) -> void;
 
+    MeshLinks mesh;
     Dialer dialer;
-    SeedDialer seeds;
+    SeedDialer seeds { SeedEffort::All };
     FailureDetector detector;
     ListExchange lists;
     MonoTime lastEvent;
--- /dev/null
+++ b/src/core/membership/membershipstart.cpp
@@ -0,0 +1,44 @@
+/// This host's own record, and pauses of its process.
+#include "core/membership/membershipstart.h"
+
+#include "core/blackboard.h"
+#include "core/membership/membermerge.h"
+#include "core/milliseconds.h"
+
+#include <flamingograde/config.h>
+
+#include <chrono>
+
+namespace flamingograde {
+
+auto beginMembership(Blackboard &board) -> void
+{
+    auto &self = board.init.self;
+    self.id = HostId::ofName(self.name);
+    self.zone = ZoneId::ofName(self.zoneName);
+    if (self.incarnation == 0) {
+        const auto age = board.now.wall.time_since_epoch();
+        self.incarnation = static_cast<std::uint64_t>(
+                std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
+    }
+    auto &membership = board.membership;
+    membership.self = self.id;
+    membership.seeded = !board.init.seeds.empty() || !board.init.seedAddresses.empty();
+    membership.startedAt = board.now.mono;
+    membership.pausedAt = board.now.mono;
+    membership.contactAt = board.now.mono - config::pauseThreshold;
+    addMember(board, self);
+    for (const auto &seed : board.init.seeds) {
+        addMember(board, seed);
+    }
+}
+
+auto notePause(Blackboard &board, Duration gap) -> void
+{
+    ++board.stats.pauses;
+    ++board.membership.pauses;
+    board.membership.pausedAt = board.now.mono;
+    board.log(LogEvent::PauseNoticed, "ms=" + std::to_string(milliseconds(gap)));
+}
+
+} // namespace flamingograde
--- a/src/core/membership/membershipstate.cpp
+++ b/src/core/membership/membershipstate.cpp
@@ -124,7 +124,9 @@
     }
     std::uint64_t sum = 0;
     for (const auto &[id, record] : this->byId) {
-        if (record.member.state != MemberState::Dead) {
+        const auto isCompared =
+                !this->comparedZone.isValid() || record.member.zone == this->comparedZone;
+        if (isCompared && record.member.state != MemberState::Dead) {
             sum += hashOf(record.member);
         }
     }
--- a/src/core/membership/membershipstate.h
+++ b/src/core/membership/membershipstate.h
@@ -43,6 +43,9 @@
     /// them but itself before it becomes home of a cell.
     [[nodiscard]] auto voters(ZoneId zone) const -> const std::vector<HostId> &;
 
+    /// Returns the number of zones of which a host is known that is not dead.
+    [[nodiscard]] auto zoneCount() const -> std::size_t { return this->votersByZone.size(); }
+
     /// Returns the number of hosts with which a connection is up.
     [[nodiscard]] auto connectedCount() const -> std::size_t { return this->connected; }
 
@@ -71,6 +74,13 @@
         this->stale = true;
         this->digestStale = true;
     }
+    /// Has `digest` count hosts of `zone` only. Precondition: none.
+    auto compareOnly(ZoneId zone) -> void
+    {
+        this->comparedZone = zone;
+        this->digestStale = true;
+    }
+
     /// Returns a number of the hosts that are not dead, each with its incarnation; never 0 where
     /// there is one. Equal views have equal numbers, different ones nearly never.
     [[nodiscard]] auto digest() -> std::uint32_t;
@@ -103,6 +113,7 @@
     std::size_t connected = 0;
     std::uint64_t changes = 0;
     std::uint32_t lastDigest = 0;
+    ZoneId comparedZone; ///< Invalid: all zones.
     bool stale = true;
     bool digestStale = true;
 };
--- a/src/emulator/emulatedhost.cpp
+++ b/src/emulator/emulatedhost.cpp
@@ -38,6 +38,7 @@
     this->state = HostLife::Starting;
     ++this->startCount;
     this->mesh.at(this->id()).isDark = false;
+    this->mesh.end(this->id(), PeerLoss::Closed); // Others' connections from before a power cut.
     this->clock.later(this->times.start, [this, life = ++this->lives] { this->begin(life); });
 }
 
@@ -171,6 +172,7 @@
                     [&](const ConnectPeer &it) { this->mesh.connect(this->id(), it.host); },
                     [&](const ConnectSeed &it) { this->mesh.connectSeed(this->id(), it.address); },
                     [&](const SendPeer &it) { this->mesh.send(this->id(), it); },
+                    [&](const DropPeer &it) { this->mesh.drop(this->id(), it.host); },
                     [&](const ReadDirectory &it) {
                         const auto life = this->lives;
                         const auto number = ++this->reads;
--- a/src/emulator/peermesh.cpp
+++ b/src/emulator/peermesh.cpp
@@ -110,6 +110,16 @@
     });
 }
 
+auto PeerMesh::drop(HostId from, HostId to) -> void
+{
+    if (this->connections.erase(pairOf(from, to)) == 0) {
+        return;
+    }
+    const auto delay = this->network.delayBetween(this->hosts.at(from).place,
+                                                  this->hosts.at(to).place);
+    this->tell(to, delay, PeerDown { from, PeerLoss::Closed });
+}
+
 auto PeerMesh::disconnect(Pair pair, PeerLoss loss) -> void
 {
     if (this->connections.erase(pair) == 0) {
--- a/src/emulator/peermesh.h
+++ b/src/emulator/peermesh.h
@@ -49,6 +49,8 @@
     /// loses is missing here too; dropped where no connection is up.
     /// @throws std::logic_error if the receiver would refuse the message.
     auto send(HostId from, const SendPeer &sent) -> void;
+    /// Ends the connection of two hosts; the second is told of it. Precondition: none.
+    auto drop(HostId from, HostId to) -> void;
     /// Ends all connections of a host: the others are told of `loss`.
     auto end(HostId host, PeerLoss loss) -> void;
     /// Ends connections over links that are cut, as hosts notice it. Precondition: to be called
--- a/src/wire/messagedecoder.cpp
+++ b/src/wire/messagedecoder.cpp
@@ -21,7 +21,7 @@
 
 constexpr std::size_t depthMax = 8;        ///< Deeper nesting is no message.
 constexpr std::size_t listMax = 100000;    ///< Longer lists are no message.
-constexpr std::size_t memberFields = 8;    ///< Entries of a member's list.
+constexpr std::size_t memberFields = 9;    ///< Entries of a member's list.
 constexpr std::size_t loadFields = 4;      ///< Entries of a load's list.
 constexpr std::size_t zoneFields = 3;      ///< Entries of a list of active slots.
 constexpr std::size_t placementFields = 4; ///< Entries of a placement's list.
@@ -53,6 +53,7 @@
     member.relay = unpackAddress(reader, at[4], at[5]);
     member.incarnation = reader.number(at[6]);
     member.state = static_cast<MemberState>(reader.number(at[7], lastState));
+    member.linkMbps = static_cast<std::uint32_t>(reader.number(at[8], max32));
     return member;
 }
 
@@ -119,8 +120,10 @@
     gossip.members =
             map.contains("m") ? static_cast<std::uint32_t>(reader.number(map["m"], max32)) : 0;
     gossip.readsFail = map.contains("f") && reader.flag(map["f"]);
-    gossip.linkMbps =
-            map.contains("b") ? static_cast<std::uint32_t>(reader.number(map["b"], max32)) : 0;
+    if (map.contains("k")) {
+        constexpr auto lastUse = static_cast<std::uint64_t>(LinkUse::Feed);
+        gossip.linkUse = static_cast<LinkUse>(reader.number(map["k"], lastUse));
+    }
     if (map.contains("u")) {
         for (const auto &entry : reader.list(map["u"], listMax)) {
             gossip.updates.push_back(unpackMember(reader, entry));
--- a/src/wire/messageencoder.cpp
+++ b/src/wire/messageencoder.cpp
@@ -28,7 +28,7 @@
 {
     return Json::array({ member.name, member.zoneName, member.peer.ip, member.peer.port,
                          member.relay.ip, member.relay.port, member.incarnation,
-                         static_cast<std::uint8_t>(member.state) });
+                         static_cast<std::uint8_t>(member.state), member.linkMbps });
 }
 
 auto pack(const CellLoad &load) -> Json
@@ -47,8 +47,8 @@
     if (gossip.readsFail) {
         map["f"] = true;
     }
-    if (gossip.linkMbps > 0) {
-        map["b"] = gossip.linkMbps;
+    if (gossip.linkUse != LinkUse::None) {
+        map["k"] = static_cast<std::uint8_t>(gossip.linkUse);
     }
     if (!gossip.updates.empty()) {
         auto &updates = map["u"] = Json::array();
--- a/src/wire/settings.cpp
+++ b/src/wire/settings.cpp
@@ -156,7 +156,7 @@
     self.zoneName = fields.name("zone");
     self.id = HostId::ofName(self.name);
     self.zone = ZoneId::ofName(self.zoneName);
-    this->settings.init.linkMbps = static_cast<std::uint32_t>(
+    this->settings.init.self.linkMbps = static_cast<std::uint32_t>(
             std::min(std::ceil(fields.positive("link_mbps", 0)), linkMbpsMax));
     this->settings.init.seed = self.id.value();
 }
--- a/tests/unit/directorycontrollertest.cpp
+++ b/tests/unit/directorycontrollertest.cpp
@@ -279,12 +279,15 @@
         hosts.push_back(host.meet("near-" + std::to_string(i), "a"));
     }
     const auto tell = [&](HostId id, std::uint32_t mbps, bool readsFail) {
+        host.board.membership.record(id)->member.linkMbps = mbps;
         Gossip gossip;
-        gossip.linkMbps = mbps;
         gossip.readsFail = readsFail;
         host.isAskedAfterGossip(id, gossip);
     };
-    host.board.init.linkMbps = 200;
+    const auto setOwnLink = [&](std::uint32_t mbps) {
+        host.board.membership.record(host.board.membership.self)->member.linkMbps = mbps;
+    };
+    setOwnLink(200);
     for (const auto id : hosts) {
         tell(id, 10, false);
     }
@@ -293,6 +296,6 @@
     CHECK_FALSE(isDirectoryReader(host.board));
     tell(hosts[3], 1000, true);
     CHECK(isDirectoryReader(host.board));
-    host.board.init.linkMbps = 5;
+    setOwnLink(5);
     CHECK_FALSE(isDirectoryReader(host.board));
 }
--- a/tests/unit/messagecodectest.cpp
+++ b/tests/unit/messagecodectest.cpp
@@ -28,6 +28,7 @@
     member.relay = { 0x0a010001, 7002 };
     member.incarnation = 1764700000000;
     member.state = state;
+    member.linkMbps = 200;
     return member;
 }
 
@@ -45,7 +46,7 @@
     gossip.directory = { 77 };
     gossip.members = ~0U;
     gossip.readsFail = true;
-    gossip.linkMbps = 200;
+    gossip.linkUse = LinkUse::Feed;
     return gossip;
 }
 
@@ -139,6 +140,7 @@
     CHECK(self.zone == ZoneId::ofName("auckland-1"));
     CHECK(self.relay == Address { 0x0a010001, 7002 });
     CHECK(self.state == MemberState::Leaving);
+    CHECK(self.linkMbps == 200);
     const auto &gossip = std::get<Hello>(*hello).gossip;
     CHECK(gossip.updates.size() == 2);
     CHECK(gossip.loads.back().queued == 4000000000U);
@@ -148,7 +150,7 @@
     CHECK(gossip.directory.number == 77);
     CHECK(gossip.members == ~0U);
     CHECK(gossip.readsFail);
-    CHECK(gossip.linkMbps == 200);
+    CHECK(gossip.linkUse == LinkUse::Feed);
 
     const auto grant = decode(
             encode(ClaimGrant { 5, { CellId(1) }, { CellId(2), CellId(3) }, { CellId(2) } }));
--- /dev/null
+++ b/tests/unit/overlayfleet.cpp
@@ -0,0 +1,160 @@
+/// Starts hosts, tells them of each other, and counts what they log.
+#include "overlayfleet.h"
+
+#include "packetboard.h"
+
+#include <flamingograde/packetrows.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingograde {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t hostNet = 0x0a010000; ///< 10.1.0.0.
+constexpr std::uint16_t peerPort = 7001;
+constexpr std::size_t seedHosts = 3;
+constexpr std::size_t wideHosts = 3;
+constexpr std::uint32_t wideMbps = 200;
+constexpr std::uint32_t narrowMbps = 20;
+constexpr Duration housekeeping = 100ms;
+constexpr Duration startsWithin = 300ms;
+
+} // namespace
+
+OverlayFleet::OverlayFleet(std::size_t zones, std::size_t hostsPerZone, std::uint64_t chosen)
+    : seed(chosen)
+{
+    this->network.betweenZones = 1400us;
+    this->publish();
+    for (std::size_t zone = 1; zone <= zones; ++zone) {
+        for (std::size_t i = 0; i < hostsPerZone; ++i) {
+            this->add("zone-" + std::to_string(zone));
+        }
+    }
+    this->housekeep();
+}
+
+OverlayFleet::~OverlayFleet() = default;
+
+auto OverlayFleet::add(const std::string &zone) -> std::size_t
+{
+    const auto number = this->hosts.size();
+    Init init;
+    init.self.name = "host-" + std::to_string(number);
+    init.self.id = HostId::ofName(init.self.name);
+    init.self.zoneName = zone;
+    init.self.zone = ZoneId::ofName(zone);
+    init.self.peer = { hostNet + static_cast<std::uint32_t>(number) + 1, peerPort };
+    init.self.linkMbps = this->hostsOf(zone).size() < wideHosts ? wideMbps : narrowMbps;
+    for (std::uint32_t i = 1; i <= seedHosts; ++i) {
+        init.seedAddresses.push_back({ hostNet + i, peerPort });
+    }
+    init.readsDirectory = true;
+    init.seed = this->seed * 1000 + number;
+    emulator::HostSurroundings around;
+    around.onLog = [this, number](const Log &log) {
+        ++this->logs[log.event];
+        ++this->lines[number];
+    };
+    this->hosts.push_back(std::make_unique<emulator::EmulatedHost>(
+            this->clock, this->mesh, this->store, std::move(init), emulator::HostTimes {},
+            std::move(around)));
+    this->zoneOf.push_back(zone);
+    const auto draw = (number * 7919) % static_cast<std::size_t>(startsWithin.count());
+    this->clock.later(Duration(static_cast<Duration::rep>(draw)),
+                      [this, number] { this->hosts[number]->start(); });
+    return number;
+}
+
+auto OverlayFleet::housekeep() -> void
+{
+    this->mesh.review();
+    this->clock.later(housekeeping, [this] { this->housekeep(); });
+}
+
+auto OverlayFleet::run(Duration duration) -> void
+{
+    this->clock.run(duration);
+}
+
+auto OverlayFleet::publish() -> void
+{
+    PacketRows rows;
+    rows.version = ++this->version;
+    rows.rows = { packetRow("feed", feedAddress, "live") };
+    this->store.publish(rows);
+}
+
+auto OverlayFleet::isUpToDate() const -> bool
+{
+    const auto newest = this->store.revision().number;
+    return std::all_of(this->hosts.begin(), this->hosts.end(), [newest](const auto &host) {
+        return host->life() != emulator::HostLife::Running
+               || host->balancer().stats().directoryRevision == newest;
+    });
+}
+
+auto OverlayFleet::publishToAll() -> std::optional<Duration>
+{
+    this->publish();
+    return this->clock.runUntil([this] { return this->isUpToDate(); }, 20s);
+}
+
+auto OverlayFleet::hostsOf(const std::string &zone) const -> std::vector<std::size_t>
+{
+    std::vector<std::size_t> found;
+    for (std::size_t i = 0; i < this->zoneOf.size(); ++i) {
+        if (this->zoneOf[i] == zone) {
+            found.push_back(i);
+        }
+    }
+    return found;
+}
+
+auto OverlayFleet::connectionsOf(std::size_t index) const -> std::size_t
+{
+    const auto dump = nlohmann::json::parse(this->hosts[index]->balancer().dump());
+    const auto &members = dump.at("members");
+    return static_cast<std::size_t>(
+            std::count_if(members.begin(), members.end(), [](const auto &member) {
+                return member.at("connected").template get<bool>();
+            }));
+}
+
+auto OverlayFleet::knownBy(std::size_t index) const -> std::size_t
+{
+    const auto dump = nlohmann::json::parse(this->hosts[index]->balancer().dump());
+    const auto &members = dump.at("members");
+    return static_cast<std::size_t>(
+            std::count_if(members.begin(), members.end(),
+                          [](const auto &member) { return member.at("state") != "dead"; }));
+}
+
+auto OverlayFleet::logCount(LogEvent event) const -> std::uint64_t
+{
+    const auto found = this->logs.find(event);
+    return found == this->logs.end() ? 0 : found->second;
+}
+
+auto OverlayFleet::linesOfLoudest() const -> std::uint64_t
+{
+    std::uint64_t most = 0;
+    for (const auto &[host, count] : this->lines) {
+        most = std::max(most, count);
+    }
+    return most;
+}
+
+auto OverlayFleet::forgetLogs() -> void
+{
+    this->logs.clear();
+    this->lines.clear();
+}
+
+} // namespace flamingograde
--- a/tests/unit/settingstests.cpp
+++ b/tests/unit/settingstests.cpp
@@ -94,9 +94,9 @@
                                      + "\n[platform]\naddress = \"10.0.0.1:80\"\n",
                              "host.toml");
     };
-    CHECK(read("200.0")->init.linkMbps == 200);
-    CHECK(read("10.5")->init.linkMbps == 11);
-    CHECK(read("1e300")->init.linkMbps == 1000000);
+    CHECK(read("200.0")->init.self.linkMbps == 200);
+    CHECK(read("10.5")->init.self.linkMbps == 11);
+    CHECK(read("1e300")->init.self.linkMbps == 1000000);
     for (const auto *wrong : { "0", "-5", "nan", "inf", "\"wide\"" }) {
         const auto settings = read(wrong);
         REQUIRE_FALSE(settings);
