Take nothing more from a peer connection that was dropped; a message to several hosts

Cause: PeerHub::remove destroys a connection after the turn of the loop, so that it may be called from its own callbacks. Ruled out: the deferred destruction itself; without it a callback destroys its caller. Change: a removed connection takes and reports nothing more.

--- a/include/flamingograde/action.h
+++ b/include/flamingograde/action.h
@@ -128,6 +128,13 @@
     Message message;
 };
 
+/// Send one message to several hosts; it is encoded once. Left out where no connection is up.
+struct SendPeers
+{
+    std::vector<HostId> hosts;
+    Message message;
+};
+
 /// Read the platform's table.
 struct ReadTable
 {
@@ -181,7 +188,7 @@
 
 using Action = std::variant<Dispatch, Relay, OpenFeed, PassAnswer, ReplayAnswer, Refuse, Cancel,
                             AbortAnswer, EndFeed, ProbeUpstream, ConnectPeer, DropPeer, SendPeer,
-                            ReadTable, ReadHosts, ReadDirectory, ConnectSeed, Listen, Unlisten, Log,
-                            StopReady>;
+                            SendPeers, ReadTable, ReadHosts, ReadDirectory, ConnectSeed, Listen,
+                            Unlisten, Log, StopReady>;
 
 } // namespace flamingograde
--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -258,24 +258,26 @@
 
 auto Daemon::act(const Action &action) -> void
 {
-    std::visit(Overloaded {
-                       [this](const ConnectPeer &to) { this->peers->connect(to.host, to.address); },
-                       [this](const ConnectSeed &to) { this->peers->connectSeed(to.address); },
-                       [this](const DropPeer &from) { this->peers->drop(from.host); },
-                       [this](const SendPeer &sent) { this->peers->send(sent.host, sent.message); },
-                       [this](const ReadDirectory &read) { this->directory->act(read); },
-                       [](const Log &log) { writeLog(log.event, log.text); },
-                       [this](const StopReady &ready) {
-                           this->left = ready.left;
-                           this->endBefore = Loop::now().mono + flushTime;
-                       },
-                       [&](const auto & /*ofRequests*/) {
-                           if (this->requests != nullptr) {
-                               this->requests->act(action);
-                           }
-                       },
-               },
-               action);
+    std::visit(
+            Overloaded {
+                    [this](const ConnectPeer &to) { this->peers->connect(to.host, to.address); },
+                    [this](const ConnectSeed &to) { this->peers->connectSeed(to.address); },
+                    [this](const DropPeer &from) { this->peers->drop(from.host); },
+                    [this](const SendPeer &sent) { this->peers->send(sent.host, sent.message); },
+                    [this](const SendPeers &sent) { this->peers->send(sent.hosts, sent.message); },
+                    [this](const ReadDirectory &read) { this->directory->act(read); },
+                    [](const Log &log) { writeLog(log.event, log.text); },
+                    [this](const StopReady &ready) {
+                        this->left = ready.left;
+                        this->endBefore = Loop::now().mono + flushTime;
+                    },
+                    [&](const auto & /*ofRequests*/) {
+                        if (this->requests != nullptr) {
+                            this->requests->act(action);
+                        }
+                    },
+            },
+            action);
 }
 
 auto Daemon::requestStop() -> void
--- a/src/net/peerhub.cpp
+++ b/src/net/peerhub.cpp
@@ -4,6 +4,7 @@
 #include "net/loop.h"
 #include "net/peerendpoints.h"
 #include "net/peerlink.h"
+#include "wire/messagecodec.h"
 
 #include <algorithm>
 #include <chrono>
@@ -97,6 +98,16 @@
     }
 }
 
+auto PeerHub::send(const std::vector<HostId> &hosts, const Message &message) -> void
+{
+    const auto bytes = encode(message);
+    for (const auto host : hosts) {
+        if (auto *link = this->linkOf(host)) {
+            link->send(bytes);
+        }
+    }
+}
+
 auto PeerHub::linkOf(HostId host) -> PeerLink *
 {
     const auto found = this->up.find(host);
@@ -105,6 +116,8 @@
 
 auto PeerHub::remove(LinkId link) -> void
 {
+    // Until it is destroyed it may still be read from.
+    this->links.at(link)->abandon();
     this->loop.defer([this, link] { this->links.erase(link); });
 }
 
--- a/src/net/peerhub.h
+++ b/src/net/peerhub.h
@@ -17,6 +17,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 struct st_h2o_socket_t;
 
@@ -57,6 +58,9 @@
     /// Sends a message; dropped where no connection is up. Precondition: none.
     auto send(HostId host, const Message &message) -> void;
 
+    /// Sends a message to several hosts, encoded once. Precondition: none.
+    auto send(const std::vector<HostId> &hosts, const Message &message) -> void;
+
     /// Returns the counters. Precondition: none.
     [[nodiscard]] auto traffic() const -> const PeerTraffic & { return this->counters; }
 
--- a/src/net/peerlink.cpp
+++ b/src/net/peerlink.cpp
@@ -75,6 +75,11 @@
 }
 
 auto PeerLink::send(const Message &message) -> void
+{
+    this->send(encode(message));
+}
+
+auto PeerLink::send(const std::vector<std::uint8_t> &encoded) -> void
 {
     if (this->socket == nullptr || this->lost) {
         return;
@@ -83,7 +88,7 @@
         this->lose(PeerLoss::Silent);
         return;
     }
-    this->socket->send(encode(message));
+    this->socket->send(encoded);
 }
 
 auto PeerLink::received(std::string_view bytes) -> void
@@ -140,6 +145,12 @@
     this->hub.ended(*this, loss);
 }
 
+auto PeerLink::abandon() -> void
+{
+    this->lost = true;
+    this->timer.cancel();
+}
+
 auto PeerLink::watch() -> void
 {
     const auto quiet = this->quietFor();
--- a/src/net/peerlink.h
+++ b/src/net/peerlink.h
@@ -40,8 +40,12 @@
     auto dialSeed(HostId standIn, Address address) -> void;
     /// Takes a connection that came in. Precondition: called once, in place of `dial`.
     auto accept(st_h2o_socket_t *connection) -> void;
+    /// Takes and reports nothing more: it is to be destroyed. Precondition: none.
+    auto abandon() -> void;
     /// Sends a message. Precondition: none.
     auto send(const Message &message) -> void;
+    /// Sends a message that was encoded. Precondition: as above.
+    auto send(const std::vector<std::uint8_t> &encoded) -> void;
 
     [[nodiscard]] auto linkId() const -> std::uint64_t { return this->id; }
     /// Returns the host that was dialled; invalid where this host was.
--- a/tests/net/peerhubtests.cpp
+++ b/tests/net/peerhubtests.cpp
@@ -102,6 +102,32 @@
     CHECK(b.hub->traffic().messagesReceived == 3);
 }
 
+TEST_CASE("a host that is dropped at any step of a dial is down and can be dialled again",
+          "[peerhub]")
+{
+    // A Hello that came in the turn of the loop after the drop named a connection that was gone.
+    constexpr int turnsOfDial = 25;
+    Loop loop;
+    for (int turns = 0; turns < turnsOfDial; ++turns) {
+        INFO("dropped after " << turns << " turns");
+        Side a(loop, "a");
+        Side b(loop, "b");
+        a.hub->connect(b.self.id, b.self.peer);
+        for (int i = 0; i < turns; ++i) {
+            loop.turn(std::chrono::milliseconds(1));
+        }
+        a.hub->drop(b.self.id);
+        const auto isUp = a.count<PeerUp>() == 1;
+        for (int i = 0; i < turnsOfDial; ++i) {
+            loop.turn(std::chrono::milliseconds(1));
+        }
+        CHECK(a.count<PeerUp>() == (isUp ? 1 : 0));
+        CHECK_NOTHROW(a.hub->send(b.self.id, Ping { 1, {} }));
+        a.hub->connect(b.self.id, b.self.peer);
+        CHECK(runUntil(loop, [&] { return a.count<PeerUp>() == (isUp ? 2 : 1); }));
+    }
+}
+
 TEST_CASE("two hosts that dial each other keep one connection", "[peerhub]")
 {
     Loop loop;
