Send one change of the directory to many hosts with one encoding, and log many upstreams in one line

Cause: a hub encoded each change once for each host that it feeds; a start logged a line for each of 600 upstreams on each host, 177,000 on 295. Change: SendPeers for changes of the directory; more than eight upstreams of one change are logged by their names, 64 to a line.

--- a/include/flamingograde/member.h
+++ b/include/flamingograde/member.h
@@ -28,7 +28,7 @@
     Address relay;                 ///< Where it takes relayed requests (HTTP).
     std::uint64_t incarnation = 0; ///< Raised by the host itself at each start and refutation.
     MemberState state = MemberState::Alive;
-    std::uint32_t linkMbps = 0;    ///< Bandwidth of its link, in Mbit/s; 0: not known.
+    std::uint32_t linkMbps = 0; ///< Bandwidth of its link, in Mbit/s; 0: not known.
 };
 
 } // namespace flamingograde
--- a/include/flamingograde/message.h
+++ b/include/flamingograde/message.h
@@ -40,12 +40,12 @@
     std::uint64_t tableDigest = 0; ///< Hash of the table's text.
     std::uint32_t platformAgeMs =
             0; ///< Time since the sender, or whom it heard, last heard the platform.
-    std::uint64_t placements = 0; ///< Digest of the placements of keys that the sender knows.
-    bool agreed = false;          ///< The sender knows all hosts to have had these placements.
-    Revision directory;           ///< The sender has all changes of the directory up to this.
-    std::uint32_t members = 0;    ///< Digest of the hosts that the sender holds to be at work.
+    std::uint64_t placements = 0;    ///< Digest of the placements of keys that the sender knows.
+    bool agreed = false;             ///< The sender knows all hosts to have had these placements.
+    Revision directory;              ///< The sender has all changes of the directory up to this.
+    std::uint32_t members = 0;       ///< Digest of the hosts that the sender holds to be at work.
     LinkUse linkUse = LinkUse::None; ///< What the sender keeps the connection for.
-    bool readsFail = false;       ///< The sender's own reads of the directory fail.
+    bool readsFail = false;          ///< The sender's own reads of the directory fail.
 };
 
 /// The first message on a connection, both ways.
--- a/src/core/controllers.h
+++ b/src/core/controllers.h
@@ -3,8 +3,8 @@
 
 #include "core/directory/directorycontroller.h"
 #include "core/membership/membershipcontroller.h"
-#include "core/packets/packetcontroller.h"
 #include "core/overlay/overlaycontroller.h"
+#include "core/packets/packetcontroller.h"
 #include "core/requestcontrollers.h"
 #include "core/stop/stopcontroller.h"
 
--- a/src/core/directory/directorycontroller.cpp
+++ b/src/core/directory/directorycontroller.cpp
@@ -29,17 +29,27 @@
     return Duration(draw(board.random));
 }
 
-/// Sends a host what it lacks, if it is connected and not known to have it.
-auto push(Blackboard &board, HostId host, const DirectoryUpdate &update) -> void
+/// Sends hosts what they lack, if they are connected and not known to have it.
+///
+/// To the hosts that lack just `update` it goes as one message, encoded once: rows of 42 KB take
+/// 0.6 ms to encode, and a hub sends them to 24 hosts.
+auto push(Blackboard &board, const std::vector<HostId> &hosts, const DirectoryUpdate &update)
+        -> void
 {
-    auto *record = board.membership.record(host);
-    if (record == nullptr || !record->connected || !(record->directory < update.upTo)) {
-        return;
+    std::vector<HostId> behindByThis;
+    for (const auto host : hosts) {
+        auto *record = board.membership.record(host);
+        if (record == nullptr || !record->connected || !(record->directory < update.upTo)) {
+            continue;
+        }
+        if (record->directory < update.after) {
+            sendPeer(board, host, board.directory.updateSince(record->directory, board.now.mono));
+        } else {
+            behindByThis.push_back(host);
+        }
+        record->directory = update.upTo;
     }
-    const auto fits = !(record->directory < update.after);
-    sendPeer(board, host,
-             fits ? update : board.directory.updateSince(record->directory, board.now.mono));
-    record->directory = update.upTo;
+    sendPeers(board, std::move(behindByThis), update);
 }
 
 /// Tells the hosts of the zone, and one of each other, that this host's reads fail or no longer do.
@@ -273,13 +283,9 @@
     ++board.stats.directoryUpdates;
     board.stats.upstreamRestarts += changes.restarted.size();
     logChanges(board, changes);
-    for (const auto host : spreadTargets(board, from)) {
-        push(board, host, update);
-    }
+    push(board, spreadTargets(board, from), update);
     if (from == board.membership.self) {
-        for (const auto host : directoryBridges(board)) {
-            push(board, host, update);
-        }
+        push(board, directoryBridges(board), update);
     }
 }
 
--- a/src/core/directory/directorycontroller.h
+++ b/src/core/directory/directorycontroller.h
@@ -19,7 +19,8 @@
 ///
 /// Few hosts watch (see `isDirectoryReader`). They push changes to the hubs of their zone and to
 /// one host of each other zone; hubs push them on to the hosts that they feed (`spreadTargets`).
-/// Whoever is missed hears of a newer revision by gossip and asks for the changes. A host that hears nothing for too long reads for itself.
+/// Whoever is missed hears of a newer revision by gossip and asks for the changes. A host that
+/// hears nothing for too long reads for itself.
 /// @remarks Not thread safe. Throws nothing.
 class DirectoryController
 {
--- a/src/core/directory/directorylog.cpp
+++ b/src/core/directory/directorylog.cpp
@@ -4,6 +4,7 @@
 #include "core/blackboard.h"
 #include "core/milliseconds.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace flamingograde {
@@ -11,6 +12,9 @@
 namespace {
 
 constexpr std::size_t namesMax = 64; ///< Upstreams named in one line.
+/// Upstreams of one change that get a line each: 600 upstreams that came in some ten changes were
+/// 177,000 lines on 295 hosts.
+constexpr std::size_t linesMax = 8;
 
 auto sourceOf(const Blackboard &board) -> std::string
 {
@@ -18,31 +22,51 @@
            + std::to_string(milliseconds(board.config.platformAge(board.now.mono)));
 }
 
-auto logEach(Blackboard &board, LogEvent event, const std::vector<std::uint32_t> &indices) -> void
+auto logOne(Blackboard &board, LogEvent event, std::uint32_t index) -> void
 {
-    for (const auto index : indices) {
-        const auto &entry = board.directory.at(index);
-        board.log(event, describeUpstream(entry) + " changed=" + std::to_string(entry.newest.number)
-                                 + sourceOf(board));
-    }
+    const auto &entry = board.directory.at(index);
+    board.log(event, describeUpstream(entry) + " changed=" + std::to_string(entry.newest.number)
+                             + sourceOf(board));
 }
 
-/// Logs the first directory in one line: a line an upstream would hold up a start.
-auto logLoaded(Blackboard &board, const std::vector<std::uint32_t> &indices) -> void
+/// Logs up to `namesMax` upstreams from `begin` on in one line.
+auto logNames(Blackboard &board, LogEvent event, const std::vector<std::uint32_t> &indices,
+              std::size_t begin) -> void
 {
+    const auto end = std::min(indices.size(), begin + namesMax);
     std::string names;
-    for (std::size_t i = 0; i < indices.size() && i < namesMax; ++i) {
+    for (auto i = begin; i < end; ++i) {
         names += (names.empty() ? "" : ",") + board.directory.at(indices[i]).record.upstream.name;
     }
-    board.log(LogEvent::DirectoryLoaded,
-              "upstreams=" + std::to_string(indices.size()) + " names=" + names + sourceOf(board));
+    board.log(event,
+              "upstreams=" + std::to_string(end - begin) + " names=" + names + sourceOf(board));
+}
+
+auto logAllNames(Blackboard &board, LogEvent event, const std::vector<std::uint32_t> &indices)
+        -> void
+{
+    for (std::size_t begin = 0; begin < indices.size(); begin += namesMax) {
+        logNames(board, event, indices, begin);
+    }
+}
+
+/// Logs few upstreams in a line each, and many of them by their names.
+auto logEach(Blackboard &board, LogEvent event, const std::vector<std::uint32_t> &indices) -> void
+{
+    if (indices.size() > linesMax) {
+        logAllNames(board, event, indices);
+        return;
+    }
+    for (const auto index : indices) {
+        logOne(board, event, index);
+    }
 }
 
 auto logListed(Blackboard &board, const std::vector<std::uint32_t> &indices) -> void
 {
     const auto isFirst = indices.size() > 1 && indices.size() == board.directory.listedCount();
     if (isFirst) {
-        logLoaded(board, indices);
+        logAllNames(board, LogEvent::DirectoryLoaded, indices);
     } else {
         logEach(board, LogEvent::UpstreamListed, indices);
     }
--- a/src/core/directory/readerelection.cpp
+++ b/src/core/directory/readerelection.cpp
@@ -21,7 +21,7 @@
 struct Candidate
 {
     HostId host;
-    bool fails = false;         ///< Its reads fail, as those of all reachable hosts of its zone.
+    bool fails = false; ///< Its reads fail, as those of all reachable hosts of its zone.
     HubRank rank;
 };
 
--- a/src/core/membership/gossip.cpp
+++ b/src/core/membership/gossip.cpp
@@ -95,6 +95,17 @@
     return true;
 }
 
+auto sendPeers(Blackboard &board, std::vector<HostId> hosts, Message message) -> void
+{
+    const auto isDown = [&](HostId host) { return !board.membership.isConnected(host); };
+    hosts.erase(std::remove_if(hosts.begin(), hosts.end(), isDown), hosts.end());
+    if (hosts.empty()) {
+        return;
+    }
+    board.stats.peerMessagesSent += hosts.size();
+    board.act(SendPeers { std::move(hosts), std::move(message) });
+}
+
 auto makeGossip(Blackboard &board, HostId host) -> Gossip
 {
     auto gossip = makeBase(board, host);
--- a/src/core/membership/gossip.h
+++ b/src/core/membership/gossip.h
@@ -4,6 +4,8 @@
 #include <flamingograde/ids.h>
 #include <flamingograde/message.h>
 
+#include <vector>
+
 namespace flamingograde {
 
 class Blackboard;
@@ -13,6 +15,9 @@
 /// @returns whether it was given to the transport.
 auto sendPeer(Blackboard &board, HostId host, Message message) -> bool;
 
+/// Sends `message` to those of `hosts` with which a connection is up; it is encoded once.
+auto sendPeers(Blackboard &board, std::vector<HostId> hosts, Message message) -> void;
+
 /// Returns what a message to `host` carries: the newest changes, what `host` should know of itself,
 /// this host's loads and table.
 [[nodiscard]] auto makeGossip(Blackboard &board, HostId host) -> Gossip;
--- a/src/core/overlay/linkkeeper.cpp
+++ b/src/core/overlay/linkkeeper.cpp
@@ -92,8 +92,7 @@
         if (hasFailed(board, record)) {
             turnAway(board, record);
         }
-        if (board.now.mono >= record.link.nextQuestion
-            && board.links.useOf(id) != LinkUse::None) {
+        if (board.now.mono >= record.link.nextQuestion && board.links.useOf(id) != LinkUse::None) {
             this->ask(board, record);
         }
     }
--- a/src/core/overlay/linkstate.h
+++ b/src/core/overlay/linkstate.h
@@ -16,7 +16,8 @@
     std::vector<HostId> hubs;   ///< Of the own zone, the best first; this host may be among them.
     std::vector<HostId> wanted; ///< Hosts to be connected with.
     HostId feed;                ///< Of `wanted`: sends this host what is new; invalid on a hub.
-    std::vector<HostId> missed; ///< Would be in `wanted` if they answered; tried again now and then.
+    std::vector<HostId>
+            missed; ///< Would be in `wanted` if they answered; tried again now and then.
 
     /// Returns whether `host` is a hub of the own zone. Precondition: none.
     [[nodiscard]] auto isHub(HostId host) const -> bool
--- a/src/core/overlay/zoneview.cpp
+++ b/src/core/overlay/zoneview.cpp
@@ -75,9 +75,8 @@
 {
     const auto &records = board.membership.records();
     return static_cast<std::size_t>(
-            std::count_if(records.begin(), records.end(), [zone](const auto &entry) {
-                return entry.second.member.zone == zone;
-            }));
+            std::count_if(records.begin(), records.end(),
+                          [zone](const auto &entry) { return entry.second.member.zone == zone; }));
 }
 
 /// Returns whether a contact is less worth keeping than another.
@@ -93,9 +92,8 @@
 auto worstContact(Blackboard &board, ZoneId zone) -> MemberRecord *
 {
     const auto idle = idleContacts(board, zone);
-    const auto worst = std::min_element(idle.begin(), idle.end(), [](const auto *a, const auto *b) {
-        return isWorse(*a, *b);
-    });
+    const auto worst = std::min_element(
+            idle.begin(), idle.end(), [](const auto *a, const auto *b) { return isWorse(*a, *b); });
     return worst == idle.end() ? nullptr : *worst;
 }
 
@@ -116,7 +114,8 @@
     if (worst == nullptr) {
         return false;
     }
-    if (passes(*worst, HostFilter::Usable) && !hubRankOf(member).isBefore(hubRankOf(worst->member))) {
+    if (passes(*worst, HostFilter::Usable)
+        && !hubRankOf(member).isBefore(hubRankOf(worst->member))) {
         return false;
     }
     forget(board, worst->member.id);
--- a/src/emulator/emulatedhost.cpp
+++ b/src/emulator/emulatedhost.cpp
@@ -172,6 +172,11 @@
                     [&](const ConnectPeer &it) { this->mesh.connect(this->id(), it.host); },
                     [&](const ConnectSeed &it) { this->mesh.connectSeed(this->id(), it.address); },
                     [&](const SendPeer &it) { this->mesh.send(this->id(), it); },
+                    [&](const SendPeers &it) {
+                        for (const auto host : it.hosts) {
+                            this->mesh.send(this->id(), { host, it.message });
+                        }
+                    },
                     [&](const DropPeer &it) { this->mesh.drop(this->id(), it.host); },
                     [&](const ReadDirectory &it) {
                         const auto life = this->lives;
--- a/src/emulator/peermesh.cpp
+++ b/src/emulator/peermesh.cpp
@@ -115,8 +115,8 @@
     if (this->connections.erase(pairOf(from, to)) == 0) {
         return;
     }
-    const auto delay = this->network.delayBetween(this->hosts.at(from).place,
-                                                  this->hosts.at(to).place);
+    const auto delay =
+            this->network.delayBetween(this->hosts.at(from).place, this->hosts.at(to).place);
     this->tell(to, delay, PeerDown { from, PeerLoss::Closed });
 }
 
--- a/tests/unit/directorycontrollertest.cpp
+++ b/tests/unit/directorycontrollertest.cpp
@@ -142,6 +142,11 @@
             if (const auto *message = std::get_if<SendPeer>(&action)) {
                 this->sent.push_back(*message);
             }
+            if (const auto *several = std::get_if<SendPeers>(&action)) {
+                for (const auto host : several->hosts) {
+                    this->sent.push_back({ host, several->message });
+                }
+            }
             if (const auto *read = std::get_if<ReadDirectory>(&action)) {
                 this->asked = *read;
             }
--- a/tests/unit/overlaytest.cpp
+++ b/tests/unit/overlaytest.cpp
@@ -197,8 +197,7 @@
     const auto newest = fleet.store.revision().number;
     for (std::size_t i = 0; i < fleet.size(); ++i) {
         const auto zone = fleet.host(i).place().zone;
-        CHECK((fleet.host(i).balancer().stats().directoryRevision == newest)
-              == (zone != "zone-3"));
+        CHECK((fleet.host(i).balancer().stats().directoryRevision == newest) == (zone != "zone-3"));
     }
     fleet.network.heal("zone-3");
     const auto took = fleet.clock.runUntil([&] { return fleet.isUpToDate(); }, 20s);
