--- a/tests/unit/overlaytest.cpp
+++ b/tests/unit/overlaytest.cpp
@@ -25,9 +25,10 @@
 constexpr Duration spreadBound = 500ms;
 /// The same while hosts are gone or cut off.
 constexpr Duration troubledBound = 4s;
-/// Hubs of the own zone, hosts of the zone for which it is one, and hosts of five other zones, in
-/// both directions.
-constexpr std::size_t hubConnections = config::hubsMin + 2 * config::hostsPerHub + 2 * 5 * 3;
+/// Hosts of the zone for which one is a hub, the other hubs, and hosts of the other zones: those it
+/// chose, and for which it was chosen by their hubs.
+constexpr std::size_t hubConnections = 2 * config::hostsPerHub + config::hubsMin
+                                       + (zones - 1) * (config::linksPerZone + config::hubsMin + 1);
 
 /// A board that knows hosts of two zones.
 class KnowingHost
