--- a/src/core/overlay/newsspread.h
+++ b/src/core/overlay/newsspread.h
@@ -9,8 +9,7 @@
 
 /// Gathers changes of the zone's hosts and sends them on along the hubs.
 ///
-/// Hosts that start together come in a few messages in place of one each: 50 hosts of a zone that
-/// start within 300 ms reach each other host of it in about four.
+/// Hosts that start together come in a few messages in place of one each.
 /// @remarks Not thread safe.
 class NewsSpread
 {
--- a/src/core/overlay/zonehubs.cpp
+++ b/src/core/overlay/zonehubs.cpp
@@ -13,8 +13,7 @@
 
 namespace {
 
-/// The key under which hosts of equal links are ranked. Readers of the directory were always drawn
-/// with it.
+/// The key under which hosts of equal links are ranked.
 const auto rankKey = hashName("directory reader");
 
 } // namespace
