--- a/src/core/overlay/lostmembers.h
+++ b/src/core/overlay/lostmembers.h
@@ -16,8 +16,8 @@
 /// Only hubs do so, and none that is itself cut off from its zone. Nothing of callers waits for it:
 /// packets need no word on other hosts, and each host chooses its connections by what itself finds
 /// out within a second. So a death may take long to be told, and a host that is slow, paused, or
-/// behind a cut is seldom mistaken for an ended one. While each host judged each, 42 hosts killed of
-/// 295 led to 22,900 log lines on suspicions and 24,700 on hosts that were back, within 5 s.
+/// behind a cut is seldom mistaken for an ended one. While each host judged each, 42 hosts killed
+/// of 295 led to 22,900 log lines on suspicions and 24,700 on hosts that were back, within 5 s.
 /// @remarks Not thread safe.
 class LostMembers
 {
