Let one piece of code serve where the new membership wrote things again

Cause, from reading the change once more: the precedence of what is said of a member, the check for a paused process, the forgetting of ended hosts, the list of known zones, what counts as a usable connection, and the settings of an emulated host each stood twice; MemberRecord::everHeard was written and never read; a look-up was refreshed that nothing read; seeds were shuffled where all are dialled. Change: isNewer, PauseWatch, forgetMember and forgetGone, knownZones, passes, emulator::hostSettings, sampleMember and OverlayFleet::losePower serve both sides. Behaviour and assertions are as before.

--- a/src/core/directory/readerelection.cpp
+++ b/src/core/directory/readerelection.cpp
@@ -27,11 +27,8 @@
 /// Returns whether this host hears from another one.
 auto isReachable(const Blackboard &board, const MemberRecord &record) -> bool
 {
-    if (record.member.id == board.membership.self) {
-        return true;
-    }
-    return record.connected && !record.unanswered && !record.leaving
-           && record.member.state < MemberState::Suspect;
+    const auto isSelf = record.member.id == board.membership.self;
+    return isSelf || (record.connected && passes(record, HostFilter::Usable));
 }
 
 auto readsFail(const Blackboard &board, const MemberRecord &record) -> bool
--- a/src/core/membership/membermerge.cpp
+++ b/src/core/membership/membermerge.cpp
@@ -42,15 +42,6 @@
     board.log(event, "host=" + member.name + " incarnation=" + std::to_string(member.incarnation));
 }
 
-/// Returns whether `update` goes before what is known.
-auto isNewer(const Member &update, const Member &known) -> bool
-{
-    if (update.incarnation != known.incarnation) {
-        return update.incarnation > known.incarnation;
-    }
-    return update.state > known.state;
-}
-
 /// Sets whether the member announced a stop; a suspicion says nothing about it.
 auto noteLeaving(MemberRecord &record) -> void
 {
@@ -79,6 +70,14 @@
 
 } // namespace
 
+auto isNewer(const Member &said, const Member &known) -> bool
+{
+    if (said.incarnation != known.incarnation) {
+        return said.incarnation > known.incarnation;
+    }
+    return said.state > known.state;
+}
+
 auto insertMember(Blackboard &board, Member member) -> std::pair<MemberRecord &, bool>
 {
     member.id = HostId::ofName(member.name);
--- a/src/core/membership/membermerge.h
+++ b/src/core/membership/membermerge.h
@@ -12,6 +12,10 @@
 
 class Blackboard;
 
+/// Returns whether what is said of a member goes before what is known: a higher incarnation first,
+/// then the order of `MemberState`. @remarks Thread safe.
+[[nodiscard]] auto isNewer(const Member &said, const Member &known) -> bool;
+
 /// Adds a member if it is new, and tells nobody of it.
 /// @returns its record, and whether it was added.
 auto insertMember(Blackboard &board, Member member) -> std::pair<MemberRecord &, bool>;
--- a/src/core/membership/memberrecord.h
+++ b/src/core/membership/memberrecord.h
@@ -32,7 +32,6 @@
     std::uint32_t tellings = 0;   ///< How often its last change is still to be gossiped.
     std::optional<MonoTime> differsSince; ///< Since when its view of the fleet is another one.
     bool readsFail = false;               ///< Its reads of the directory fail, as it last said.
-    bool everHeard = false;
     bool connected = false;
     bool isNew = false;      ///< Views were not compared since it was connected.
     bool listed = false;     ///< In the platform's last host list.
--- a/src/core/membership/membershipcontroller.cpp
+++ b/src/core/membership/membershipcontroller.cpp
@@ -2,6 +2,7 @@
 #include "core/membership/membershipcontroller.h"
 
 #include "core/blackboard.h"
+#include "core/membership/forgetting.h"
 #include "core/membership/gossip.h"
 #include "core/membership/membermerge.h"
 #include "core/membership/membershipstart.h"
@@ -13,10 +14,6 @@
 
 namespace {
 
-using namespace std::chrono_literals;
-
-constexpr Duration forgetAfter = 60s; ///< A dead host that is not listed is forgotten after this.
-
 /// Takes one entry of the platform's list. What a host says of itself goes before the list.
 auto takeListed(Blackboard &board, const Member &listed) -> void
 {
@@ -37,29 +34,10 @@
     }
 }
 
-/// Forgets hosts that are long dead and that the platform does not name.
-auto forgetGone(Blackboard &board) -> void
-{
-    auto &records = board.membership.records();
-    for (auto it = records.begin(); it != records.end();) {
-        const auto &record = it->second;
-        const auto gone = record.member.state == MemberState::Dead && !record.listed
-                          && !record.connected && board.now.mono - record.changed > forgetAfter;
-        if (!gone) {
-            ++it;
-            continue;
-        }
-        board.act(DropPeer { it->first });
-        board.membership.touch();
-        it = records.erase(it);
-    }
-}
-
 /// Notes that the member sent something. A suspicion stays until the member refutes it.
 auto noteHeard(const Blackboard &board, MemberRecord &record) -> void
 {
     record.heard = board.now.mono;
-    record.everHeard = true;
     record.refusals = 0;
     if (record.member.state < MemberState::Suspect) {
         record.unanswered = false;
@@ -85,7 +63,10 @@
     if (!this->started) {
         this->start(board);
     }
-    this->noticePause(board);
+    if (this->pauses.notice(board)) {
+        this->detector.reset(board);
+        raiseIncarnation(board, 0);
+    }
     std::visit(Overloaded { [&](const HostsFetched &it) { this->on(board, it); },
                             [&](const PeerUp &it) { this->on(board, it); },
                             [&](const PeerDown &it) { this->on(board, it); },
@@ -101,22 +82,9 @@
 auto MembershipController::start(Blackboard &board) -> void
 {
     this->started = true;
-    this->lastEvent = board.now.mono;
     beginMembership(board);
 }
 
-auto MembershipController::noticePause(Blackboard &board) -> void
-{
-    const auto gap = board.now.mono - this->lastEvent;
-    this->lastEvent = board.now.mono;
-    if (gap <= config::pauseThreshold) {
-        return;
-    }
-    notePause(board, gap);
-    this->detector.reset(board);
-    raiseIncarnation(board, 0);
-}
-
 auto MembershipController::on(Blackboard &board, const HostsFetched &fetched) -> void
 {
     auto &membership = board.membership;
--- a/src/core/membership/membershipcontroller.h
+++ b/src/core/membership/membershipcontroller.h
@@ -5,9 +5,9 @@
 #include "core/membership/failuredetector.h"
 #include "core/membership/listexchange.h"
 #include "core/membership/meshlinks.h"
+#include "core/membership/pausewatch.h"
 #include "core/membership/seeddialer.h"
 
-#include <flamingograde/clock.h>
 #include <flamingograde/event.h>
 
 namespace flamingograde {
@@ -27,7 +27,6 @@
 
 private:
     auto start(Blackboard &board) -> void;
-    auto noticePause(Blackboard &board) -> void;
     auto on(Blackboard &board, const HostsFetched &fetched) -> void;
     auto on(Blackboard &board, const PeerUp &up) -> void;
     auto on(Blackboard &board, const PeerDown &down) -> void;
@@ -41,7 +40,7 @@
     SeedDialer seeds { SeedEffort::All };
     FailureDetector detector;
     ListExchange lists;
-    MonoTime lastEvent;
+    PauseWatch pauses;
     bool started = false;
     bool goodbyeSaid = false;
 };
--- a/src/core/membership/membershipstart.cpp
+++ b/src/core/membership/membershipstart.cpp
@@ -1,9 +1,8 @@
-/// This host's own record, and pauses of its process.
+/// This host's own record and those of its seeds.
 #include "core/membership/membershipstart.h"
 
 #include "core/blackboard.h"
 #include "core/membership/membermerge.h"
-#include "core/milliseconds.h"
 
 #include <flamingograde/config.h>
 
@@ -33,12 +32,4 @@
     }
 }
 
-auto notePause(Blackboard &board, Duration gap) -> void
-{
-    ++board.stats.pauses;
-    ++board.membership.pauses;
-    board.membership.pausedAt = board.now.mono;
-    board.log(LogEvent::PauseNoticed, "ms=" + std::to_string(milliseconds(gap)));
-}
-
 } // namespace flamingograde
--- /dev/null
+++ b/src/core/membership/pausewatch.cpp
@@ -0,0 +1,26 @@
+/// Gaps between events.
+#include "core/membership/pausewatch.h"
+
+#include "core/blackboard.h"
+#include "core/milliseconds.h"
+
+#include <flamingograde/config.h>
+
+namespace flamingograde {
+
+auto PauseWatch::notice(Blackboard &board) -> bool
+{
+    const auto now = board.now.mono;
+    const Duration gap = now - this->lastEvent.value_or(now);
+    this->lastEvent = now;
+    if (gap <= config::pauseThreshold) {
+        return false;
+    }
+    ++board.stats.pauses;
+    ++board.membership.pauses;
+    board.membership.pausedAt = now;
+    board.log(LogEvent::PauseNoticed, "ms=" + std::to_string(milliseconds(gap)));
+    return true;
+}
+
+} // namespace flamingograde
--- a/src/core/membership/seeddialer.cpp
+++ b/src/core/membership/seeddialer.cpp
@@ -55,8 +55,8 @@
         return;
     }
     auto addresses = unmetSeeds(board);
-    std::shuffle(addresses.begin(), addresses.end(), board.random);
     if (this->effort == SeedEffort::OneAtATime && !addresses.empty()) {
+        std::shuffle(addresses.begin(), addresses.end(), board.random);
         addresses.resize(1);
     }
     for (const auto address : addresses) {
--- a/src/core/overlay/linkchoice.cpp
+++ b/src/core/overlay/linkchoice.cpp
@@ -10,7 +10,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <set>
 #include <utility>
 
 namespace flamingograde {
@@ -26,22 +25,14 @@
     return others;
 }
 
-/// Returns the zones other than the own of which hosts are known.
-auto otherZones(const Blackboard &board) -> std::set<ZoneId>
-{
-    std::set<ZoneId> zones;
-    for (const auto &[id, record] : board.membership.records()) {
-        zones.insert(record.member.zone);
-    }
-    zones.erase(board.init.self.zone);
-    return zones;
-}
-
 /// Adds the first `most` hosts of each other zone.
 auto addContacts(const Blackboard &board, HostFilter filter, std::size_t most,
                  std::vector<HostId> &hosts) -> void
 {
-    for (const auto zone : otherZones(board)) {
+    for (const auto zone : knownZones(board)) {
+        if (zone == board.init.self.zone) {
+            continue;
+        }
         const auto ranked = rankedHosts(board, zone, filter);
         const auto count = static_cast<std::ptrdiff_t>(std::min(ranked.size(), most));
         hosts.insert(hosts.end(), ranked.begin(), ranked.begin() + count);
--- a/src/core/overlay/linkkeeper.cpp
+++ b/src/core/overlay/linkkeeper.cpp
@@ -125,14 +125,13 @@
     sendPeer(board, host, Ping { 1, std::move(gossip) });
 }
 
-auto LinkKeeper::connected(Blackboard &board, HostId host) -> void
+auto LinkKeeper::connected(Blackboard &board, MemberRecord &record) -> void
 {
-    this->dialer.connected(board, host);
-    auto &record = *board.membership.record(host);
+    this->dialer.connected(board, record.member.id);
     record.link.use = LinkUse::None;
     record.link.since = board.now.mono;
     record.link.nextQuestion = board.now.mono;
-    heard(board, host);
+    heard(board, record);
 }
 
 auto LinkKeeper::lost(Blackboard &board, const PeerDown &down) -> void
@@ -148,11 +147,9 @@
     }
 }
 
-auto LinkKeeper::heard(Blackboard &board, HostId host) -> void
+auto LinkKeeper::heard(const Blackboard &board, MemberRecord &record) -> void
 {
-    auto &record = *board.membership.record(host);
     record.heard = board.now.mono;
-    record.everHeard = true;
     record.unanswered = false;
     record.refusals = 0;
     record.link.askedAt.reset();
--- a/src/core/overlay/linkkeeper.h
+++ b/src/core/overlay/linkkeeper.h
@@ -24,12 +24,12 @@
 public:
     /// Chooses, dials, asks and closes what is due. Precondition: to be called on each `Tick`.
     auto tick(Blackboard &board) -> void;
-    /// Takes a new connection. Precondition: the member is known.
-    auto connected(Blackboard &board, HostId host) -> void;
-    /// Takes the loss of a connection or a failed dial. Precondition: as above.
+    /// Takes a new connection with a member of `board`.
+    auto connected(Blackboard &board, MemberRecord &record) -> void;
+    /// Takes the loss of a connection or a failed dial. Precondition: the host is known.
     auto lost(Blackboard &board, const PeerDown &down) -> void;
-    /// Takes a sign of life. Precondition: as above.
-    static auto heard(Blackboard &board, HostId host) -> void;
+    /// Takes a sign of life of a member of `board`.
+    static auto heard(const Blackboard &board, MemberRecord &record) -> void;
     /// Forgets what is under way: the process was paused and its timers mean nothing.
     static auto reset(Blackboard &board) -> void;
 
--- a/src/core/overlay/overlaycontroller.cpp
+++ b/src/core/overlay/overlaycontroller.cpp
@@ -5,13 +5,10 @@
 #include "core/membership/gossip.h"
 #include "core/membership/membershipstart.h"
 #include "core/membership/ownzone.h"
-#include "core/milliseconds.h"
 #include "core/overlay/viewchanges.h"
 #include "core/overlay/zoneview.h"
 #include "core/overloaded.h"
 
-#include <flamingograde/config.h>
-
 #include <chrono>
 #include <utility>
 
@@ -42,7 +39,9 @@
     if (!this->started) {
         this->start(board);
     }
-    this->noticePause(board);
+    if (this->pauses.notice(board)) {
+        LinkKeeper::reset(board);
+    }
     ViewChanges changes;
     std::visit(Overloaded { [&](const PeerUp &it) { this->on(board, it, changes); },
                             [&](const PeerDown &it) { this->on(board, it); },
@@ -59,33 +58,20 @@
 auto OverlayController::start(Blackboard &board) -> void
 {
     this->started = true;
-    this->lastEvent = board.now.mono;
     beginMembership(board);
     board.membership.compareOnly(board.init.self.zone);
     board.membership.record(board.membership.self)->link.isUntold = true;
     board.membership.refresh();
 }
 
-auto OverlayController::noticePause(Blackboard &board) -> void
-{
-    const auto gap = board.now.mono - this->lastEvent;
-    this->lastEvent = board.now.mono;
-    if (gap <= config::pauseThreshold) {
-        return;
-    }
-    notePause(board, gap);
-    LinkKeeper::reset(board);
-}
-
 auto OverlayController::on(Blackboard &board, const PeerUp &up, ViewChanges &changes) -> void
 {
     if (HostId::ofName(up.member.name) == board.membership.self) {
         return;
     }
     auto &record = learnConnected(board, up.member, changes);
-    this->links.connected(board, record.member.id);
+    this->links.connected(board, record);
     record.isNew = true;
-    board.membership.refresh();
     auto gossip = makeGossip(board, record.member.id);
     if (!isInOwnZone(board, record)) {
         gossip.updates = introductionFor(board, record.member.zone);
@@ -110,7 +96,7 @@
     if (record == nullptr || !record->connected) {
         return; // On its way when the connection was closed.
     }
-    LinkKeeper::heard(board, received.from);
+    LinkKeeper::heard(board, *record);
     if (const auto *gossip = gossipOf(received.message)) {
         record->link.use = gossip->linkUse;
         for (const auto &said : gossip->updates) {
--- a/src/core/overlay/overlaycontroller.h
+++ b/src/core/overlay/overlaycontroller.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/membership/listexchange.h"
+#include "core/membership/pausewatch.h"
 #include "core/membership/seeddialer.h"
 #include "core/overlay/linkkeeper.h"
 #include "core/overlay/lostmembers.h"
@@ -30,7 +31,6 @@
 
 private:
     auto start(Blackboard &board) -> void;
-    auto noticePause(Blackboard &board) -> void;
     auto on(Blackboard &board, const PeerUp &up, ViewChanges &changes) -> void;
     auto on(Blackboard &board, const PeerDown &down) -> void;
     auto on(Blackboard &board, const PeerMessage &received, ViewChanges &changes) -> void;
@@ -43,7 +43,7 @@
     NewsSpread news;
     SeedDialer seeds { SeedEffort::OneAtATime };
     ListExchange lists;
-    MonoTime lastEvent;
+    PauseWatch pauses;
     MonoTime nextTrim;
     bool started = false;
     bool goodbyeSaid = false;
--- a/src/core/overlay/zonehubs.cpp
+++ b/src/core/overlay/zonehubs.cpp
@@ -35,6 +35,15 @@
     return isEligible && (filter == HostFilter::Eligible || !record.unanswered);
 }
 
+auto knownZones(const Blackboard &board) -> std::set<ZoneId>
+{
+    std::set<ZoneId> zones;
+    for (const auto &[id, record] : board.membership.records()) {
+        zones.insert(record.member.zone);
+    }
+    return zones;
+}
+
 auto rankedHosts(const Blackboard &board, ZoneId zone, HostFilter filter) -> std::vector<HostId>
 {
     std::vector<std::pair<HubRank, HostId>> ranked;
--- a/src/core/overlay/zonehubs.h
+++ b/src/core/overlay/zonehubs.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <set>
 #include <vector>
 
 namespace flamingograde {
@@ -45,6 +46,9 @@
 /// Returns whether a member passes a filter. Precondition: none.
 [[nodiscard]] auto passes(const MemberRecord &record, HostFilter filter) -> bool;
 
+/// Returns the zones of which this host knows a member, its own included. Precondition: none.
+[[nodiscard]] auto knownZones(const Blackboard &board) -> std::set<ZoneId>;
+
 /// Returns the hosts of a zone that pass, the best hub first. Precondition: none.
 [[nodiscard]] auto rankedHosts(const Blackboard &board, ZoneId zone, HostFilter filter)
         -> std::vector<HostId>;
--- a/src/core/overlay/zoneview.cpp
+++ b/src/core/overlay/zoneview.cpp
@@ -2,6 +2,7 @@
 #include "core/overlay/zoneview.h"
 
 #include "core/blackboard.h"
+#include "core/membership/forgetting.h"
 #include "core/membership/membermerge.h"
 #include "core/membership/ownzone.h"
 #include "core/overlay/viewchanges.h"
@@ -11,27 +12,14 @@
 
 #include <algorithm>
 #include <map>
-#include <set>
 #include <utility>
 
 namespace flamingograde {
 
 namespace {
 
-using namespace std::chrono_literals;
-
-constexpr Duration forgetAfter = 60s;  ///< Longer than old word of an ended host goes round.
 constexpr std::size_t namesLogged = 4; ///< Hosts named in one log line.
 
-/// Returns whether `said` goes before what is known.
-auto isNewer(const Member &said, const Member &known) -> bool
-{
-    if (said.incarnation != known.incarnation) {
-        return said.incarnation > known.incarnation;
-    }
-    return said.state > known.state;
-}
-
 auto count(const Member &member, ViewChanges &changes) -> void
 {
     auto &counter = member.state == MemberState::Alive  ? changes.joined
@@ -97,13 +85,6 @@
     return worst == idle.end() ? nullptr : *worst;
 }
 
-auto forget(Blackboard &board, HostId host) -> void
-{
-    board.act(DropPeer { host });
-    board.membership.touch();
-    board.membership.records().erase(host);
-}
-
 /// Makes room for a new contact. @returns whether there is.
 auto makeRoom(Blackboard &board, const Member &member) -> bool
 {
@@ -118,7 +99,7 @@
         && !hubRankOf(member).isBefore(hubRankOf(worst->member))) {
         return false;
     }
-    forget(board, worst->member.id);
+    forgetMember(board, worst->member.id);
     return true;
 }
 
@@ -202,12 +183,8 @@
 
 auto introductionFor(const Blackboard &board, ZoneId zone) -> std::vector<Member>
 {
-    std::set<ZoneId> zones;
-    for (const auto &[id, record] : board.membership.records()) {
-        zones.insert(record.member.zone);
-    }
     std::vector<Member> members;
-    for (const auto of : zones) {
+    for (const auto of : knownZones(board)) {
         const auto isNear = of == zone || of == board.init.self.zone;
         const auto most = isNear ? config::contactsPerZone : 1;
         const auto ranked = rankedHosts(board, of, HostFilter::Usable);
@@ -220,20 +197,10 @@
 
 auto trimView(Blackboard &board) -> void
 {
+    forgetGone(board);
     std::map<ZoneId, std::size_t> contacts;
-    std::vector<HostId> ended;
     for (const auto &[id, record] : board.membership.records()) {
-        if (isInOwnZone(board, record)) {
-            const auto isDead = record.member.state == MemberState::Dead && !record.connected;
-            if (isDead && board.now.mono - record.changed > forgetAfter) {
-                ended.push_back(id);
-            }
-        } else {
-            ++contacts[record.member.zone];
-        }
-    }
-    for (const auto host : ended) {
-        forget(board, host);
+        contacts[record.member.zone] += isInOwnZone(board, record) ? 0 : 1;
     }
     for (const auto &[zone, size] : contacts) {
         for (auto left = size; left > config::contactsPerZone; --left) {
@@ -241,7 +208,7 @@
             if (worst == nullptr) {
                 break;
             }
-            forget(board, worst->member.id);
+            forgetMember(board, worst->member.id);
         }
     }
 }
--- a/src/emulator/emulation.cpp
+++ b/src/emulator/emulation.cpp
@@ -1,6 +1,7 @@
 /// Hosts, upstreams, callers, fabric and store of one emulated day.
 #include "emulator/emulation.h"
 
+#include "emulator/hostsettings.h"
 #include "emulator/troubles.h"
 
 #include <flamingograde/config.h>
@@ -23,10 +24,7 @@
 constexpr std::uint32_t headBytes = 44;           ///< Before the data, the instance included.
 constexpr std::uint32_t callerNet = 0x64400001;   ///< 100.64.0.1.
 constexpr std::uint32_t upstreamNet = 0x0a800000; ///< 10.128.0.0.
-constexpr std::uint32_t hostNet = 0x0a010000;     ///< 10.1.0.0.
 constexpr std::uint16_t upstreamPort = 8080;
-constexpr std::uint16_t peerPort = 7001;
-constexpr std::size_t seedHosts = 3;
 
 } // namespace
 
@@ -41,18 +39,9 @@
 
 Emulation::~Emulation() = default;
 
-auto Emulation::hostSettings(const std::string &zone, std::size_t number) -> Init
+auto Emulation::settingsOf(const std::string &zone, std::size_t number) -> Init
 {
-    Init init;
-    init.self.name = "host-" + std::to_string(number);
-    init.self.id = HostId::ofName(init.self.name);
-    init.self.zoneName = zone;
-    init.self.zone = ZoneId::ofName(zone);
-    init.self.peer = { hostNet + static_cast<std::uint32_t>(number) + 1, peerPort };
-    for (std::size_t i = 0; i < seedHosts; ++i) {
-        init.seedAddresses.push_back({ hostNet + static_cast<std::uint32_t>(i) + 1, peerPort });
-    }
-    init.readsDirectory = true;
+    auto init = hostSettings(zone, number);
     init.flowsTracked = config::flowsTracked;
     init.packetPolicy = this->plan.policy;
     init.stopTimeout = 5s;
@@ -72,7 +61,7 @@
     };
     around.onLog = [this](const Log &log) { ++this->logs[log.event]; };
     this->hosts.push_back(std::make_unique<EmulatedHost>(this->time, this->mesh, this->platform,
-                                                         this->hostSettings(zone, number),
+                                                         this->settingsOf(zone, number),
                                                          this->plan.hosts, std::move(around)));
     this->fabric.add(*this->hosts.back());
     this->hosts.back()->start();
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -93,7 +93,7 @@
     double movedShare = 0.5;                         ///< Part of the callers that moved.
 
 private:
-    auto hostSettings(const std::string &zone, std::size_t number) -> Init;
+    auto settingsOf(const std::string &zone, std::size_t number) -> Init;
     auto surroundingsOf(std::size_t seat) -> UpstreamSurroundings;
     auto beat(std::size_t index) -> void;
     auto judgeOpening(const UpstreamSeat &seat) -> void;
--- /dev/null
+++ b/src/emulator/hostsettings.cpp
@@ -0,0 +1,36 @@
+/// Names and addresses of emulated hosts.
+#include "emulator/hostsettings.h"
+
+#include <cstdint>
+
+namespace flamingograde::emulator {
+
+namespace {
+
+constexpr std::uint32_t hostNet = 0x0a010000; ///< 10.1.0.0.
+constexpr std::uint16_t peerPort = 7001;
+constexpr std::size_t seedHosts = 3;
+
+auto peerAddress(std::size_t number) -> Address
+{
+    return { hostNet + static_cast<std::uint32_t>(number) + 1, peerPort };
+}
+
+} // namespace
+
+auto hostSettings(const std::string &zone, std::size_t number) -> Init
+{
+    Init init;
+    init.self.name = "host-" + std::to_string(number);
+    init.self.id = HostId::ofName(init.self.name);
+    init.self.zoneName = zone;
+    init.self.zone = ZoneId::ofName(zone);
+    init.self.peer = peerAddress(number);
+    for (std::size_t seed = 0; seed < seedHosts; ++seed) {
+        init.seedAddresses.push_back(peerAddress(seed));
+    }
+    init.readsDirectory = true;
+    return init;
+}
+
+} // namespace flamingograde::emulator
--- a/tests/unit/listexchangetest.cpp
+++ b/tests/unit/listexchangetest.cpp
@@ -2,6 +2,7 @@
 #include "core/membership/listexchange.h"
 #include "core/blackboard.h"
 #include "core/membership/membermerge.h"
+#include "samplemember.h"
 
 #include <flamingograde/config.h>
 
@@ -16,28 +17,17 @@
 
 using namespace std::chrono_literals;
 
-auto member(const std::string &name, const std::string &zone) -> Member
-{
-    Member made;
-    made.name = name;
-    made.id = HostId::ofName(name);
-    made.zoneName = zone;
-    made.zone = ZoneId::ofName(zone);
-    made.incarnation = 1;
-    return made;
-}
-
 /// A host in zone "a" that is connected with one host in "a" and one in "b".
 class MeetingHost
 {
 public:
     MeetingHost()
     {
-        this->board.init.self = member("host", "a");
+        this->board.init.self = sampleMember("host", "a");
         this->board.membership.self = this->board.init.self.id;
         this->board.now.mono += 100s;
         addMember(this->board, this->board.init.self);
-        for (const auto &other : { member("near", "a"), member("far", "b") }) {
+        for (const auto &other : { sampleMember("near", "a"), sampleMember("far", "b") }) {
             auto &record = addMember(this->board, other);
             record.connected = true;
             record.isNew = true;
@@ -110,7 +100,7 @@
 {
     MeetingHost host;
     for (int i = 0; i < 400; ++i) {
-        addMember(host.board, member("other-" + std::to_string(i), "c"));
+        addMember(host.board, sampleMember("other-" + std::to_string(i), "c"));
     }
     std::size_t lists = 0;
     while (host.hear("near", false) > 2) {
@@ -131,9 +121,9 @@
     MeetingHost host;
     MeetingHost other;
     CHECK(host.board.membership.digest() == other.board.membership.digest());
-    addMember(host.board, member("third", "a"));
+    addMember(host.board, sampleMember("third", "a"));
     CHECK(host.board.membership.digest() != other.board.membership.digest());
-    addMember(other.board, member("third", "a"));
+    addMember(other.board, sampleMember("third", "a"));
     CHECK(host.board.membership.digest() == other.board.membership.digest());
     raiseIncarnation(host.board, 0);
     CHECK(host.board.membership.digest() != other.board.membership.digest());
--- a/tests/unit/overlayfleet.cpp
+++ b/tests/unit/overlayfleet.cpp
@@ -1,6 +1,7 @@
 /// Starts hosts, tells them of each other, and counts what they log.
 #include "overlayfleet.h"
 
+#include "emulator/hostsettings.h"
 #include "packetboard.h"
 
 #include <flamingograde/packetrows.h>
@@ -16,9 +17,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::uint32_t hostNet = 0x0a010000; ///< 10.1.0.0.
-constexpr std::uint16_t peerPort = 7001;
-constexpr std::size_t seedHosts = 3;
 constexpr std::size_t wideHosts = 3;
 constexpr std::uint32_t wideMbps = 200;
 constexpr std::uint32_t narrowMbps = 20;
@@ -45,17 +43,8 @@
 auto OverlayFleet::add(const std::string &zone) -> std::size_t
 {
     const auto number = this->hosts.size();
-    Init init;
-    init.self.name = "host-" + std::to_string(number);
-    init.self.id = HostId::ofName(init.self.name);
-    init.self.zoneName = zone;
-    init.self.zone = ZoneId::ofName(zone);
-    init.self.peer = { hostNet + static_cast<std::uint32_t>(number) + 1, peerPort };
+    auto init = emulator::hostSettings(zone, number);
     init.self.linkMbps = this->hostsOf(zone).size() < wideHosts ? wideMbps : narrowMbps;
-    for (std::uint32_t i = 1; i <= seedHosts; ++i) {
-        init.seedAddresses.push_back({ hostNet + i, peerPort });
-    }
-    init.readsDirectory = true;
     init.seed = this->seed * 1000 + number;
     emulator::HostSurroundings around;
     around.onLog = [this, number](const Log &log) {
@@ -83,6 +72,17 @@
     this->clock.run(duration);
 }
 
+auto OverlayFleet::losePower(std::size_t step, Duration duration) -> void
+{
+    for (std::size_t i = 0; i < this->hosts.size(); i += step) {
+        this->hosts[i]->kill(true);
+    }
+    this->run(duration);
+    for (std::size_t i = 0; i < this->hosts.size(); i += step) {
+        this->hosts[i]->start();
+    }
+}
+
 auto OverlayFleet::publish() -> void
 {
     PacketRows rows;
--- a/tests/unit/overlayfleet.h
+++ b/tests/unit/overlayfleet.h
@@ -35,6 +35,8 @@
     auto run(Duration duration) -> void;
     /// Adds a host and starts it.
     auto add(const std::string &zone) -> std::size_t;
+    /// Takes the power of each `step`th host for a time.
+    auto losePower(std::size_t step, Duration duration) -> void;
     /// Publishes rows. @returns the time until all running hosts have them; nothing in 20 s.
     auto publishToAll() -> std::optional<Duration>;
     /// Returns whether all running hosts have the newest rows.
--- a/tests/unit/overlaytest.cpp
+++ b/tests/unit/overlaytest.cpp
@@ -4,6 +4,7 @@
 #include "core/overlay/linkchoice.h"
 #include "core/overlay/zonehubs.h"
 #include "overlayfleet.h"
+#include "samplemember.h"
 
 #include <flamingograde/config.h>
 
@@ -36,28 +37,18 @@
 public:
     KnowingHost()
     {
-        this->board.init.self = member("self", "near", 20);
+        this->board.init.self = sampleMember("self", "near");
+        this->board.init.self.linkMbps = 20;
         this->board.membership.self = this->board.init.self.id;
         addMember(this->board, this->board.init.self);
     }
 
-    static auto member(const std::string &name, const std::string &zone, std::uint32_t mbps)
-            -> Member
-    {
-        Member made;
-        made.name = name;
-        made.id = HostId::ofName(name);
-        made.zoneName = zone;
-        made.zone = ZoneId::ofName(zone);
-        made.linkMbps = mbps;
-        made.incarnation = 1;
-        return made;
-    }
-
     auto know(const std::string &name, const std::string &zone, std::uint32_t mbps)
             -> MemberRecord &
     {
-        auto &record = addMember(this->board, member(name, zone, mbps));
+        auto member = sampleMember(name, zone);
+        member.linkMbps = mbps;
+        auto &record = addMember(this->board, member);
         this->board.membership.refresh();
         return record;
     }
@@ -305,13 +296,7 @@
     OverlayFleet fleet(zones, zoneHosts);
     fleet.run(untilSettled);
     fleet.forgetLogs();
-    for (std::size_t i = 0; i < fleet.size(); i += 6) {
-        fleet.host(i).kill(true);
-    }
-    fleet.run(3s);
-    for (std::size_t i = 0; i < fleet.size(); i += 6) {
-        fleet.host(i).start();
-    }
+    fleet.losePower(6, 3s);
     fleet.run(5s);
     // Before: 160 lines on each host for 42 hosts that were killed.
     CHECK(fleet.linesOfLoudest() <= 40);
@@ -342,13 +327,7 @@
 {
     OverlayFleet fleet(zones, 20);
     fleet.run(untilSettled);
-    for (std::size_t i = 0; i < fleet.size(); ++i) {
-        fleet.host(i).kill(true);
-    }
-    fleet.run(900ms);
-    for (std::size_t i = 0; i < fleet.size(); ++i) {
-        fleet.host(i).start();
-    }
+    fleet.losePower(1, 900ms);
     fleet.run(5s);
     for (std::size_t i = 0; i < fleet.size(); ++i) {
         CHECK(fleet.knownBy(i) >= 20);
--- /dev/null
+++ b/tests/unit/samplemember.h
@@ -0,0 +1,22 @@
+/// A member for tests.
+#pragma once
+
+#include <flamingograde/member.h>
+
+#include <string>
+
+namespace flamingograde {
+
+/// Returns a member of the first incarnation.
+inline auto sampleMember(const std::string &name, const std::string &zone) -> Member
+{
+    Member made;
+    made.name = name;
+    made.id = HostId::ofName(name);
+    made.zoneName = zone;
+    made.zone = ZoneId::ofName(zone);
+    made.incarnation = 1;
+    return made;
+}
+
+} // namespace flamingograde
