--- a/src/emulator/dayfile.cpp
+++ b/src/emulator/dayfile.cpp
@@ -27,7 +27,7 @@
 const Words sections { "day", "host", "zone", "upstreams", "row", "share", "trouble" };
 const Words dayFields { "name",   "seed",           "lead_ms",     "length_ms",
                         "policy", "drain_bound_ms", "loss_percent" };
-const Words hostFields { "start_ms", "restart_ms", "packet_us" };
+const Words hostFields { "start_ms", "restart_ms", "packet_us", "message_us" };
 const Words zoneFields { "name", "hosts", "requests_per_second" };
 const Words upstreamFields { "service", "zone", "count", "slots", "queue" };
 const Words rowFields { "name",        "address",       "service",      "idempotent", "long_flows",
@@ -118,6 +118,8 @@
     host.restart = time(fields, "restart_ms", host.restart);
     const auto usual = static_cast<std::uint64_t>(host.packet.count());
     host.packet = std::chrono::microseconds(fields.number("packet_us", { 0, rateMax, usual }));
+    const auto message = static_cast<std::uint64_t>(host.message.count());
+    host.message = std::chrono::microseconds(fields.number("message_us", { 0, rateMax, message }));
 }
 
 auto DayReader::readZone(FieldReader &fields) -> void
--- a/src/emulator/emulatedhost.cpp
+++ b/src/emulator/emulatedhost.cpp
@@ -16,6 +16,12 @@
 constexpr auto wallBegin = std::chrono::seconds(1'764'700'000);
 constexpr std::size_t waitingPacketsMax = 800; ///< What a system's buffer holds.
 
+auto isOfPeer(const Event &event) -> bool
+{
+    return std::holds_alternative<PeerMessage>(event) || std::holds_alternative<PeerUp>(event)
+           || std::holds_alternative<PeerDown>(event);
+}
+
 } // namespace
 
 EmulatedHost::EmulatedHost(VirtualClock &owner, PeerMesh &peers, EmulatedStore &platform,
@@ -156,6 +162,22 @@
     if (this->state != HostLife::Running) {
         return;
     }
+    if (this->times.message == Duration(0)) {
+        this->handle(std::move(event));
+        return;
+    }
+    const auto cost = isOfPeer(event) ? this->times.message : Duration(0);
+    this->afterWork(cost, [this, event = std::move(event)] {
+        if (this->state == HostLife::Frozen) {
+            this->waitingEvents.push_back(event);
+        } else {
+            this->handle(event);
+        }
+    });
+}
+
+auto EmulatedHost::handle(Event event) -> void
+{
     const auto life = this->lives;
     const auto actions = this->library->handle(this->clockNow(), std::move(event));
     for (const auto &action : actions) {
@@ -208,11 +230,7 @@
     if (this->state != HostLife::Running && this->state != HostLife::Frozen) {
         return;
     }
-    this->busyUntil = std::max(this->busyUntil, this->clock.now()) + this->times.packet;
-    this->clock.later(this->busyUntil - this->clock.now(), [this, packet, life = this->lives] {
-        if (life != this->lives) {
-            return;
-        }
+    this->afterWork(this->times.packet, [this, packet] {
         if (!this->holdsPackets()) {
             this->steer(packet);
         } else if (this->waitingPackets.size() < waitingPacketsMax) {
@@ -221,6 +239,17 @@
     });
 }
 
+auto EmulatedHost::afterWork(Duration cost, std::function<void()> task) -> void
+{
+    this->busyUntil = std::max(this->busyUntil, this->clock.now()) + cost;
+    this->clock.later(this->busyUntil - this->clock.now(),
+                      [this, task = std::move(task), life = this->lives] {
+                          if (life == this->lives) {
+                              task();
+                          }
+                      });
+}
+
 auto EmulatedHost::steer(const FlowPacket &packet) -> void
 {
     ++this->packetCount;
--- a/src/emulator/emulatedhost.h
+++ b/src/emulator/emulatedhost.h
@@ -35,6 +35,7 @@
     Duration start { 250000 };   ///< From the start of a process until it listens.
     Duration restart { 100000 }; ///< From the end of a process until the next begins.
     Duration packet { 50 };      ///< Processing of one packet.
+    Duration message { 0 }; ///< Of one message of another host, or a connection's begin or end.
 };
 
 /// Where a host's packets and logs go.
@@ -87,7 +88,10 @@
 private:
     auto begin(std::uint64_t life) -> void;
     auto tick(std::uint64_t life) -> void;
+    auto handle(Event event) -> void;
     auto perform(const Action &action) -> void;
+    /// Runs `task` once the process has done what came before it, and has worked on it for `cost`.
+    auto afterWork(Duration cost, std::function<void()> task) -> void;
     auto steer(const FlowPacket &packet) -> void;
     auto steerWaiting() -> void;
     [[nodiscard]] auto holdsPackets() const -> bool;
