--- a/src/emulator/emulatedstore.cpp
+++ b/src/emulator/emulatedstore.cpp
@@ -18,7 +18,7 @@
 auto isSame(const Upstream &a, const Upstream &b) -> bool
 {
     return a.state == b.state && a.warmup == b.warmup && a.address == b.address
-           && a.slots == b.slots && a.service == b.service;
+           && a.slots == b.slots && a.service == b.service && a.born == b.born;
 }
 
 } // namespace
--- a/src/emulator/emulatedupstream.cpp
+++ b/src/emulator/emulatedupstream.cpp
@@ -40,6 +40,13 @@
     this->running = 0;
 }
 
+auto EmulatedUpstream::restart(MonoTime cold) -> void
+{
+    this->state = UpstreamLife::Running;
+    this->coldUntil = cold;
+    ++this->starts;
+}
+
 auto EmulatedUpstream::take(InstanceId intended, const FlowPacket &packet) -> void
 {
     if (this->state == UpstreamLife::Dark) {
@@ -157,8 +164,8 @@
     const auto cold = this->clock.now() < this->coldUntil ? this->coldFactor : 1.0;
     const auto time = static_cast<double>(job.work) * cold * this->slowness;
     this->busyUs += static_cast<std::uint64_t>(time);
-    this->clock.later(Duration(static_cast<Duration::rep>(time)), [this, job] {
-        if (this->state == UpstreamLife::Running) {
+    this->clock.later(Duration(static_cast<Duration::rep>(time)), [this, job, ran = this->starts] {
+        if (this->state == UpstreamLife::Running && this->starts == ran) {
             this->finish(job);
         }
     });
--- a/src/emulator/emulatedupstream.h
+++ b/src/emulator/emulatedupstream.h
@@ -49,6 +49,8 @@
 
     /// Ends its process or silences it. Precondition: none.
     auto fail(UpstreamLife kind) -> void;
+    /// Starts it again without anything that it held. Precondition: it failed.
+    auto restart(MonoTime cold) -> void;
     /// Closes each flow after its next answer from now on. Precondition: none.
     auto drain() -> void { this->draining = true; }
 
@@ -119,6 +121,7 @@
     std::deque<Job> waiting;
     std::size_t running = 0;
     std::uint64_t lastLife = 0;
+    std::uint32_t starts = 1; ///< Of its process: runs of an earlier one end nothing.
 };
 
 } // namespace flamingograde::emulator
--- a/src/emulator/emulation.cpp
+++ b/src/emulator/emulation.cpp
@@ -163,6 +163,7 @@
     seat->process->coldUntil = this->time.now() + coldTime;
     this->seatAt[record.address] = index;
     this->seats.push_back(std::move(seat));
+    this->seats.back()->isBeating = true;
     this->time.later(Duration(static_cast<Duration::rep>(this->random() % 300000)),
                      [this, index] { this->beat(index); });
     return index;
@@ -204,6 +205,7 @@
 auto Emulation::beat(std::size_t index) -> void
 {
     auto &seat = *this->seats[index];
+    seat.isBeating = seat.reports;
     if (!seat.reports) {
         return;
     }
@@ -245,6 +247,28 @@
     seat.process->fail(kind);
 }
 
+auto Emulation::restartUpstream(std::size_t index, UpstreamLife kind, Duration after) -> void
+{
+    this->failUpstream(index, kind);
+    this->time.later(after, [this, index] {
+        auto &seat = *this->seats[index];
+        seat.process->restart(this->time.now() + coldTime);
+        seat.record.born = WallTime(this->time.now().time_since_epoch());
+        seat.disturbedAt = this->time.now();
+        seat.reports = true;
+        if (!seat.isBeating) {
+            this->beat(index);
+        }
+    });
+}
+
+auto Emulation::disturbUpstream(std::size_t index, Duration duration) -> void
+{
+    auto &seat = *this->seats[index];
+    const auto until = this->time.now() + duration;
+    seat.disturbedAt = std::max(seat.disturbedAt.value_or(until), until);
+}
+
 auto Emulation::housekeep() -> void
 {
     this->platform.expire();
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -33,9 +33,10 @@
     Place place;
     Upstream record;                       ///< As it reports itself.
     bool reports = true;                   ///< Sends heartbeats.
+    bool isBeating = false;                ///< Its next heartbeat is planned.
     bool stored = false;                   ///< The store took its newest record.
     std::optional<MonoTime> leftAt;        ///< When the store took that it leaves or is gone.
-    std::optional<MonoTime> disturbedAt;   ///< When it was last crashed or cut.
+    std::optional<MonoTime> disturbedAt;   ///< Until when it was last crashed or cut.
     const EmulatedHost *through = nullptr; ///< The host whose packet it takes.
 };
 
@@ -68,6 +69,10 @@
     auto drainUpstream(std::size_t index, Duration extra = std::chrono::seconds(1)) -> void;
     /// Ends an upstream at once.
     auto failUpstream(std::size_t index, UpstreamLife kind) -> void;
+    /// Ends an upstream at once and starts it again under its id after a time.
+    auto restartUpstream(std::size_t index, UpstreamLife kind, Duration after) -> void;
+    /// Notes that what lies around an upstream is disturbed for a time: resets are excused by it.
+    auto disturbUpstream(std::size_t index, Duration duration) -> void;
     /// Adds a host and starts it. @returns its index.
     auto addHost(const std::string &zone) -> std::size_t;
     /// Publishes the rows of the plan, and of those added since, under the next version.
--- a/src/emulator/network.cpp
+++ b/src/emulator/network.cpp
@@ -16,10 +16,21 @@
     this->cuts[name] = fault;
 }
 
+auto Network::cutFromHosts(const std::string &name, LinkFault fault) -> void
+{
+    this->cuts["hosts " + name] = fault;
+}
+
+auto Network::cutFromStore(const std::string &name, LinkFault fault) -> void
+{
+    this->cuts["store " + name] = fault;
+}
+
 auto Network::heal(const std::string &name) -> void
 {
-    this->cuts.erase(name);
-    this->cuts.erase("zone " + name);
+    for (const auto *kind : { "", "zone ", "hosts ", "store " }) {
+        this->cuts.erase(kind + name);
+    }
 }
 
 auto Network::cutOf(const std::string &name) const -> LinkFault
@@ -33,7 +44,9 @@
     if (a.name == b.name) {
         return LinkFault::None;
     }
-    auto worst = std::max(this->cutOf(a.name), this->cutOf(b.name));
+    const auto kindOf = [](const Place &end) { return end.zone.empty() ? "store " : "hosts "; };
+    auto worst = std::max({ this->cutOf(a.name), this->cutOf(b.name),
+                            this->cutOf(kindOf(b) + a.name), this->cutOf(kindOf(a) + b.name) });
     if (a.zone != b.zone) {
         worst = std::max({ worst, this->cutOf("zone " + a.zone), this->cutOf("zone " + b.zone) });
     }
--- a/src/emulator/network.h
+++ b/src/emulator/network.h
@@ -43,7 +43,11 @@
     auto cutZone(const std::string &zone, LinkFault fault) -> void;
     /// Cuts one place off from all places but callers.
     auto cutPlace(const std::string &name, LinkFault fault) -> void;
-    /// Takes the cut of a zone or place away.
+    /// Cuts one place off from hosts; the store and callers still reach it.
+    auto cutFromHosts(const std::string &name, LinkFault fault) -> void;
+    /// Cuts one place off from the store; hosts and callers still reach it.
+    auto cutFromStore(const std::string &name, LinkFault fault) -> void;
+    /// Takes every cut of a zone or place away.
     auto heal(const std::string &name) -> void;
 
     /// Returns what the link between two places does. Precondition: none.
--- a/src/emulator/randomday.cpp
+++ b/src/emulator/randomday.cpp
@@ -3,8 +3,11 @@
 
 #include "emulator/troubles.h"
 
+#include <array>
 #include <random>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace flamingograde::emulator {
 
@@ -14,14 +17,42 @@
 
 constexpr std::uint64_t fewestTroubles = 3;
 constexpr std::uint64_t moreTroubles = 4; ///< Up to so many less one beside the fewest.
-constexpr std::uint64_t lossyEvery = 5;   ///< One of so many days loses packets.
+constexpr std::uint64_t fewestOfCrowded = 5;
+constexpr std::uint64_t moreOfCrowded = 9;
+
+/// The kinds of `randomDay`. Kept as they are, so that a seed goes on to draw the same day.
+const std::vector<std::string> drawnKinds {
+    "address-reuse",
+    "burst",
+    "callers-move",
+    "host-add",
+    "host-cut",
+    "host-freeze",
+    "host-kill",
+    "host-stop",
+    "release",
+    "rows",
+    "scale-in",
+    "store-down",
+    "store-forgets",
+    "store-loses-answers",
+    "store-refuses-hosts",
+    "store-slow",
+    "upstream-fail",
+    "upstream-slow",
+    "zone-cut",
+};
+
+constexpr std::uint64_t lossyEvery = 5; ///< One of so many days loses packets.
 constexpr double lossMost = 0.1;
 
 /// Draws the fields of one trouble.
 class TroubleDraw
 {
 public:
-    TroubleDraw(const DayPlan &day, std::uint64_t seed) : plan(day), random(seed) {}
+    TroubleDraw(const DayPlan &day, std::vector<std::string> drawn, std::uint64_t seed)
+        : plan(day), kinds(std::move(drawn)), random(seed)
+    {}
 
     auto below(std::uint64_t limit) -> std::uint64_t { return this->random() % limit; }
 
@@ -32,9 +63,8 @@
 
     auto next() -> TroublePlan
     {
-        const auto kinds = troubleKinds();
         TroublePlan trouble;
-        trouble.kind = kinds[this->below(kinds.size())];
+        trouble.kind = this->kinds[this->below(this->kinds.size())];
         trouble.at = std::chrono::milliseconds(this->below(toMs(this->plan.length)));
         trouble.lasts = std::chrono::milliseconds(500 + this->below(6000));
         trouble.gap = std::chrono::milliseconds(100 + this->below(1500));
@@ -64,9 +94,12 @@
     auto how(const std::string &kind) -> std::string
     {
         const auto first = this->below(2) == 0;
-        if (kind == "upstream-fail" || kind == "address-reuse") {
+        if (kind == "upstream-fail" || kind == "address-reuse" || kind == "upstream-restart") {
             return first ? "dark" : "";
         }
+        if (kind == "upstream-cut") {
+            return this->below(3) == 0 ? "" : first ? "hosts" : "store";
+        }
         if (kind == "host-kill") {
             return first ? "power" : "";
         }
@@ -83,16 +116,15 @@
     }
 
     const DayPlan &plan;
+    std::vector<std::string> kinds;
     std::mt19937_64 random;
 };
 
-} // namespace
-
-auto randomDay(DayPlan day, std::uint64_t seed) -> DayPlan
+auto drawDay(DayPlan day, TroubleDraw draw, std::uint64_t fewest, std::uint64_t more,
+             std::uint64_t seed) -> DayPlan
 {
-    TroubleDraw draw(day, seed);
     std::vector<TroublePlan> troubles;
-    for (auto left = fewestTroubles + draw.below(moreTroubles); left > 0; --left) {
+    for (auto left = fewest + draw.below(more); left > 0; --left) {
         troubles.push_back(draw.next());
     }
     const auto loss = draw.below(lossyEvery) == 0 ? draw.part(lossMost) : 0.0;
@@ -102,4 +134,18 @@
     return day;
 }
 
+} // namespace
+
+auto randomDay(DayPlan day, std::uint64_t seed) -> DayPlan
+{
+    TroubleDraw draw(day, drawnKinds, seed);
+    return drawDay(day, std::move(draw), fewestTroubles, moreTroubles, seed);
+}
+
+auto crowdedDay(DayPlan day, std::uint64_t seed) -> DayPlan
+{
+    TroubleDraw draw(day, troubleKinds(), seed);
+    return drawDay(day, std::move(draw), fewestOfCrowded, moreOfCrowded, seed);
+}
+
 } // namespace flamingograde::emulator
--- a/src/emulator/randomday.h
+++ b/src/emulator/randomday.h
@@ -12,4 +12,9 @@
 /// @remarks Thread safe.
 [[nodiscard]] auto randomDay(DayPlan day, std::uint64_t seed) -> DayPlan;
 
+/// Returns `day` with five to thirteen troubles of every kind that `troubleKinds` lists, otherwise
+/// like `randomDay`. Precondition: as above.
+/// @remarks Thread safe.
+[[nodiscard]] auto crowdedDay(DayPlan day, std::uint64_t seed) -> DayPlan;
+
 } // namespace flamingograde::emulator
--- a/src/emulator/troubles.cpp
+++ b/src/emulator/troubles.cpp
@@ -83,6 +83,29 @@
     }
 }
 
+auto restartUpstreams(Emulation &world, const TroublePlan &trouble) -> void
+{
+    const auto kind = trouble.how == "dark" ? UpstreamLife::Dark : UpstreamLife::Crashed;
+    for (const auto index : pickUpstreams(world, trouble)) {
+        world.restartUpstream(index, kind, trouble.lasts);
+    }
+}
+
+auto cutUpstreams(Emulation &world, const TroublePlan &trouble) -> void
+{
+    for (const auto index : pickUpstreams(world, trouble)) {
+        const auto name = world.seat(index).place.name;
+        if (trouble.how != "store") {
+            world.network().cutFromHosts(name, LinkFault::Silent);
+        }
+        if (trouble.how != "hosts") {
+            world.network().cutFromStore(name, LinkFault::Silent);
+        }
+        world.disturbUpstream(index, trouble.lasts);
+        world.clock().later(trouble.lasts, [&world, name] { world.network().heal(name); });
+    }
+}
+
 auto slowUpstreams(Emulation &world, const TroublePlan &trouble) -> void
 {
     for (const auto index : pickUpstreams(world, trouble)) {
@@ -174,9 +197,8 @@
 {
     world.network().cutZone(trouble.zone, faultOf(trouble));
     for (const auto index : world.running("")) {
-        auto &seat = world.seat(index);
-        if (seat.place.zone == trouble.zone) {
-            seat.disturbedAt = world.clock().now() + trouble.lasts;
+        if (world.seat(index).place.zone == trouble.zone) {
+            world.disturbUpstream(index, trouble.lasts);
         }
     }
     world.clock().later(trouble.lasts,
@@ -256,6 +278,8 @@
     static const std::map<std::string, Trouble> all {
         { "upstream-fail", &failUpstreams },
         { "upstream-slow", &slowUpstreams },
+        { "upstream-cut", &cutUpstreams },
+        { "upstream-restart", &restartUpstreams },
         { "release", &release },
         { "scale-in", &scaleIn },
         { "address-reuse", &reuseAddresses },
--- a/tools/flamingogradesim/main.cpp
+++ b/tools/flamingogradesim/main.cpp
@@ -9,7 +9,9 @@
 
 #include <popt.h>
 
+#include <algorithm>
 #include <array>
+#include <cstdint>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -34,6 +36,7 @@
     bool allPolicies = false;
     bool windows = false;
     bool randomTroubles = false;
+    bool crowded = false;
     int seeds = 1;
     int hosts = 0; ///< 0: as many as the day has.
 };
@@ -51,13 +54,16 @@
     int all = 0;
     int windows = 0;
     int randomTroubles = 0;
-    const std::array<poptOption, 8> table { {
+    int crowded = 0;
+    const std::array<poptOption, 9> table { {
             { "policies", 'p', POPT_ARG_NONE, &all, 0, "play every placement policy", nullptr },
             { "seeds", 's', POPT_ARG_INT, &options.seeds, 0, "seeds of each day", "N" },
             { "hosts", 'n', POPT_ARG_INT, &options.hosts, 0, "scale the day to N hosts", "N" },
             { "windows", 'w', POPT_ARG_NONE, &windows, 0, "print each window's worth", nullptr },
             { "random", 'x', POPT_ARG_NONE, &randomTroubles, 0,
               "draw the troubles of each seed at random", nullptr },
+            { "crowded", 'c', POPT_ARG_NONE, &crowded, 0,
+              "draw five to thirteen troubles of every kind", nullptr },
             { "report", 'r', POPT_ARG_STRING, &report, 0, "write all figures as JSON", "FILE" },
             POPT_AUTOHELP POPT_TABLEEND,
     } };
@@ -83,6 +89,7 @@
     options.allPolicies = all != 0;
     options.windows = windows != 0;
     options.randomTroubles = randomTroubles != 0;
+    options.crowded = crowded != 0;
     return options;
 }
 
@@ -113,6 +120,24 @@
     }
 }
 
+/// Says which promises a day broke, with what plays it again.
+/// @returns whether it kept them all.
+auto reportBroken(const std::string &name, std::uint64_t seed, const DayResult &result) -> bool
+{
+    const auto broken =
+            result.brokenFlows + result.doubleRuns + result.wrongService + result.lateOpenings;
+    if (broken == 0) {
+        return true;
+    }
+    std::cout << "    BROKEN: " << name << " seed " << seed << ": flows " << result.brokenFlows;
+    for (const auto &[reason, count] : result.brokenBy) {
+        std::cout << " (" << reason << " " << count << ")";
+    }
+    std::cout << ", runs " << result.doubleRuns << ", services " << result.wrongService
+              << ", openings " << result.lateOpenings << std::endl;
+    return false;
+}
+
 auto play(DayPlan day, const char *policy, const Options &options) -> nlohmann::json
 {
     const auto name = day.name + " " + policy;
@@ -125,6 +150,7 @@
     auto figures = toJson(result);
     figures["day"] = name;
     figures["seed"] = seed;
+    figures["kept"] = reportBroken(name, seed, result);
     return figures;
 }
 
@@ -139,9 +165,10 @@
             auto played = options.hosts > 0 ? scaledTo(day, static_cast<std::size_t>(options.hosts))
                                             : day;
             played.seed += static_cast<std::uint64_t>(i);
-            if (options.randomTroubles) {
+            if (options.randomTroubles || options.crowded) {
                 const auto seed = played.seed;
-                played = randomDay(std::move(played), seed);
+                played = options.crowded ? crowdedDay(std::move(played), seed)
+                                         : randomDay(std::move(played), seed);
                 played.name += "-" + std::to_string(played.seed);
             }
             played.policy = policy;
@@ -173,5 +200,8 @@
     if (!options->report.empty()) {
         std::ofstream(options->report) << figures.dump(2) << std::endl;
     }
-    return EXIT_SUCCESS;
+    const auto allKept = std::all_of(figures.begin(), figures.end(), [](const auto &day) {
+        return day["kept"].template get<bool>();
+    });
+    return allKept ? EXIT_SUCCESS : EXIT_FAILURE;
 }
