--- a/src/emulator/randomday.cpp
+++ b/src/emulator/randomday.cpp
@@ -3,7 +3,6 @@
 
 #include "emulator/troubles.h"
 
-#include <array>
 #include <random>
 #include <string>
 #include <utility>
