--- a/tests/unit/churntest.cpp
+++ b/tests/unit/churntest.cpp
@@ -77,7 +77,7 @@
 TEST_CASE("hosts with little processor serve on while many hosts end, stop and are added",
           "[churn]")
 {
-    // 130 us of a whole processor, on a twenty-fifth of one, and half as fast.
+    // With either, fleets whose hosts judge each other all to all served a tenth or less.
     for (const Duration message : { 3500us, 7000us }) {
         const auto result = Emulation(churnDay(message)).play();
         INFO("a message takes " << message.count() << " us");
