--- a/include/flamingograde/directoryupdate.h
+++ b/include/flamingograde/directoryupdate.h
@@ -6,6 +6,7 @@
 #include <flamingograde/packetrows.h>
 #include <flamingograde/revision.h>
 #include <flamingograde/upstream.h>
+#include <flamingograde/zoneevacuation.h>
 
 #include <memory>
 #include <vector>
@@ -47,6 +48,7 @@
     std::vector<DirectoryRemoval> removed;
     std::vector<DirectoryFault> faulty; ///< Get no new flows; `present` may have their last good
                                         ///< record, an older one.
+    std::vector<ZoneEvacuation> evacuations; ///< A whole update omits ended ones.
     Duration settlesIn { 0 }; ///< Removals are not believed before: they may register again.
     std::shared_ptr<const PacketRows> rows; ///< Null: unchanged.
 
--- a/include/flamingograde/logevent.h
+++ b/include/flamingograde/logevent.h
@@ -67,6 +67,8 @@
     DirectoryLoaded     = 613, ///< The first directory: all upstreams at once.
     UpstreamRestarted   = 614, ///< An upstream started again under its former id.
     UpstreamUnusable    = 615, ///< An upstream's entry was replaced by one that cannot be used.
+    ZoneEvacuated       = 616, ///< A zone was evacuated: its upstreams get no new flows.
+    ZoneTakenBack       = 617, ///< A zone's evacuation ended: its upstreams get new flows.
     CookieShared        = 612, ///< Two upstreams have one cookie; the younger gets no flows.
     // 7xx: packets.
     FlowPlaced          = 700, ///< A new flow was given to an upstream.
--- a/src/core/directory/directory.cpp
+++ b/src/core/directory/directory.cpp
@@ -13,12 +13,6 @@
 
 const ServicePool noPool;
 
-auto isOpen(const UpstreamEntry &entry) -> bool
-{
-    return entry.presence != Presence::Removed && entry.ownsCookie && !entry.isFaulty
-           && !entry.isDoubted && entry.record.upstream.state == UpstreamState::Active;
-}
-
 /// Returns whether `a` has the older claim on a cookie that both have.
 auto isOlder(const DirectoryRecord &a, const DirectoryRecord &b) -> bool
 {
@@ -73,6 +67,14 @@
     return update.upTo.isValid() && !(this->known < update.after);
 }
 
+auto Directory::isOpen(const UpstreamEntry &entry) const -> bool
+{
+    const auto &upstream = entry.record.upstream;
+    return entry.presence != Presence::Removed && entry.ownsCookie && !entry.isFaulty
+           && !entry.isDoubted && upstream.state == UpstreamState::Active
+           && !this->zoneEvacuations.isEvacuated(upstream.zone);
+}
+
 auto Directory::take(const DirectoryUpdate &update, MonoTime now) -> DirectoryChanges
 {
     DirectoryChanges changes;
@@ -92,6 +94,7 @@
         this->takeAbsent(update, now, changes);
     }
     this->takeRows(update.rows, now, changes);
+    this->takeEvacuations(update, now, changes);
     this->known = update.upTo;
     changes.advanced = true;
     this->poolsStale = true;
@@ -227,6 +230,18 @@
     changes.rowsChanged = true;
 }
 
+auto Directory::takeEvacuations(const DirectoryUpdate &update, MonoTime now,
+                                DirectoryChanges &changes) -> void
+{
+    ZoneEvacuations::ZoneSet zones;
+    if (!update.evacuations.empty()) {
+        for (const auto &entry : this->slots) {
+            zones.insert(entry.record.upstream.zone);
+        }
+    }
+    changes.evacuations = this->zoneEvacuations.take(update, zones, now);
+}
+
 auto Directory::add(const DirectoryRecord &record) -> UpstreamEntry &
 {
     std::uint32_t index = 0;
@@ -357,6 +372,7 @@
     if (this->published != nullptr && update.after < this->published->changed) {
         update.rows = this->published;
     }
+    update.evacuations = this->zoneEvacuations.changedAfter(update.after);
     return update;
 }
 
@@ -418,7 +434,7 @@
     }
     for (auto &entry : this->slots) {
         entry.isPooled = false;
-        if (entry.record.upstream.instance.isValid() && isOpen(entry)) {
+        if (entry.record.upstream.instance.isValid() && this->isOpen(entry)) {
             this->pool(entry);
         }
     }
--- a/src/core/directory/directory.h
+++ b/src/core/directory/directory.h
@@ -5,6 +5,7 @@
 #include "core/directory/rowentry.h"
 #include "core/directory/servicepool.h"
 #include "core/directory/upstreamentry.h"
+#include "core/directory/zoneevacuations.h"
 
 #include <flamingograde/address.h>
 #include <flamingograde/clock.h>
@@ -86,6 +87,16 @@
     /// Has the pools made anew: an entry's evidence or presence changed. Precondition: none.
     auto touchPools() -> void { this->poolsStale = true; }
 
+    /// Returns whether an entry accepts new flows. Does not consider whether it is silent.
+    /// Precondition: `entry` is of this directory.
+    [[nodiscard]] auto isOpen(const UpstreamEntry &entry) const -> bool;
+
+    /// Returns the evacuation orders of availability zones.
+    [[nodiscard]] auto evacuations() const -> const ZoneEvacuations &
+    {
+        return this->zoneEvacuations;
+    }
+
     /// Returns all entries, unused slots (of no instance) included.
     [[nodiscard]] auto entries() const -> const std::vector<UpstreamEntry> & { return this->slots; }
 
@@ -101,6 +112,8 @@
     auto takeAbsent(const DirectoryUpdate &update, MonoTime now, DirectoryChanges &changes) -> void;
     auto takeRows(const std::shared_ptr<const PacketRows> &rows, MonoTime now,
                   DirectoryChanges &changes) -> void;
+    auto takeEvacuations(const DirectoryUpdate &update, MonoTime now, DirectoryChanges &changes)
+            -> void;
     auto add(const DirectoryRecord &record) -> UpstreamEntry &;
     auto claimCookie(UpstreamEntry &entry, DirectoryChanges &changes) -> void;
     auto releaseCookie(const UpstreamEntry &entry) -> void;
@@ -121,6 +134,7 @@
     std::shared_ptr<const PacketRows> published;
     MonoTime firstRows; ///< When the first rows were taken.
     std::unordered_map<Address, RowEntry> rowsByAddress;
+    ZoneEvacuations zoneEvacuations;
     std::size_t listed = 0;
     std::size_t unsettled = 0; ///< Missing entries and tombstones.
     bool poolsStale = false;
--- a/src/core/directory/directorychanges.h
+++ b/src/core/directory/directorychanges.h
@@ -1,6 +1,8 @@
 /// What an update changed in a host's directory.
 #pragma once
 
+#include <flamingograde/zoneevacuation.h>
+
 #include <cstdint>
 #include <vector>
 
@@ -18,6 +20,7 @@
     std::vector<std::uint32_t> restarted;    ///< Started again under the same instance.
     std::vector<std::uint32_t> faulty;       ///< Their entries cannot be used any more.
     std::vector<std::uint32_t> sharedCookie; ///< Have the cookie of an older one.
+    std::vector<ZoneEvacuation> evacuations; ///< Evacuations that began or ended.
 };
 
 } // namespace flamingograde
--- a/src/core/directory/directorylog.cpp
+++ b/src/core/directory/directorylog.cpp
@@ -15,6 +15,7 @@
 /// Upstreams of one change that get a line each: 600 upstreams that came in some ten changes were
 /// 177,000 lines on 295 hosts.
 constexpr std::size_t linesMax = 8;
+constexpr std::size_t evacuationLinesMax = 32; ///< Evacuations logged for one change.
 
 auto sourceOf(const Blackboard &board) -> std::string
 {
@@ -72,6 +73,27 @@
     }
 }
 
+/// Returns the number of listed upstreams in a zone.
+auto listedCountIn(const Blackboard &board, ZoneId zone) -> std::size_t
+{
+    const auto &entries = board.directory.entries();
+    const auto count =
+            std::count_if(entries.begin(), entries.end(), [zone](const UpstreamEntry &entry) {
+                const auto &upstream = entry.record.upstream;
+                return upstream.instance.isValid() && upstream.zone == zone
+                       && entry.presence == Presence::Listed;
+            });
+    return static_cast<std::size_t>(count);
+}
+
+auto logEvacuation(Blackboard &board, const ZoneEvacuation &order) -> void
+{
+    board.log(order.inForce ? LogEvent::ZoneEvacuated : LogEvent::ZoneTakenBack,
+              "zone=" + order.zoneName
+                      + " upstreams=" + std::to_string(listedCountIn(board, order.zone))
+                      + " changed=" + std::to_string(order.at.number) + sourceOf(board));
+}
+
 } // namespace
 
 auto describeUpstream(const UpstreamEntry &entry) -> std::string
@@ -90,6 +112,9 @@
     logEach(board, LogEvent::UpstreamRestarted, changes.restarted);
     logEach(board, LogEvent::UpstreamUnusable, changes.faulty);
     logEach(board, LogEvent::CookieShared, changes.sharedCookie);
+    for (std::size_t i = 0; i < std::min(changes.evacuations.size(), evacuationLinesMax); ++i) {
+        logEvacuation(board, changes.evacuations[i]);
+    }
     if (changes.rowsChanged) {
         const auto &rows = *board.directory.rows();
         board.log(LogEvent::RowsAccepted, "version=" + std::to_string(rows.version)
--- /dev/null
+++ b/src/core/directory/zoneevacuations.cpp
@@ -0,0 +1,91 @@
+/// Applies evacuation orders by revision.
+#include "core/directory/zoneevacuations.h"
+
+namespace flamingograde {
+
+auto ZoneEvacuations::take(const DirectoryUpdate &update, const ZoneSet &zones, MonoTime now)
+        -> std::vector<ZoneEvacuation>
+{
+    std::vector<ZoneEvacuation> changed;
+    for (const auto &order : update.evacuations) {
+        const auto mayInsert =
+                this->orders.size() < unlistedZonesMax || zones.count(order.zone) != 0;
+        if (this->takeOne(order, mayInsert, now)) {
+            changed.push_back(order);
+        }
+    }
+    if (update.isWhole()) {
+        this->takeAbsent(update, now, changed);
+    }
+    return changed;
+}
+
+/// @param mayInsert whether an order for a new zone is stored.
+/// @returns whether the order changed whether its zone is evacuated.
+auto ZoneEvacuations::takeOne(const ZoneEvacuation &order, bool mayInsert, MonoTime now) -> bool
+{
+    const auto found = this->orders.find(order.zone);
+    if (found == this->orders.end()) {
+        if (mayInsert) {
+            this->orders.emplace(order.zone, Entry { order, now });
+            this->evacuatedZones += order.inForce ? 1 : 0;
+        }
+        return order.inForce && mayInsert;
+    }
+    auto &entry = found->second;
+    if (!(entry.order.at < order.at)) {
+        return false;
+    }
+    const auto wasInForce = entry.order.inForce;
+    this->evacuatedZones += order.inForce ? 1 : 0;
+    this->evacuatedZones -= wasInForce ? 1 : 0;
+    entry.order = order;
+    if (wasInForce == order.inForce) {
+        return false;
+    }
+    entry.since = now;
+    return true;
+}
+
+/// Ends the evacuations that a whole update does not contain.
+auto ZoneEvacuations::takeAbsent(const DirectoryUpdate &update, MonoTime now,
+                                 std::vector<ZoneEvacuation> &changed) -> void
+{
+    ZoneSet present;
+    for (const auto &order : update.evacuations) {
+        present.insert(order.zone);
+    }
+    for (const auto &[zone, entry] : this->orders) {
+        if (present.count(zone) != 0 || !entry.order.inForce) {
+            continue;
+        }
+        auto ended = entry.order;
+        ended.at = update.upTo;
+        ended.inForce = false;
+        if (this->takeOne(ended, true, now)) {
+            changed.push_back(ended);
+        }
+    }
+}
+
+auto ZoneEvacuations::isEvacuated(ZoneId zone) const -> bool
+{
+    if (this->evacuatedZones == 0) {
+        return false;
+    }
+    const auto found = this->orders.find(zone);
+    return found != this->orders.end() && found->second.order.inForce;
+}
+
+auto ZoneEvacuations::changedAfter(Revision after) const -> std::vector<ZoneEvacuation>
+{
+    std::vector<ZoneEvacuation> newer;
+    for (const auto &[zone, entry] : this->orders) {
+        if (after < entry.order.at && (after.isValid() || entry.order.inForce)) {
+            newer.push_back(entry.order);
+        }
+    }
+    return newer;
+}
+
+} // namespace flamingograde
--- /dev/null
+++ b/src/core/directory/zoneevacuations.h
@@ -0,0 +1,64 @@
+/// Evacuation orders of availability zones.
+#pragma once
+
+#include <flamingograde/clock.h>
+#include <flamingograde/directoryupdate.h>
+#include <flamingograde/ids.h>
+#include <flamingograde/revision.h>
+#include <flamingograde/zoneevacuation.h>
+
+#include <cstddef>
+#include <map>
+#include <unordered_set>
+#include <vector>
+
+namespace flamingograde {
+
+/// Keeps the newest order of each zone. Ended evacuations are kept so that their end reaches other
+/// hosts.
+/// @remarks Not thread safe.
+class ZoneEvacuations
+{
+public:
+    /// An order, with the time at which it changed the zone's state on this host.
+    struct Entry
+    {
+        ZoneEvacuation order;
+        MonoTime since;
+    };
+    using ZoneSet = std::unordered_set<ZoneId>;
+
+    /// Applies the orders of an update that are newer than the stored ones.
+    ///
+    /// Once `unlistedZonesMax` orders are stored, new ones are added only for zones that have
+    /// upstreams: this bounds the memory that invalid keys can use. Precondition: none.
+    /// @param zones the zones of the directory's upstreams.
+    /// @returns the orders that changed whether their zone is evacuated.
+    auto take(const DirectoryUpdate &update, const ZoneSet &zones, MonoTime now)
+            -> std::vector<ZoneEvacuation>;
+
+    /// Returns whether the upstreams of a zone get no new flows. Precondition: none.
+    [[nodiscard]] auto isEvacuated(ZoneId zone) const -> bool;
+
+    /// Returns the orders newer than `after`; if it is invalid, all orders in force.
+    /// Precondition: none.
+    [[nodiscard]] auto changedAfter(Revision after) const -> std::vector<ZoneEvacuation>;
+
+    /// Returns every stored order, including ended ones.
+    [[nodiscard]] auto all() const -> const std::map<ZoneId, Entry> & { return this->orders; }
+
+    /// Returns the number of evacuated zones.
+    [[nodiscard]] auto evacuatedCount() const -> std::size_t { return this->evacuatedZones; }
+
+private:
+    static constexpr std::size_t unlistedZonesMax = 256;
+
+    auto takeOne(const ZoneEvacuation &order, bool mayInsert, MonoTime now) -> bool;
+    auto takeAbsent(const DirectoryUpdate &update, MonoTime now,
+                    std::vector<ZoneEvacuation> &changed) -> void;
+
+    std::map<ZoneId, Entry> orders;
+    std::size_t evacuatedZones = 0;
+};
+
+} // namespace flamingograde
--- a/src/core/packets/packetdump.cpp
+++ b/src/core/packets/packetdump.cpp
@@ -112,7 +112,7 @@
 }
 
 /// Returns why an entry takes no new flows, or an empty text.
-auto whyClosed(const UpstreamEntry &entry) -> std::string
+auto whyClosed(const Blackboard &board, const UpstreamEntry &entry) -> std::string
 {
     if (entry.presence == Presence::Removed) {
         return "removed";
@@ -120,6 +120,9 @@
     if (entry.record.upstream.state != UpstreamState::Active) {
         return "draining";
     }
+    if (board.directory.evacuations().isEvacuated(entry.record.upstream.zone)) {
+        return "its zone is evacuated";
+    }
     if (entry.isDoubted) {
         return "removed, and still answering";
     }
@@ -146,7 +149,7 @@
                                    { "near", entry.isNear },
                                    { "busy_here", entry.evidence.busy },
                                    { "slots", upstream.slots },
-                                   { "closed", whyClosed(entry) } });
+                                   { "closed", whyClosed(board, entry) } });
         }
     }
     return { { "why", "the service by weight; of its open upstreams the least busy for its slots, "
@@ -155,6 +158,18 @@
              { "candidates", candidates } };
 }
 
+auto evacuationsJson(const Blackboard &board) -> json
+{
+    auto list = json::array();
+    for (const auto &[zone, entry] : board.directory.evacuations().all()) {
+        list.push_back({ { "zone", entry.order.zoneName },
+                         { "in_force", entry.order.inForce },
+                         { "changed", entry.order.at.number },
+                         { "since_ms_ago", ageJson(board, entry.since) } });
+    }
+    return list;
+}
+
 } // namespace
 
 auto directoryJson(const Blackboard &board) -> json
@@ -175,6 +190,7 @@
     return { { "revision", board.directory.revision().number },
              { "rows_version", published == nullptr ? 0 : published->version },
              { "reads_fail", board.directoryReadsFail },
+             { "evacuations", evacuationsJson(board) },
              { "flows_watched", board.packets.flows.used },
              { "rows", rows },
              { "upstreams", upstreams } };
--- a/src/core/packets/packetsteering.cpp
+++ b/src/core/packets/packetsteering.cpp
@@ -71,6 +71,14 @@
     }
 }
 
+/// Returns whether a copy of a flow's opening may go to the upstream of the first one, which may
+/// have begun to drain or had its zone evacuated in the meantime.
+auto mayTakeCopy(const Blackboard &board, const FlowEntry &flow) -> bool
+{
+    const auto &entry = board.directory.at(flow.upstream);
+    return entry.cookie == flow.cookie && board.directory.isOpen(entry);
+}
+
 auto place(Blackboard &board, const RowEntry &row, const PacketHead &head) -> PacketDecision
 {
     const auto key = FlowKey::of(head);
@@ -85,7 +93,7 @@
         flow.avoid = known->upstream;
     }
     auto chosen = placeFlow(board, row, flow);
-    if (!chosen && isCopy) {
+    if (!chosen && isCopy && mayTakeCopy(board, *known)) {
         chosen = known->upstream;
     }
     if (!chosen) {
--- a/src/emulator/dayreport.cpp
+++ b/src/emulator/dayreport.cpp
@@ -52,6 +52,8 @@
              { "wrong_service", day.wrongService },
              { "late_openings", day.lateOpenings },
              { "latest_opening_ms", day.latestOpening.count() / 1000 },
+             { "evacuated_openings", day.evacuatedOpenings },
+             { "latest_evacuated_ms", day.latestEvacuated.count() / 1000 },
              { "sheds", day.sheds },
              { "store_calls", day.storeCalls },
              { "store_refused", day.storeRefused },
--- a/src/emulator/dayresult.h
+++ b/src/emulator/dayresult.h
@@ -44,6 +44,8 @@
     std::uint64_t wrongService = 0; ///< Openings at an upstream of a service that the row lacks.
     std::uint64_t lateOpenings = 0; ///< Openings at a leaving upstream after the bound.
     Duration latestOpening { 0 };   ///< The longest time after the upstream said that it leaves.
+    std::uint64_t evacuatedOpenings = 0; ///< Openings in an evacuated zone after the bound.
+    Duration latestEvacuated { 0 };      ///< Longest time from an evacuation to an opening.
     std::uint64_t sheds = 0;
 
     double storeCalls = 0;
--- a/src/emulator/emulatedstore.cpp
+++ b/src/emulator/emulatedstore.cpp
@@ -77,6 +77,27 @@
     return true;
 }
 
+auto EmulatedStore::evacuate(const std::string &zone) -> bool
+{
+    return this->putEvacuation(zone, true);
+}
+
+auto EmulatedStore::endEvacuation(const std::string &zone) -> bool
+{
+    return this->putEvacuation(zone, false);
+}
+
+auto EmulatedStore::putEvacuation(const std::string &zone, bool inForce) -> bool
+{
+    if (this->mode != StoreMode::Answers) {
+        return false;
+    }
+    this->note(InstanceId());
+    this->evacuations[zone] = { ZoneId::ofName(zone), zone, { this->last }, inForce };
+    this->wake();
+    return true;
+}
+
 auto EmulatedStore::expire() -> void
 {
     if (this->mode != StoreMode::Answers && !this->leasesLapse) {
@@ -229,6 +250,11 @@
     for (const auto &[instance, entry] : this->kept) {
         update.present.push_back(entry.record);
     }
+    for (const auto &[zone, evacuation] : this->evacuations) {
+        if (evacuation.inForce) {
+            update.evacuations.push_back(evacuation);
+        }
+    }
     return update;
 }
 
@@ -250,6 +276,11 @@
             update.removed.push_back({ instance, { at } });
         }
     }
+    for (const auto &[zone, evacuation] : this->evacuations) {
+        if (after < evacuation.at) {
+            update.evacuations.push_back(evacuation);
+        }
+    }
     return update;
 }
 
--- a/src/emulator/emulatedstore.h
+++ b/src/emulator/emulatedstore.h
@@ -46,6 +46,12 @@
     /// Removes an upstream's record. @returns whether the store took it.
     auto remove(const Place &from, InstanceId instance) -> bool;
 
+    /// Stores an operator's order to evacuate a zone.
+    /// @returns whether the store took it; it does not while it is down.
+    auto evacuate(const std::string &zone) -> bool;
+    /// Ends a zone's evacuation. @returns whether the store took it.
+    auto endEvacuation(const std::string &zone) -> bool;
+
     /// Carries out a host's read; `answer` is called at most once.
     auto read(const Place &from, const ReadDirectory &asked, const Answer &report) -> void;
 
@@ -95,6 +101,7 @@
         std::uint64_t number = 0;
     };
 
+    auto putEvacuation(const std::string &zone, bool inForce) -> bool;
     auto note(InstanceId instance) -> void;
     auto wake() -> void;
     /// Returns an answer that is given once: by the store, or in its place when the caller's HTTP
@@ -113,7 +120,8 @@
     std::uint64_t last = 1;
     std::uint64_t historyBegins = 1; ///< Changes up to this are forgotten.
     std::map<InstanceId, Kept> kept;
-    std::map<InstanceId, std::uint64_t> gone; ///< Revision of each removal.
+    std::map<InstanceId, std::uint64_t> gone;          ///< Revision of each removal.
+    std::map<std::string, ZoneEvacuation> evacuations; ///< By zone, including ended ones.
     std::shared_ptr<const PacketRows> rows;
     std::deque<Change> history;
     std::vector<Watch> watches;
--- a/src/emulator/emulation.cpp
+++ b/src/emulator/emulation.cpp
@@ -19,6 +19,7 @@
 constexpr Duration heartbeat = 1200ms;
 constexpr Duration housekeeping = 100ms;
 constexpr Duration coldTime = 2s;
+constexpr Duration evacuationRetry = 500ms; ///< Until a refused order is sent again.
 constexpr Duration contact =
         4s; ///< A fault on a host or an upstream excuses what happens within this.
 constexpr std::uint32_t headBytes = 44;           ///< Before the data, the instance included.
@@ -194,6 +195,9 @@
 {
     const auto isInTouch =
             seat.through != nullptr && this->time.now() - seat.through->disturbedAt > contact;
+    if (isInTouch) {
+        this->judgeEvacuation(seat);
+    }
     if (!seat.leftAt || !isInTouch) {
         return;
     }
@@ -202,6 +206,40 @@
     this->judge.day.lateOpenings += late > this->plan.drainBound ? 1 : 0;
 }
 
+auto Emulation::judgeEvacuation(const UpstreamSeat &seat) -> void
+{
+    const auto found = this->evacuatedAt.find(seat.place.zone);
+    if (found == this->evacuatedAt.end()) {
+        return;
+    }
+    const Duration late = this->time.now() - found->second;
+    this->judge.day.latestEvacuated = std::max(this->judge.day.latestEvacuated, late);
+    this->judge.day.evacuatedOpenings += late > this->plan.evacuateBound ? 1 : 0;
+}
+
+auto Emulation::evacuateZone(const std::string &zone) -> void
+{
+    if (!this->platform.evacuate(zone)) {
+        this->time.later(evacuationRetry, [this, zone] { this->evacuateZone(zone); });
+        return;
+    }
+    this->evacuatedAt.emplace(zone, this->time.now());
+}
+
+auto Emulation::endEvacuation(const std::string &zone, bool cold) -> void
+{
+    if (!this->platform.endEvacuation(zone)) {
+        this->time.later(evacuationRetry, [this, zone, cold] { this->endEvacuation(zone, cold); });
+        return;
+    }
+    this->evacuatedAt.erase(zone);
+    for (const auto &seat : this->seats) {
+        if (cold && seat->place.zone == zone) {
+            seat->process->coldUntil = this->time.now() + coldTime;
+        }
+    }
+}
+
 auto Emulation::beat(std::size_t index) -> void
 {
     auto &seat = *this->seats[index];
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -73,6 +73,11 @@
     auto restartUpstream(std::size_t index, UpstreamLife kind, Duration after) -> void;
     /// Notes that what lies around an upstream is disturbed for a time: resets are excused by it.
     auto disturbUpstream(std::size_t index, Duration duration) -> void;
+    /// Evacuates a zone; retries until the store takes the order.
+    auto evacuateZone(const std::string &zone) -> void;
+    /// Ends a zone's evacuation; retries until the store takes it.
+    /// @param cold whether the zone's upstreams are cold afterwards.
+    auto endEvacuation(const std::string &zone, bool cold) -> void;
     /// Adds a host and starts it. @returns its index.
     auto addHost(const std::string &zone) -> std::size_t;
     /// Publishes the rows of the plan, and of those added since, under the next version.
@@ -102,6 +107,7 @@
     auto surroundingsOf(std::size_t seat) -> UpstreamSurroundings;
     auto beat(std::size_t index) -> void;
     auto judgeOpening(const UpstreamSeat &seat) -> void;
+    auto judgeEvacuation(const UpstreamSeat &seat) -> void;
     auto housekeep() -> void;
     auto callersSurroundings() -> PoolSurroundings;
     auto sendToFabric(std::size_t caller, const FlowPacket &packet) -> void;
@@ -123,6 +129,7 @@
     std::map<Address, std::size_t> seatAt; ///< The last to have the address.
     CallerPool pool;
     std::map<LogEvent, std::uint64_t> logs;
+    std::map<std::string, MonoTime> evacuatedAt; ///< By zone, for evacuations in force.
     std::uint64_t rowsVersion = 0;
     std::uint64_t packetBytesBetweenZones = 0;
 };
--- a/src/emulator/plan.h
+++ b/src/emulator/plan.h
@@ -67,7 +67,8 @@
     std::vector<RowPlan> rows;
     std::vector<TroublePlan> troubles;
     HostTimes hosts;
-    Duration drainBound { 3000000 }; ///< A leaving upstream gets no new flow after this.
+    Duration drainBound { 3000000 };    ///< A leaving upstream gets no new flow after this.
+    Duration evacuateBound { 5000000 }; ///< An evacuated zone gets no new flow after this.
     PacketPolicy policy = PacketPolicy::LeastBusy;
     double packetLoss = 0;
 };
--- a/src/emulator/randomday.cpp
+++ b/src/emulator/randomday.cpp
@@ -18,6 +18,7 @@
 constexpr std::uint64_t moreTroubles = 4; ///< Up to so many less one beside the fewest.
 constexpr std::uint64_t fewestOfCrowded = 5;
 constexpr std::uint64_t moreOfCrowded = 9;
+constexpr std::uint64_t evacuationsMax = 3; ///< Added to an evacuated day, which gets at least one.
 
 /// The kinds of `randomDay`. Kept as they are, so that a seed goes on to draw the same day.
 const std::vector<std::string> drawnKinds {
@@ -42,6 +43,31 @@
     "zone-cut",
 };
 
+/// The kinds of `crowdedDay`. Fixed, so that a seed keeps drawing the same day.
+const std::vector<std::string> crowdedKinds {
+    "address-reuse",
+    "burst",
+    "callers-move",
+    "host-add",
+    "host-cut",
+    "host-freeze",
+    "host-kill",
+    "host-stop",
+    "release",
+    "rows",
+    "scale-in",
+    "store-down",
+    "store-forgets",
+    "store-loses-answers",
+    "store-refuses-hosts",
+    "store-slow",
+    "upstream-cut",
+    "upstream-fail",
+    "upstream-restart",
+    "upstream-slow",
+    "zone-cut",
+};
+
 constexpr std::uint64_t lossyEvery = 5; ///< One of so many days loses packets.
 constexpr double lossMost = 0.1;
 
@@ -60,10 +86,12 @@
         return std::uniform_real_distribution<double>(0, most)(this->random);
     }
 
-    auto next() -> TroublePlan
+    auto next() -> TroublePlan { return this->next(this->kinds[this->below(this->kinds.size())]); }
+
+    auto next(const std::string &kind) -> TroublePlan
     {
         TroublePlan trouble;
-        trouble.kind = this->kinds[this->below(this->kinds.size())];
+        trouble.kind = kind;
         trouble.at = std::chrono::milliseconds(this->below(toMs(this->plan.length)));
         trouble.lasts = std::chrono::milliseconds(500 + this->below(6000));
         trouble.gap = std::chrono::milliseconds(100 + this->below(1500));
@@ -72,7 +100,7 @@
         trouble.factor = 1.5 + this->part(5);
         trouble.zone = this->below(2) == 0 ? "" : this->zone();
         trouble.how = this->how(trouble.kind);
-        if (trouble.kind == "zone-cut") {
+        if (trouble.kind == "zone-cut" || trouble.kind == "zone-evacuate") {
             trouble.zone = this->zone();
         }
         return trouble;
@@ -108,6 +136,9 @@
         if (kind == "store-refuses-hosts") {
             return first ? "busy" : "silent";
         }
+        if (kind == "zone-evacuate") {
+            return first ? "warm" : "";
+        }
         if (kind == "callers-move") {
             return this->zone();
         }
@@ -119,7 +150,7 @@
     std::mt19937_64 random;
 };
 
-auto drawDay(DayPlan day, TroubleDraw draw, std::uint64_t fewest, std::uint64_t more,
+auto drawDay(DayPlan day, TroubleDraw &draw, std::uint64_t fewest, std::uint64_t more,
              std::uint64_t seed) -> DayPlan
 {
     std::vector<TroublePlan> troubles;
@@ -138,13 +169,23 @@
 auto randomDay(DayPlan day, std::uint64_t seed) -> DayPlan
 {
     TroubleDraw draw(day, drawnKinds, seed);
-    return drawDay(day, std::move(draw), fewestTroubles, moreTroubles, seed);
+    return drawDay(day, draw, fewestTroubles, moreTroubles, seed);
 }
 
 auto crowdedDay(DayPlan day, std::uint64_t seed) -> DayPlan
+{
+    TroubleDraw draw(day, crowdedKinds, seed);
+    return drawDay(day, draw, fewestOfCrowded, moreOfCrowded, seed);
+}
+
+auto evacuatedDay(DayPlan day, std::uint64_t seed) -> DayPlan
 {
     TroubleDraw draw(day, troubleKinds(), seed);
-    return drawDay(day, std::move(draw), fewestOfCrowded, moreOfCrowded, seed);
+    auto drawn = drawDay(day, draw, fewestOfCrowded, moreOfCrowded, seed);
+    for (auto left = 1 + draw.below(evacuationsMax); left > 0; --left) {
+        drawn.troubles.push_back(draw.next("zone-evacuate"));
+    }
+    return drawn;
 }
 
 } // namespace flamingograde::emulator
--- a/src/emulator/randomday.h
+++ b/src/emulator/randomday.h
@@ -12,9 +12,14 @@
 /// @remarks Thread safe.
 [[nodiscard]] auto randomDay(DayPlan day, std::uint64_t seed) -> DayPlan;
 
-/// Returns `day` with five to thirteen troubles of every kind that `troubleKinds` lists, otherwise
-/// like `randomDay`. Precondition: as above.
+/// Returns `day` with five to thirteen troubles of every kind except evacuations, otherwise like
+/// `randomDay`. Precondition: as above.
 /// @remarks Thread safe.
 [[nodiscard]] auto crowdedDay(DayPlan day, std::uint64_t seed) -> DayPlan;
 
+/// Returns `day` with five to thirteen troubles of every kind that `troubleKinds` lists, plus one
+/// to three evacuations. Precondition: as above.
+/// @remarks Thread safe.
+[[nodiscard]] auto evacuatedDay(DayPlan day, std::uint64_t seed) -> DayPlan;
+
 } // namespace flamingograde::emulator
--- a/src/emulator/troubles.cpp
+++ b/src/emulator/troubles.cpp
@@ -273,6 +273,14 @@
     world.clock().later(trouble.lasts, [&world] { world.callers().factor = 1; });
 }
 
+auto evacuateZone(Emulation &world, const TroublePlan &trouble) -> void
+{
+    world.evacuateZone(trouble.zone);
+    const auto cold = trouble.how != "warm";
+    world.clock().later(trouble.lasts,
+                        [&world, zone = trouble.zone, cold] { world.endEvacuation(zone, cold); });
+}
+
 auto kinds() -> const std::map<std::string, Trouble> &
 {
     static const std::map<std::string, Trouble> all {
@@ -288,6 +296,7 @@
         { "host-stop", &stopHosts },
         { "host-add", &addHosts },
         { "zone-cut", &cutZone },
+        { "zone-evacuate", &evacuateZone },
         { "host-cut", &cutHosts },
         { "store-down", &stopStore },
         { "store-refuses-hosts", &turnAwayHosts },
--- a/src/wire/directorycodec.cpp
+++ b/src/wire/directorycodec.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t sharesMax = 1000;            ///< More services are no row.
 constexpr std::size_t versionBytesMax = 200;       ///< Longest version of an upstream's software.
 constexpr std::size_t recordFields = 12;           ///< Entries of a record's list.
+constexpr std::size_t evacuationFields = 3;        ///< Entries of an evacuation's list.
 constexpr std::size_t removalFields = 2;           ///< Entries of a removal's or a fault's list.
 constexpr std::size_t rowFields = 9;               ///< Entries of a row's list.
 constexpr std::size_t shareFields = 2;             ///< Entries of a share's list.
@@ -185,6 +186,29 @@
     }
 }
 
+auto packEvacuations(const DirectoryUpdate &update) -> Json
+{
+    auto list = Json::array();
+    for (const auto &order : update.evacuations) {
+        list.push_back(Json::array({ order.zoneName, order.at.number, order.inForce }));
+    }
+    return list;
+}
+
+auto unpackEvacuation(WireReader &reader, const Json &value) -> ZoneEvacuation
+{
+    ZoneEvacuation order;
+    const auto *fields = reader.tuple(value, evacuationFields);
+    if (fields == nullptr) {
+        return order;
+    }
+    order.zoneName = reader.name((*fields)[0]);
+    order.zone = ZoneId::ofName(order.zoneName);
+    order.at = { reader.number((*fields)[1]) };
+    order.inForce = reader.flag((*fields)[2]);
+    return order;
+}
+
 } // namespace
 
 auto packUpdate(const DirectoryUpdate &update) -> Json
@@ -208,6 +232,9 @@
                { "b", packStarts(update) },
                { "f", std::move(faulty) },
                { "s", milliseconds(update.settlesIn) } };
+    if (!update.evacuations.empty()) {
+        map["e"] = packEvacuations(update);
+    }
     if (update.rows != nullptr) {
         map["r"] = packRows(*update.rows);
     }
@@ -235,6 +262,11 @@
             update.faulty.push_back({ instance, at });
         }
     }
+    if (map.contains("e")) {
+        for (const auto &order : reader.list(map["e"], recordsMax)) {
+            update.evacuations.push_back(unpackEvacuation(reader, order));
+        }
+    }
     update.settlesIn = unpackDuration(reader, reader.field(map, "s"));
     if (map.contains("r")) {
         update.rows = unpackRows(reader, map["r"]);
--- a/tests/net/storeanswertests.cpp
+++ b/tests/net/storeanswertests.cpp
@@ -326,6 +326,61 @@
     CHECK(answer->update.rows == nullptr);
 }
 
+TEST_CASE("an evacuation key is an order whatever its value", "[store]")
+{
+    auto notBase64 = item("op/evacuate/hall-3", "x", 8);
+    notBase64["value"] = "***";
+    const json body { { "items",
+                        { item("op/evacuate/hall-1", "{}", 5), item("op/evacuate/hall-2", "", 6),
+                          notBase64, item("op/evacuate/hall-4", std::string(1U << 20U, 'x'), 9) } },
+                      { "morePages", false },
+                      { "currentRev", 9 } };
+    const auto answer = readItems(body.dump());
+    REQUIRE(answer);
+    CHECK(answer->faults.empty());
+    REQUIRE(answer->update.evacuations.size() == 4);
+    CHECK(answer->update.evacuations[0].zone == ZoneId::ofName("hall-1"));
+    CHECK(answer->update.evacuations[0].zoneName == "hall-1");
+    CHECK(answer->update.evacuations[0].at.number == 5);
+    CHECK(answer->update.evacuations[0].inForce);
+    CHECK(answer->update.evacuations[2].zoneName == "hall-3");
+}
+
+TEST_CASE("the last of several evacuation orders for one zone in an answer counts", "[store]")
+{
+    const auto removal = [](const std::string &key, std::uint64_t revision) {
+        return json { { "key", key }, { "revision", revision }, { "removed", true } };
+    };
+    const json body { { "events",
+                        { item("op/evacuate/hall-1", "{}", 5), removal("op/evacuate/hall-1", 6),
+                          removal("op/evacuate/hall-2", 7), item("op/evacuate/hall-2", "{}", 8) } },
+                      { "currentRev", 9 } };
+    const auto answer = readEvents(body.dump());
+    REQUIRE(answer);
+    REQUIRE(answer->update.evacuations.size() == 2);
+    CHECK_FALSE(answer->update.evacuations[0].inForce);
+    CHECK(answer->update.evacuations[0].at.number == 6);
+    CHECK(answer->update.evacuations[1].inForce);
+    CHECK(answer->update.evacuations[1].at.number == 8);
+}
+
+TEST_CASE("an evacuation key without a valid zone or revision is reported as a fault and skipped",
+          "[store]")
+{
+    const json noRevision { { "key", "op/evacuate/hall-2" }, { "value", "" } };
+    const json body { { "items",
+                        { item("op/evacuate/", "{}", 5), item("op/evacuate/hall/1", "{}", 6),
+                          item("op/evacuate/\x01", "{}", 7), noRevision,
+                          item("servers/i-0a", server().dump(), 8) } },
+                      { "morePages", false },
+                      { "currentRev", 9 } };
+    const auto answer = readItems(body.dump());
+    REQUIRE(answer);
+    CHECK(answer->faults.size() == 4);
+    CHECK(answer->update.evacuations.empty());
+    CHECK(answer->update.present.size() == 1);
+}
+
 TEST_CASE("answers that are none are refused", "[store]")
 {
     for (const auto *body : { "", "x", "[]", "{}", R"({"items": 5, "currentRev": 1})",
--- a/tests/packets/changetests.cpp
+++ b/tests/packets/changetests.cpp
@@ -52,3 +52,31 @@
     CHECK(report.at("failed") == 0);
     CHECK_FALSE(fleet.host("host-1-1").process().exitStatus());
 }
+
+TEST_CASE("evacuating a zone and ending it under load fails no request, also while a host restarts",
+          "[fleet]")
+{
+    harness::Loop loop;
+    harness::PacketFleet fleet(loop);
+    fleet.start(2, 2, 2);
+    fleet.beginLoad(40);
+    loop.runFor(Millis(500));
+    const std::string key = "op/evacuate/zone-1";
+    const auto put = fleet.store().call({ { "cmd", "put" }, { "key", key }, { "value", "{" } });
+    CHECK(fleet.waitRevision(put.at("revision"), Millis(1000)));
+    fleet.stopHost("host-1-1", true);
+    const auto checkEvacuatedZones = [&fleet](double zones) {
+        for (const auto &host : fleet.hostNames()) {
+            CHECK(fleet.metric(host, "zones_evacuated") == zones);
+        }
+    };
+    checkEvacuatedZones(1);
+    const auto removal = fleet.store().call({ { "cmd", "remove" }, { "key", key } });
+    CHECK(fleet.waitRevision(removal.at("revision"), Millis(1000)));
+    checkEvacuatedZones(0);
+    const auto report = fleet.endLoad();
+    INFO(fleet.logs());
+    checkPromises(report);
+    CHECK(report.at("failed") == 0);
+    CHECK(report.at("refused") == 0);
+}
--- a/tests/unit/directorytest.cpp
+++ b/tests/unit/directorytest.cpp
@@ -32,6 +32,11 @@
     return update;
 }
 
+auto evacuation(const std::string &zone, std::uint64_t at, bool inForce = true) -> ZoneEvacuation
+{
+    return { ZoneId::ofName(zone), zone, { at }, inForce };
+}
+
 /// Returns what a directory holds, to compare it with another.
 auto listing(const Directory &directory) -> std::vector<std::string>
 {
@@ -129,6 +134,94 @@
     CHECK(directory.poolOf(ServiceId::ofName("live")).silent.empty());
 }
 
+TEST_CASE("an evacuated zone's upstreams are in no pool until the evacuation ends", "[directory]")
+{
+    Directory directory(ZoneId::ofName("a"));
+    directory.take(whole(9, { record(1, "live", "a", 3), record(2, "live", "b", 4),
+                              record(3, "live", "b", 5) }),
+                   start);
+    directory.at(directory.indexOf(*directory.byCookie(Cookie::of(InstanceId(3)))))
+            .evidence.silentSince = start;
+    auto update = delta(9, 11, {});
+    update.evacuations = { evacuation("b", 11) };
+    CHECK(directory.take(update, start).evacuations.size() == 1);
+    const auto &pool = directory.poolOf(ServiceId::ofName("live"));
+    CHECK(pool.near.size() == 1);
+    CHECK(pool.far.empty());
+    CHECK(pool.silent.empty());
+    auto ended = delta(11, 12, {});
+    ended.evacuations = { evacuation("b", 12, false) };
+    CHECK(directory.take(ended, start).evacuations.size() == 1);
+    CHECK(directory.poolOf(ServiceId::ofName("live")).far.size() == 1);
+    CHECK(directory.poolOf(ServiceId::ofName("live")).silent.size() == 1);
+}
+
+TEST_CASE("an older evacuation order does not replace a newer one", "[directory]")
+{
+    Directory directory(ZoneId::ofName("a"));
+    directory.take(whole(9, { record(1, "live", "b", 3) }), start);
+    auto ended = delta(9, 14, {});
+    ended.evacuations = { evacuation("b", 14, false) };
+    directory.take(ended, start);
+    // Another host's update may have a newer directory revision but an older order.
+    auto stale = delta(9, 15, {});
+    stale.evacuations = { evacuation("b", 11) };
+    CHECK(directory.take(stale, start).evacuations.empty());
+    CHECK_FALSE(directory.evacuations().isEvacuated(ZoneId::ofName("b")));
+}
+
+TEST_CASE("an evacuation that is missing from a whole update has ended", "[directory]")
+{
+    Directory directory(ZoneId::ofName("a"));
+    auto update = whole(9, { record(1, "live", "b", 3) });
+    update.evacuations = { evacuation("b", 8), evacuation("c", 7) };
+    directory.take(update, start);
+    CHECK(directory.evacuations().evacuatedCount() == 2);
+    auto again = whole(12, { record(1, "live", "b", 3) });
+    again.evacuations = { evacuation("c", 7) };
+    const auto changes = directory.take(again, start);
+    REQUIRE(changes.evacuations.size() == 1);
+    CHECK(changes.evacuations.front().zoneName == "b");
+    CHECK_FALSE(changes.evacuations.front().inForce);
+    CHECK_FALSE(directory.evacuations().isEvacuated(ZoneId::ofName("b")));
+    CHECK(directory.evacuations().isEvacuated(ZoneId::ofName("c")));
+}
+
+TEST_CASE("an update for another host has the evacuations that began or ended since its revision",
+          "[directory]")
+{
+    Directory directory(ZoneId::ofName("a"));
+    directory.take(whole(9, { record(1, "live", "b", 3) }), start);
+    auto update = delta(9, 12, {});
+    update.evacuations = { evacuation("b", 11), evacuation("c", 12) };
+    directory.take(update, start);
+    auto ended = delta(12, 13, {});
+    ended.evacuations = { evacuation("c", 13, false) };
+    directory.take(ended, start);
+    CHECK(directory.updateSince({ 9 }, start).evacuations.size() == 2);
+    CHECK(directory.updateSince({ 12 }, start).evacuations.size() == 1);
+    CHECK(directory.updateSince({ 13 }, start).evacuations.empty());
+    const auto all = directory.updateSince(Revision(), start);
+    REQUIRE(all.evacuations.size() == 1);
+    CHECK(all.evacuations.front().zoneName == "b");
+}
+
+TEST_CASE("many orders for zones without upstreams do not keep a zone with upstreams in service",
+          "[directory]")
+{
+    Directory directory(ZoneId::ofName("a"));
+    directory.take(whole(9, { record(1, "live", "b", 3) }), start);
+    auto update = delta(9, 20000, {});
+    for (std::uint64_t i = 0; i < 10000; ++i) {
+        update.evacuations.push_back(evacuation("nowhere-" + std::to_string(i), 10 + i));
+    }
+    update.evacuations.push_back(evacuation("b", 15000));
+    directory.take(update, start);
+    CHECK(directory.evacuations().isEvacuated(ZoneId::ofName("b")));
+    CHECK(directory.evacuations().all().size() < 1000);
+    CHECK(directory.poolOf(ServiceId::ofName("live")).far.empty());
+}
+
 TEST_CASE("a tombstone is forgotten, and its place is used again", "[directory]")
 {
     Directory directory(ZoneId::ofName("a"));
--- a/tests/unit/emulationtest.cpp
+++ b/tests/unit/emulationtest.cpp
@@ -59,6 +59,7 @@
     CHECK(day.doubleRuns == 0);
     CHECK(day.wrongService == 0);
     CHECK(day.lateOpenings == 0);
+    CHECK(day.evacuatedOpenings == 0);
 }
 
 /// A failed watch, and what the next hosts need to read and tell the others.
@@ -150,6 +151,98 @@
     }
 }
 
+TEST_CASE("an evacuated zone gets no new flow within a second, also while hosts restart",
+          "[emulation][evacuation]")
+{
+    for (const auto *kind : { "", "host-stop", "host-kill", "rows" }) {
+        auto day = quietDay();
+        auto evacuation = troubleOf("zone-evacuate");
+        evacuation.zone = day.zones.front().name;
+        evacuation.lasts = 10s;
+        day.troubles = { evacuation };
+        if (*kind != '\0') {
+            auto other = troubleOf(kind);
+            other.at = 4500ms;
+            other.share = 0.34;
+            other.count = 3;
+            other.gap = 500ms;
+            day.troubles.push_back(other);
+        }
+        INFO(kind);
+        const auto result = Emulation(std::move(day)).play();
+        checkPromises(result);
+        CHECK(result.latestEvacuated < 1s);
+        CHECK(result.all.share() > 0.98);
+    }
+}
+
+TEST_CASE("callers of an evacuated zone are served by other zones' upstreams",
+          "[emulation][evacuation]")
+{
+    auto day = quietDay();
+    auto evacuation = troubleOf("zone-evacuate");
+    evacuation.zone = day.zones.front().name;
+    evacuation.lasts = 20s;
+    day.troubles = { evacuation };
+    const auto result = Emulation(std::move(day)).play();
+    CHECK(result.all.refused == 0);
+    CHECK(result.all.failed == 0);
+    CHECK(result.byZone.at(evacuation.zone).share() > 0.99);
+}
+
+TEST_CASE("after evacuation orders in quick succession every host has the last one",
+          "[emulation][evacuation]")
+{
+    Emulation world(quietDay());
+    world.begin();
+    const auto zone = world.plan.zones.front().name;
+    for (int i = 0; i < 5; ++i) {
+        world.evacuateZone(zone);
+        world.run(40ms);
+        world.endEvacuation(zone, false);
+        world.run(40ms);
+    }
+    world.evacuateZone(zone);
+    world.run(2s);
+    for (std::size_t i = 0; i < world.hostCount(); ++i) {
+        CHECK(world.host(i).balancer().stats().zonesEvacuated == 1);
+    }
+    world.store().forgetHistory();
+    world.endEvacuation(zone, false);
+    world.run(3s);
+    for (std::size_t i = 0; i < world.hostCount(); ++i) {
+        CHECK(world.host(i).balancer().stats().zonesEvacuated == 0);
+    }
+}
+
+TEST_CASE(
+        "a host that starts while all zones but one are evacuated has the orders before it serves",
+        "[emulation][evacuation]")
+{
+    Emulation world(quietDay());
+    world.begin();
+    for (std::size_t i = 1; i < world.plan.zones.size(); ++i) {
+        world.evacuateZone(world.plan.zones[i].name);
+    }
+    world.run(2s);
+    const auto added = world.addHost(world.plan.zones.back().name);
+    const auto serves = [&] {
+        const auto &host = world.host(added);
+        return host.life() == HostLife::Running && host.balancer().isServing();
+    };
+    REQUIRE(world.clock().runUntil(serves, 5s));
+    CHECK(world.host(added).balancer().stats().zonesEvacuated == world.plan.zones.size() - 1);
+}
+
+TEST_CASE("evacuations among other troubles break no promise", "[emulation][evacuation]")
+{
+    constexpr std::uint64_t days = 40;
+    for (std::uint64_t seed = 1; seed <= days; ++seed) {
+        INFO("evacuated day of seed " << seed);
+        checkPromises(Emulation(evacuatedDay(quietDay(), seed)).play());
+    }
+}
+
 TEST_CASE("many troubles of every kind at a time break no promise", "[emulation][crowded]")
 {
     // Seed 35: 16 open flows were reset on word of upstreams that had answered others since.
--- a/tests/unit/messagecodectest.cpp
+++ b/tests/unit/messagecodectest.cpp
@@ -88,6 +88,10 @@
     update.removed = { { InstanceId(9), { 43 } } };
     update.faulty = { { InstanceId(~0ULL), { 45 } } };
     update.settlesIn = std::chrono::milliseconds(2200);
+    update.evacuations = {
+        { ZoneId::ofName("auckland-2"), "auckland-2", { 44 }, true },
+        { ZoneId::ofName("auckland-1"), "auckland-1", { 45 }, false },
+    };
     auto row = packetRow("feed", feedAddress, "live");
     row.shares.push_back({ ServiceId::ofName("papers"), "papers", 10 });
     row.idempotent = false;
@@ -311,6 +315,19 @@
             encode(TableBody { Revision { 1 }, std::string(config::tableBytesMax + 1, 'x') })));
 }
 
+TEST_CASE("evacuations are decoded with their zone, revision and state", "[codec]")
+{
+    const auto decoded = decode(encode(sampleUpdate()));
+    REQUIRE(decoded);
+    const auto &orders = std::get<DirectoryUpdate>(*decoded).evacuations;
+    REQUIRE(orders.size() == 2);
+    CHECK(orders[0].zone == ZoneId::ofName("auckland-2"));
+    CHECK(orders[0].at == Revision { 44 });
+    CHECK(orders[0].inForce);
+    CHECK(orders[1].zoneName == "auckland-1");
+    CHECK_FALSE(orders[1].inForce);
+}
+
 TEST_CASE("an update of a host that knows neither starts nor faulty entries is read", "[codec]")
 {
     auto map = nlohmann::json::from_cbor(encode(sampleUpdate()));
--- a/tests/unit/packetboard.h
+++ b/tests/unit/packetboard.h
@@ -100,6 +100,16 @@
         this->take(update);
     }
 
+    /// Applies an order to evacuate a zone. Precondition: `at` is above the revision in force.
+    auto evacuate(const std::string &zone, std::uint64_t at) -> void
+    {
+        DirectoryUpdate update;
+        update.after = this->board.directory.revision();
+        update.upTo = { at };
+        update.evacuations = { { ZoneId::ofName(zone), zone, { at }, true } };
+        this->take(update);
+    }
+
     /// Lets time pass in ticks.
     auto pass(Duration duration) -> void
     {
--- a/tests/unit/packetdumptest.cpp
+++ b/tests/unit/packetdumptest.cpp
@@ -40,6 +40,20 @@
     CHECK(papers.at("presence") == "listed");
 }
 
+TEST_CASE("a dump names evacuated zones, and explains why their upstreams are closed", "[dump]")
+{
+    PacketBoard host;
+    host.evacuate("a", 11);
+    const auto directory = json::parse(dumpOf(host.board)).at("directory");
+    REQUIRE(directory.at("evacuations").size() == 1);
+    CHECK(directory.at("evacuations")[0].at("zone") == "a");
+    CHECK(directory.at("evacuations")[0].at("in_force") == true);
+    CHECK(directory.at("evacuations")[0].at("changed") == 11);
+    const auto answer = explain(host, feedAddress);
+    CHECK(answer.at("placement").at("candidates")[0].at("closed") == "its zone is evacuated");
+    CHECK(statsOf(host.board).zonesEvacuated == 1);
+}
+
 TEST_CASE("a new flow is explained by all upstreams of its services", "[dump]")
 {
     PacketBoard host;
--- a/tests/unit/packetsteeringtest.cpp
+++ b/tests/unit/packetsteeringtest.cpp
@@ -88,6 +88,39 @@
     CHECK(instanceOf(host.open(7)) == 4);
 }
 
+TEST_CASE("an evacuated zone keeps open flows, and new flows and copies go to other zones",
+          "[packets]")
+{
+    PacketBoard host;
+    const auto first = host.open(7);
+    REQUIRE(instanceOf(first) < 4);
+    host.evacuate("a", 11);
+    for (std::uint16_t port = 20; port <= 40; ++port) {
+        CHECK(instanceOf(host.open(port)) == 4);
+    }
+    CHECK(instanceOf(host.open(7, feedAddress, 1)) == 4);
+    const auto open = host.acknowledge(9, Cookie::of(InstanceId(2)));
+    CHECK(open.reason == PacketReason::Steered);
+    CHECK(instanceOf(open) == 2);
+}
+
+TEST_CASE("a new flow and a copy of an opening are reset while every zone is evacuated",
+          "[packets]")
+{
+    PacketBoard host;
+    const auto waiting = host.open(7);
+    REQUIRE(waiting.verdict == PacketVerdict::Forward);
+    host.entry(1).evidence.silentSince = host.board.now.mono;
+    host.board.directory.touchPools();
+    host.evacuate("a", 11);
+    host.evacuate("b", 12);
+    const auto refused = host.open(8);
+    CHECK(refused.verdict == PacketVerdict::Reset);
+    CHECK(refused.reason == PacketReason::NoUpstream);
+    // If the first packet was lost, a copy would open a new flow in the evacuated zone.
+    CHECK(host.open(7, feedAddress, 1).verdict == PacketVerdict::Reset);
+}
+
 TEST_CASE("the cookie steers a packet on a host that never saw its flow", "[packets]")
 {
     PacketBoard host;
--- a/tools/flamingogradesim/main.cpp
+++ b/tools/flamingogradesim/main.cpp
@@ -37,6 +37,7 @@
     bool windows = false;
     bool randomTroubles = false;
     bool crowded = false;
+    bool evacuated = false;
     int seeds = 1;
     int hosts = 0; ///< 0: as many as the day has.
 };
@@ -55,7 +56,8 @@
     int windows = 0;
     int randomTroubles = 0;
     int crowded = 0;
-    const std::array<poptOption, 9> table { {
+    int evacuated = 0;
+    const std::array<poptOption, 10> table { {
             { "policies", 'p', POPT_ARG_NONE, &all, 0, "play every placement policy", nullptr },
             { "seeds", 's', POPT_ARG_INT, &options.seeds, 0, "seeds of each day", "N" },
             { "hosts", 'n', POPT_ARG_INT, &options.hosts, 0, "scale the day to N hosts", "N" },
@@ -63,7 +65,10 @@
             { "random", 'x', POPT_ARG_NONE, &randomTroubles, 0,
               "draw the troubles of each seed at random", nullptr },
             { "crowded", 'c', POPT_ARG_NONE, &crowded, 0,
-              "draw five to thirteen troubles of every kind", nullptr },
+              "draw five to thirteen troubles of every kind but evacuations", nullptr },
+            { "evacuated", 'e', POPT_ARG_NONE, &evacuated, 0,
+              "draw five to thirteen troubles of every kind and one to three zone evacuations",
+              nullptr },
             { "report", 'r', POPT_ARG_STRING, &report, 0, "write all figures as JSON", "FILE" },
             POPT_AUTOHELP POPT_TABLEEND,
     } };
@@ -90,6 +95,7 @@
     options.windows = windows != 0;
     options.randomTroubles = randomTroubles != 0;
     options.crowded = crowded != 0;
+    options.evacuated = evacuated != 0;
     return options;
 }
 
@@ -124,8 +130,8 @@
 /// @returns whether it kept them all.
 auto reportBroken(const std::string &name, std::uint64_t seed, const DayResult &result) -> bool
 {
-    const auto broken =
-            result.brokenFlows + result.doubleRuns + result.wrongService + result.lateOpenings;
+    const auto broken = result.brokenFlows + result.doubleRuns + result.wrongService
+                        + result.lateOpenings + result.evacuatedOpenings;
     if (broken == 0) {
         return true;
     }
@@ -134,7 +140,8 @@
         std::cout << " (" << reason << " " << count << ")";
     }
     std::cout << ", runs " << result.doubleRuns << ", services " << result.wrongService
-              << ", openings " << result.lateOpenings << std::endl;
+              << ", openings " << result.lateOpenings << ", in evacuated zones "
+              << result.evacuatedOpenings << std::endl;
     return false;
 }
 
@@ -154,6 +161,21 @@
     return figures;
 }
 
+/// Returns a day with the troubles drawn from its seed, or unchanged if none are to be drawn.
+auto withDrawnTroubles(DayPlan day, const Options &options) -> DayPlan
+{
+    if (!options.randomTroubles && !options.crowded && !options.evacuated) {
+        return day;
+    }
+    const auto seed = day.seed;
+    const auto draw = options.evacuated ? &evacuatedDay
+                      : options.crowded ? &crowdedDay
+                                        : &randomDay;
+    auto drawn = draw(std::move(day), seed);
+    drawn.name += "-" + std::to_string(seed);
+    return drawn;
+}
+
 auto playAll(const DayPlan &day, const Options &options) -> nlohmann::json
 {
     auto figures = nlohmann::json::array();
@@ -165,12 +187,7 @@
             auto played = options.hosts > 0 ? scaledTo(day, static_cast<std::size_t>(options.hosts))
                                             : day;
             played.seed += static_cast<std::uint64_t>(i);
-            if (options.randomTroubles || options.crowded) {
-                const auto seed = played.seed;
-                played = options.crowded ? crowdedDay(std::move(played), seed)
-                                         : randomDay(std::move(played), seed);
-                played.name += "-" + std::to_string(played.seed);
-            }
+            played = withDrawnTroubles(std::move(played), options);
             played.policy = policy;
             figures.push_back(play(std::move(played), name, options));
         }
