Limit requests to cold upstreams through one owner per upstream

Cause: a service can declare how long its upstreams are cold after a start and how many requests a second they can handle in that time, but nothing read these values. When the evacuation of a zone ends, all its upstreams are cold at once and look idle to placement by load. They received all new flows, failed, restarted cold and failed again.

Ruled out: - Equal parts of the rate for each host of the zone.

Change: the packet rows carry the cold limits. Each cold upstream of a service with a limit has one owner, chosen by rendezvous hashing over the hosts of its zone. The owner has a token bucket that starts empty and holds one token. Its rate keeps two owners together below the bound, as membership views differ while hosts join and leave. Requests on open flows count too; the first request of a flow is counted with its opening. Other hosts, and hosts that have just started, place flows elsewhere; a flow without any other upstream is refused at once. When an evacuation ends, the upstreams of the zone count as cold until a new record says otherwise.

--- a/include/flamingograde/config.h
+++ b/include/flamingograde/config.h
@@ -97,6 +97,8 @@
 inline constexpr auto busyForget            = 3000ms; ///< A request without any packet for this long is taken to be over.
 inline constexpr double crowdedRequests     = 3.0;    ///< Requests a slot of the own zone from which new flows go to other zones: they would wait for two others, and upstreams shed from 5.0 on. At 1.0 bytes between zones and flows lost to a zone's cut cost more than the wait.
 inline constexpr double crowdedUploads      = 4.0;    ///< The same for uploads, whose bytes between zones cost more.
+inline constexpr double coldExcess          = 1.0;    ///< The bound on requests of all hosts to a cold upstream in any second: this many times its cold limit,
+inline constexpr double coldSlack           = 0.0;    ///< plus this many requests.
 inline constexpr std::size_t placementScan  = 8;      ///< Up to this many upstreams are all compared for a new flow.
 inline constexpr std::size_t placementDraws = 4;      ///< Of more, this many are drawn and compared.
 
--- a/include/flamingograde/init.h
+++ b/include/flamingograde/init.h
@@ -3,6 +3,7 @@
 
 #include <flamingograde/address.h>
 #include <flamingograde/clock.h>
+#include <flamingograde/coldpolicy.h>
 #include <flamingograde/config.h>
 #include <flamingograde/member.h>
 #include <flamingograde/packetpolicy.h>
@@ -22,6 +23,10 @@
     std::vector<Address> seedAddresses; ///< Peer addresses of hosts whose names are not known.
     bool readsDirectory = false;        ///< The platform publishes a directory in place of a table.
     PacketPolicy packetPolicy = PacketPolicy::LeastBusy; ///< How new flows are placed.
+    ColdPolicy coldPolicy = ColdPolicy::Owner; ///< How hosts divide the rate of cold upstreams.
+    double coldExcess = config::coldExcess;    ///< Requests of all hosts to a cold upstream in any
+                                               ///< second: at most this many times its limit,
+    double coldSlack = config::coldSlack;      ///< plus this many.
     std::size_t flowsTracked = 0;     ///< Packet flows that are watched; 0: no packets are carried.
     std::uint64_t seed = 1;           ///< Of every random choice.
     Policy policy = Policy::CellHome; ///< How requests are placed on upstreams.
--- a/include/flamingograde/packetrows.h
+++ b/include/flamingograde/packetrows.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <flamingograde/clock.h>
+#include <flamingograde/coldlimit.h>
 #include <flamingograde/config.h>
 #include <flamingograde/packetrow.h>
 #include <flamingograde/revision.h>
@@ -18,6 +19,7 @@
     Revision changed;                     ///< The directory's revision of it.
     Duration flowIdle = config::flowIdle; ///< A flow without packets for this long may be dropped.
     std::vector<PacketRow> rows;
+    std::vector<ColdLimit> coldLimits; ///< Of services that have a cold limit.
 };
 
 } // namespace flamingograde
--- a/include/flamingograde/stats.h
+++ b/include/flamingograde/stats.h
@@ -57,6 +57,7 @@
     std::uint64_t upstreams = 0;           ///< Gauge: upstreams in the directory.
     std::uint64_t upstreamsSilent = 0;     ///< Gauge: upstreams held to be silent.
     std::uint64_t flows = 0;               ///< Gauge: packet flows that are watched.
+    std::uint64_t upstreamsLimited = 0;    ///< Gauge: upstreams under a cold limit.
     std::uint64_t zonesEvacuated = 0;      ///< Gauge: evacuated availability zones.
 };
 
--- a/src/core/blackboard.h
+++ b/src/core/blackboard.h
@@ -38,7 +38,8 @@
 public:
     explicit Blackboard(Init start)
         : init(std::move(start)), random(this->init.seed), config(this->init.clockBound),
-          directory(ZoneId::ofName(this->init.self.zoneName)),
+          directory(ZoneId::ofName(this->init.self.zoneName),
+                    this->init.coldPolicy != ColdPolicy::Unlimited),
           packets(this->init.flowsTracked, this->init.packetPolicy)
     {}
 
--- a/src/core/directory/directory.cpp
+++ b/src/core/directory/directory.cpp
@@ -75,6 +75,58 @@
            && !this->zoneEvacuations.isEvacuated(upstream.zone);
 }
 
+auto Directory::acceptsOpening(const UpstreamEntry &entry) const -> bool
+{
+    return this->isOpen(entry) && (!entry.isColdLimited || entry.allowance.hasToken());
+}
+
+auto Directory::coldLimitOf(ServiceId service) const -> const ColdLimit *
+{
+    const auto found = this->coldLimits.find(service);
+    return found == this->coldLimits.end() ? nullptr : &found->second;
+}
+
+/// Updates whether a cold limit applies to an entry.
+auto Directory::updateColdLimit(UpstreamEntry &entry, MonoTime now) -> void
+{
+    const auto isColdLimited =
+            now < entry.warmAt && this->coldLimitOf(entry.record.upstream.service) != nullptr;
+    if (isColdLimited == entry.isColdLimited) {
+        return;
+    }
+    entry.isColdLimited = isColdLimited;
+    entry.allowance = ColdAllowance();
+    this->coldLimited += isColdLimited ? 1 : 0;
+    this->coldLimited -= isColdLimited ? 0 : 1;
+    this->poolsStale = true;
+}
+
+auto Directory::liftExpiredColdLimits(MonoTime now) -> void
+{
+    if (this->coldLimited == 0) {
+        return;
+    }
+    for (auto &entry : this->slots) {
+        if (entry.isColdLimited) {
+            this->updateColdLimit(entry, now);
+        }
+    }
+}
+
+/// Assumes that upstreams of a zone whose records are older than `at` are cold: they may have
+/// become cold while they received no requests, and their next heartbeat updates the record.
+auto Directory::assumeZoneCold(ZoneId zone, Revision at, MonoTime now) -> void
+{
+    for (auto &entry : this->slots) {
+        const auto *limit = this->coldLimitOf(entry.record.upstream.service);
+        const auto isOutdated = entry.record.changed < at;
+        if (limit != nullptr && isOutdated && entry.record.upstream.zone == zone) {
+            entry.warmAt = std::max(entry.warmAt, now + limit->coldTime);
+            this->updateColdLimit(entry, now);
+        }
+    }
+}
+
 auto Directory::take(const DirectoryUpdate &update, MonoTime now) -> DirectoryChanges
 {
     DirectoryChanges changes;
@@ -129,6 +181,7 @@
     entry.isFaulty = false;
     entry.isDoubted = false;
     entry.warmAt = now + record.upstream.warmup;
+    this->updateColdLimit(entry, now);
     if (!wasListed) {
         entry.since = now;
         entry.evidence.forgetSilence();
@@ -146,6 +199,7 @@
 {
     ++entry.life;
     entry.evidence = UpstreamEvidence();
+    entry.allowance = ColdAllowance();
     changes.restarted.push_back(this->indexOf(entry));
 }
 
@@ -227,6 +281,15 @@
         addServices(row, entry.had);
         this->rowsByAddress.emplace(row.address, std::move(entry));
     }
+    this->coldLimits.clear();
+    for (const auto &limit : rows->coldLimits) {
+        if (this->enforcesColdLimits) {
+            this->coldLimits.emplace(limit.service, limit);
+        }
+    }
+    for (auto &entry : this->slots) {
+        this->updateColdLimit(entry, now);
+    }
     changes.rowsChanged = true;
 }
 
@@ -240,6 +303,11 @@
         }
     }
     changes.evacuations = this->zoneEvacuations.take(update, zones, now);
+    for (const auto &order : changes.evacuations) {
+        if (!order.inForce) {
+            this->assumeZoneCold(order.zone, order.at, now);
+        }
+    }
 }
 
 auto Directory::add(const DirectoryRecord &record) -> UpstreamEntry &
@@ -342,6 +410,7 @@
     this->releaseCookie(entry);
     this->byInstance.erase(entry.record.upstream.instance);
     this->freeSlots.push_back(this->indexOf(entry));
+    this->coldLimited -= entry.isColdLimited ? 1 : 0;
     entry = UpstreamEntry();
     --this->unsettled;
     this->poolsStale = true;
@@ -428,6 +497,7 @@
     for (auto &[service, pool] : this->pools) {
         pool.near.clear();
         pool.far.clear();
+        pool.cold.clear();
         pool.silent.clear();
         pool.nearSlots = 0;
         pool.nearBusy = 0;
@@ -444,6 +514,12 @@
 {
     auto &pool = this->pools[entry.record.upstream.service];
     const auto index = this->indexOf(entry);
+    if (entry.isColdLimited) {
+        if (entry.allowance.hasRate() && !entry.evidence.isSilent()) {
+            pool.cold.push_back(index);
+        }
+        return;
+    }
     // A missing one counts as listed until its removal is believed: when the platform is back after
     // an outage most upstreams of a service lack for some 100 ms, and all new flows at the few that
     // registered first filled their queues (12 of 12,600 requests refused, a store away for 9 s).
--- a/src/core/directory/directory.h
+++ b/src/core/directory/directory.h
@@ -31,7 +31,10 @@
 {
 public:
     /// @param zone upstreams of it are near.
-    explicit Directory(ZoneId zone) : ownZone(zone) {}
+    /// @param withColdLimits whether the cold limits of services are enforced.
+    explicit Directory(ZoneId zone, bool withColdLimits = true)
+        : ownZone(zone), enforcesColdLimits(withColdLimits)
+    {}
 
     /// Returns whether `update` continues what this host has. Precondition: none.
     [[nodiscard]] auto canTake(const DirectoryUpdate &update) const -> bool;
@@ -91,6 +94,19 @@
     /// Precondition: `entry` is of this directory.
     [[nodiscard]] auto isOpen(const UpstreamEntry &entry) const -> bool;
 
+    /// Returns whether an opening packet may be sent to an entry now: new flows may go there, and
+    /// a cold limit leaves room for another request. Precondition: `entry` is of this directory.
+    [[nodiscard]] auto acceptsOpening(const UpstreamEntry &entry) const -> bool;
+
+    /// Returns the cold limit of a service, or null where it has none.
+    [[nodiscard]] auto coldLimitOf(ServiceId service) const -> const ColdLimit *;
+
+    /// Returns the number of upstreams to which a cold limit applies now.
+    [[nodiscard]] auto coldLimitedCount() const -> std::size_t { return this->coldLimited; }
+
+    /// Lifts the limits of upstreams that are no longer cold. Precondition: none.
+    auto liftExpiredColdLimits(MonoTime now) -> void;
+
     /// Returns the evacuation orders of availability zones.
     [[nodiscard]] auto evacuations() const -> const ZoneEvacuations &
     {
@@ -112,6 +128,8 @@
     auto takeAbsent(const DirectoryUpdate &update, MonoTime now, DirectoryChanges &changes) -> void;
     auto takeRows(const std::shared_ptr<const PacketRows> &rows, MonoTime now,
                   DirectoryChanges &changes) -> void;
+    auto updateColdLimit(UpstreamEntry &entry, MonoTime now) -> void;
+    auto assumeZoneCold(ZoneId zone, Revision at, MonoTime now) -> void;
     auto takeEvacuations(const DirectoryUpdate &update, MonoTime now, DirectoryChanges &changes)
             -> void;
     auto add(const DirectoryRecord &record) -> UpstreamEntry &;
@@ -124,6 +142,7 @@
     auto pool(UpstreamEntry &entry) -> void;
 
     ZoneId ownZone;
+    bool enforcesColdLimits = true;
     Revision known;
     Revision forgotten; ///< Of the newest tombstone that was forgotten.
     std::vector<UpstreamEntry> slots;
@@ -135,6 +154,8 @@
     MonoTime firstRows; ///< When the first rows were taken.
     std::unordered_map<Address, RowEntry> rowsByAddress;
     ZoneEvacuations zoneEvacuations;
+    std::unordered_map<ServiceId, ColdLimit> coldLimits;
+    std::size_t coldLimited = 0; ///< Entries with `isColdLimited` set.
     std::size_t listed = 0;
     std::size_t unsettled = 0; ///< Missing entries and tombstones.
     bool poolsStale = false;
--- a/src/core/directory/servicepool.h
+++ b/src/core/directory/servicepool.h
@@ -11,6 +11,7 @@
 {
     std::vector<std::uint32_t> near; ///< Own zone, answering.
     std::vector<std::uint32_t> far;  ///< Other zones, answering.
+    std::vector<std::uint32_t> cold; ///< Own zone, cold-limited; this host has a share.
     std::vector<std::uint32_t>
             silent;              ///< Used where nothing else is left; else tried now and then.
     std::uint32_t nearSlots = 0; ///< Slots of `near`.
--- a/src/core/directory/upstreamentry.h
+++ b/src/core/directory/upstreamentry.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/directory/upstreamevidence.h"
+#include "core/packets/coldallowance.h"
 
 #include <flamingograde/clock.h>
 #include <flamingograde/cookie.h>
@@ -35,6 +36,8 @@
     std::uint16_t life = 0; ///< Counts the starts of its instance that this host has seen.
     bool isNear = false;    ///< In the own availability zone.
     bool isPooled = false;  ///< Among `ServicePool::near` of its service.
+    bool isColdLimited = false; ///< Cold, and its service has a cold limit.
+    ColdAllowance allowance;    ///< This host's share of the cold limit, if one applies.
     UpstreamEvidence evidence;
 };
 
--- a/src/core/dump.cpp
+++ b/src/core/dump.cpp
@@ -208,6 +208,7 @@
     stats.rowsVersion = rows == nullptr ? 0 : rows->version;
     stats.upstreams = board.directory.listedCount();
     stats.flows = board.packets.flows.used;
+    stats.upstreamsLimited = board.directory.coldLimitedCount();
     stats.zonesEvacuated = board.directory.evacuations().evacuatedCount();
     for (const auto &entry : board.directory.entries()) {
         stats.upstreamsSilent += entry.evidence.isSilent() ? 1 : 0;
--- /dev/null
+++ b/src/core/packets/coldsharing.cpp
@@ -0,0 +1,104 @@
+/// Request rates of this host to cold upstreams.
+#include "core/packets/coldsharing.h"
+
+#include "core/blackboard.h"
+#include "core/rendezvous.h"
+
+#include <flamingograde/config.h>
+
+#include <algorithm>
+
+namespace flamingograde {
+
+namespace {
+
+/// Hosts that may regard themselves as owner of an upstream at once, as membership views differ.
+constexpr double concurrentOwnersMax = 2;
+/// Requests that an owner may send in a second above its rate: a full bucket.
+constexpr double ownerBurst = 1;
+
+/// Returns whether this host started too recently to know the other hosts of its zone.
+auto hasJustStarted(const Blackboard &board) -> bool
+{
+    return board.now.mono - board.membership.startedAt < config::directoryMeetTime;
+}
+
+/// Returns the rate of an owner: the cold limit, reduced where two owners together would exceed the
+/// bound on the requests of all hosts in a second.
+auto ownerRate(const Init &init, const ColdLimit &limit) -> double
+{
+    const auto limitRate = limit.requestsPerSecond;
+    const auto bound = limitRate * init.coldExcess + init.coldSlack;
+    return std::clamp(bound / concurrentOwnersMax - ownerBurst, limitRate / concurrentOwnersMax,
+                      limitRate);
+}
+
+/// Returns the host of a zone that owns an upstream; invalid where no host of it is known.
+auto ownerOf(const Blackboard &board, const Upstream &upstream) -> HostId
+{
+    HostId owner;
+    double best = 0;
+    for (const auto host : board.membership.candidates(upstream.zone)) {
+        const auto score =
+                rendezvousScore(upstream.instance.value(), RendezvousNode { host.value() });
+        if (!owner.isValid() || score > best) {
+            owner = host;
+            best = score;
+        }
+    }
+    return owner;
+}
+
+} // namespace
+
+auto SingleOwnerSharing::rateOf(const Blackboard &board, const UpstreamEntry &entry,
+                                const ColdLimit &limit) const -> double
+{
+    const auto isOwner = entry.isNear && !hasJustStarted(board)
+                         && ownerOf(board, entry.record.upstream) == board.membership.self;
+    return isOwner ? ownerRate(board.init, limit) : 0;
+}
+
+auto EqualSplitSharing::rateOf(const Blackboard &board, const UpstreamEntry &entry,
+                               const ColdLimit &limit) const -> double
+{
+    const auto hosts = board.membership.candidates(entry.record.upstream.zone).size();
+    if (!entry.isNear || hasJustStarted(board) || hosts == 0) {
+        return 0;
+    }
+    return limit.requestsPerSecond / static_cast<double>(hosts);
+}
+
+auto sharingOf(ColdPolicy policy) -> ColdSharing
+{
+    if (policy == ColdPolicy::Split) {
+        return EqualSplitSharing();
+    }
+    return SingleOwnerSharing();
+}
+
+auto reviewColdUpstreams(Blackboard &board) -> void
+{
+    auto &directory = board.directory;
+    directory.liftExpiredColdLimits(board.now.mono);
+    if (directory.coldLimitedCount() == 0) {
+        return;
+    }
+    const auto sharing = sharingOf(board.init.coldPolicy);
+    for (std::uint32_t i = 0; i < directory.entries().size(); ++i) {
+        auto &entry = directory.at(i);
+        if (!entry.isColdLimited) {
+            continue;
+        }
+        const auto &limit = *directory.coldLimitOf(entry.record.upstream.service);
+        const auto rate =
+                std::visit([&](const auto &it) { return it.rateOf(board, entry, limit); }, sharing);
+        const auto hadRate = entry.allowance.hasRate();
+        entry.allowance.refill(rate, board.now.mono);
+        if (hadRate != entry.allowance.hasRate()) {
+            directory.touchPools();
+        }
+    }
+}
+
+} // namespace flamingograde
--- a/src/core/packets/flowchoice.cpp
+++ b/src/core/packets/flowchoice.cpp
@@ -22,6 +22,13 @@
     return (entry.evidence.busy + 1) / slots;
 }
 
+/// Returns whether a candidate is not to be avoided and its cold limit, if any, allows a flow.
+auto isEligible(const Blackboard &board, std::uint32_t index, const NewFlow &flow) -> bool
+{
+    const auto &entry = board.directory.at(index);
+    return flow.avoid != index && (!entry.isColdLimited || entry.allowance.hasToken());
+}
+
 /// Keeps the least busy of the upstreams that are offered.
 class LeastBusy
 {
@@ -30,7 +37,7 @@
 
     auto offer(std::uint32_t index) -> void
     {
-        if (this->flow.avoid == index) {
+        if (!isEligible(this->board, index, this->flow)) {
             return;
         }
         const auto load = loadOf(this->board, index);
@@ -55,12 +62,12 @@
 };
 
 /// Returns the candidate at `start`, or the next one where that is to be avoided.
-auto from(const FlowCandidates &candidates, std::uint64_t start, const NewFlow &flow)
-        -> std::optional<std::uint32_t>
+auto from(const Blackboard &board, const FlowCandidates &candidates, std::uint64_t start,
+          const NewFlow &flow) -> std::optional<std::uint32_t>
 {
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const auto index = candidates[(start + i) % candidates.size()];
-        if (flow.avoid != index) {
+        if (isEligible(board, index, flow)) {
             return index;
         }
     }
@@ -88,13 +95,13 @@
 auto ChooseRandom::choose(Blackboard &board, const FlowCandidates &candidates,
                           const NewFlow &flow) const -> std::optional<std::uint32_t>
 {
-    return from(candidates, board.random(), flow);
+    return from(board, candidates, board.random(), flow);
 }
 
-auto ChooseByHash::choose(Blackboard & /*board*/, const FlowCandidates &candidates,
+auto ChooseByHash::choose(Blackboard &board, const FlowCandidates &candidates,
                           const NewFlow &flow) const -> std::optional<std::uint32_t>
 {
-    return from(candidates, flow.hash, flow);
+    return from(board, candidates, flow.hash, flow);
 }
 
 auto choiceOf(PacketPolicy policy) -> FlowChoice
--- a/src/core/packets/flowentry.h
+++ b/src/core/packets/flowentry.h
@@ -30,7 +30,8 @@
     std::uint32_t acknowledged = 0; ///< The newest of the caller.
     std::uint32_t sequence = 0;     ///< Of the newest data of the caller.
     FlowStage stage = FlowStage::Free;
-    std::uint16_t life = 0; ///< Of that upstream, to notice that it started again.
+    bool awaitsFirstRequest = false; ///< Opened by this host, and no request has arrived on it.
+    std::uint16_t life = 0;          ///< Of that upstream, to notice that it started again.
 };
 
 } // namespace flamingograde
--- a/src/core/packets/flowplacement.cpp
+++ b/src/core/packets/flowplacement.cpp
@@ -22,10 +22,11 @@
         -> std::optional<std::uint32_t>
 {
     const auto &pool = board.directory.poolOf(service);
-    const auto leaves = !pool.far.empty() && isZoneCrowded(board, row, pool);
-    const auto &first = leaves ? pool.far : pool.near;
-    const auto &second = leaves ? pool.near : pool.far;
-    for (const auto *candidates : { &first, &second, &pool.silent }) {
+    const auto leaves = isZoneCrowded(board, row, pool);
+    const auto &first = leaves ? pool.cold : pool.near;
+    const auto &second = leaves ? pool.far : pool.cold;
+    const auto &third = leaves ? pool.near : pool.far;
+    for (const auto *candidates : { &first, &second, &third, &pool.silent }) {
         if (const auto chosen = choose(board, *candidates, flow)) {
             return chosen;
         }
--- a/src/core/packets/flowplacement.h
+++ b/src/core/packets/flowplacement.h
@@ -21,7 +21,8 @@
 /// of its services takes new flows.
 ///
 /// The service is drawn by weight; one without any upstream is passed over. Within a service the
-/// least busy for its slots is taken, of the own zone where it has any.
+/// least busy for its slots is taken, of the own zone where it has any and they are not crowded;
+/// then cold ones of the own zone, within their limit.
 /// Precondition: `board.now` is set. Does not allocate.
 [[nodiscard]] auto placeFlow(Blackboard &board, const RowEntry &row, const NewFlow &flow)
         -> std::optional<std::uint32_t>;
--- a/src/core/packets/flowwatch.cpp
+++ b/src/core/packets/flowwatch.cpp
@@ -6,6 +6,8 @@
 
 #include <flamingograde/config.h>
 
+#include <utility>
+
 namespace flamingograde {
 
 namespace {
@@ -61,6 +63,7 @@
     flow.life = board.directory.at(upstream).life;
     flow.acknowledged = head.acknowledged;
     flow.sequence = head.sequence;
+    flow.awaitsFirstRequest = false;
 }
 
 /// Returns whether the last packet of a flow came here so long ago that others may have gone
@@ -136,6 +139,15 @@
     return false;
 }
 
+/// Counts a request against the cold limit of its upstream, if one applies.
+auto countAgainstColdLimit(Blackboard &board, const FlowEntry &flow) -> void
+{
+    auto *entry = upstreamOf(board, flow);
+    if (entry != nullptr && entry->isColdLimited) {
+        entry->allowance.consume();
+    }
+}
+
 /// Takes what a packet carries.
 auto takeData(Blackboard &board, FlowEntry &flow, const PacketHead &head) -> RequestSign
 {
@@ -149,6 +161,9 @@
     }
     flow.sequence = head.sequence;
     if (flow.stage == FlowStage::Idle) {
+        if (!std::exchange(flow.awaitsFirstRequest, false)) {
+            countAgainstColdLimit(board, flow); // The opening counted the first request.
+        }
         flow.sentAt = FlowTable::clock(board.now.mono);
         enter(board, flow, FlowStage::Waiting);
     }
@@ -216,6 +231,8 @@
                   std::uint32_t upstream) -> void
 {
     assign(board, flow, head, upstream);
+    flow.awaitsFirstRequest = true;
+    countAgainstColdLimit(board, flow);
     flow.sentAt = FlowTable::clock(board.now.mono);
     flow.packetAt = flow.sentAt;
     enter(board, flow, FlowStage::Opening);
--- a/src/core/packets/packetcontroller.cpp
+++ b/src/core/packets/packetcontroller.cpp
@@ -2,6 +2,7 @@
 #include "core/packets/packetcontroller.h"
 
 #include "core/blackboard.h"
+#include "core/packets/coldsharing.h"
 #include "core/packets/flowwatch.h"
 
 #include <flamingograde/config.h>
@@ -27,6 +28,7 @@
         distrustOpenings(board);
     }
     reviewFlows(board);
+    reviewColdUpstreams(board);
     for (auto &note : board.notes) {
         board.act(std::move(note));
     }
--- a/src/core/packets/packetdump.cpp
+++ b/src/core/packets/packetdump.cpp
@@ -65,6 +65,7 @@
              { "born_unix_ms", milliseconds(upstream.born.time_since_epoch()) },
              { "usable", !entry.isFaulty },
              { "slots", upstream.slots },
+             { "cold_limited", entry.isColdLimited },
              { "busy_here", evidence.busy },
              { "silent", evidence.isSilent() },
              { "silent_ms_ago", ageJson(board, evidence.silentSince.value_or(MonoTime())) },
@@ -129,6 +130,10 @@
     if (entry.isFaulty) {
         return "its entry cannot be used";
     }
+    if (entry.isColdLimited && !entry.allowance.hasToken()) {
+        return entry.allowance.hasRate() ? "cold: its request rate is used up"
+                                         : "cold: this host has no share of its request rate";
+    }
     if (!entry.ownsCookie) {
         return "shares the cookie of an older one";
     }
--- a/src/core/packets/packetsteering.cpp
+++ b/src/core/packets/packetsteering.cpp
@@ -76,7 +76,7 @@
 auto mayTakeCopy(const Blackboard &board, const FlowEntry &flow) -> bool
 {
     const auto &entry = board.directory.at(flow.upstream);
-    return entry.cookie == flow.cookie && board.directory.isOpen(entry);
+    return entry.cookie == flow.cookie && board.directory.acceptsOpening(entry);
 }
 
 auto place(Blackboard &board, const RowEntry &row, const PacketHead &head) -> PacketDecision
--- a/src/emulator/dayfile.cpp
+++ b/src/emulator/dayfile.cpp
@@ -25,11 +25,12 @@
 constexpr double percent = 100;
 
 const Words sections { "day", "host", "zone", "upstreams", "row", "share", "trouble" };
-const Words dayFields { "name",   "seed",           "lead_ms",     "length_ms",
-                        "policy", "drain_bound_ms", "loss_percent" };
+const Words dayFields { "name",   "seed",           "lead_ms",      "length_ms",
+                        "policy", "drain_bound_ms", "loss_percent", "cold_policy" };
 const Words hostFields { "start_ms", "restart_ms", "packet_us", "message_us" };
 const Words zoneFields { "name", "hosts", "requests_per_second" };
-const Words upstreamFields { "service", "zone", "count", "slots", "queue" };
+const Words upstreamFields { "service", "zone",    "count",          "slots",
+                             "queue",   "cold_ms", "cold_per_second" };
 const Words rowFields { "name",        "address",       "service",      "idempotent", "long_flows",
                         "share",       "request_bytes", "answer_bytes", "work_us",    "target_ms",
                         "deadline_ms", "worth_percent", "late_percent", "retries" };
@@ -37,6 +38,7 @@
 const Words troubleFields { "kind",          "at_ms",          "for_ms", "gap_ms",  "count",
                             "share_percent", "factor_percent", "zone",   "service", "how" };
 const Words policyWords { "least-busy", "random", "hash" };
+const Words coldPolicyWords { "owner", "split", "unlimited" };
 
 /// Reads the sections of one day.
 class DayReader
@@ -105,6 +107,7 @@
     day.length = time(fields, "length_ms", day.length);
     day.drainBound = time(fields, "drain_bound_ms", day.drainBound);
     day.policy = static_cast<PacketPolicy>(fields.word("policy", policyWords, 0));
+    day.coldPolicy = static_cast<ColdPolicy>(fields.word("cold_policy", coldPolicyWords, 0));
     const auto lost = fields.number("loss_percent", { 0, 100, 0 });
     day.packetLoss = static_cast<double>(lost) / percent;
 }
@@ -150,6 +153,8 @@
     found->slots = static_cast<std::uint32_t>(
             fields.number("slots", { 1, config::slotsMax, found->slots }));
     found->queue = fields.number("queue", { 0, countMax, found->queue });
+    found->coldTime = time(fields, "cold_ms", found->coldTime);
+    found->coldPerSecond = fields.positive("cold_per_second", found->coldPerSecond);
 }
 
 auto DayReader::readRow(FieldReader &fields) -> void
--- a/src/emulator/dayresult.h
+++ b/src/emulator/dayresult.h
@@ -46,6 +46,10 @@
     Duration latestOpening { 0 };   ///< The longest time after the upstream said that it leaves.
     std::uint64_t evacuatedOpenings = 0; ///< Openings in an evacuated zone after the bound.
     Duration latestEvacuated { 0 };      ///< Longest time from an evacuation to an opening.
+    std::uint64_t coldOverruns = 0;      ///< Openings at a cold upstream above its bound.
+    std::uint64_t coldFailures = 0;      ///< Failures of cold upstreams caused by them.
+    std::uint64_t coldOpenings = 0;      ///< Openings at cold upstreams with a bound.
+    double coldSeconds = 0;              ///< Time for which upstreams with a bound were cold.
     std::uint64_t sheds = 0;
 
     double storeCalls = 0;
--- a/src/emulator/emulation.cpp
+++ b/src/emulator/emulation.cpp
@@ -18,8 +18,9 @@
 
 constexpr Duration heartbeat = 1200ms;
 constexpr Duration housekeeping = 100ms;
-constexpr Duration coldTime = 2s;
-constexpr Duration evacuationRetry = 500ms; ///< Until a refused order is sent again.
+constexpr Duration coldRateWindow = 1s; ///< Openings at a cold upstream are counted over this.
+constexpr Duration coldRestartDelay = 1500ms; ///< An overloaded cold upstream restarts after this.
+constexpr Duration evacuationRetry = 500ms;   ///< Until a refused order is sent again.
 constexpr Duration contact =
         4s; ///< A fault on a host or an upstream excuses what happens within this.
 constexpr std::uint32_t headBytes = 44;           ///< Before the data, the instance included.
@@ -45,6 +46,9 @@
     auto init = hostSettings(zone, number);
     init.flowsTracked = config::flowsTracked;
     init.packetPolicy = this->plan.policy;
+    init.coldPolicy = this->plan.coldPolicy;
+    init.coldExcess = this->plan.coldExcess;
+    init.coldSlack = this->plan.coldSlack;
     init.stopTimeout = 5s;
     init.seed = this->random();
     return init;
@@ -91,6 +95,7 @@
 auto Emulation::beginLoad() -> void
 {
     this->judge.begin(this->time.now());
+    this->hasLoadStarted = true;
     std::vector<const LoadKind *> kinds;
     for (const auto &row : this->plan.rows) {
         kinds.push_back(&row.load);
@@ -128,6 +133,12 @@
         }
         rows.rows.push_back(std::move(row));
     }
+    for (const auto &service : this->plan.services) {
+        if (service.coldPerSecond > 0) {
+            rows.coldLimits.push_back({ ServiceId::ofName(service.name), service.name,
+                                        service.coldTime, service.coldPerSecond });
+        }
+    }
     return rows;
 }
 
@@ -142,8 +153,7 @@
     const auto index = this->seats.size();
     auto seat = std::make_unique<UpstreamSeat>();
     auto &record = seat->record;
-    const auto planned = std::find_if(this->plan.services.begin(), this->plan.services.end(),
-                                      [&](const auto &it) { return it.name == service; });
+    const auto &planned = this->servicePlanOf(service);
     record.instance = InstanceId(this->random() >> 24U);
     record.name = "upstream-" + std::to_string(index);
     record.id = UpstreamId::ofName(record.name);
@@ -151,8 +161,8 @@
     record.service = ServiceId::ofName(service);
     record.zoneName = zone;
     record.zone = ZoneId::ofName(zone);
-    record.slots = planned->slots;
-    record.warmup = coldTime;
+    record.slots = planned.slots;
+    record.warmup = planned.coldTime;
     record.address =
             address.isValid()
                     ? address
@@ -160,8 +170,8 @@
     seat->place = { record.name, zone };
     seat->process = std::make_unique<EmulatedUpstream>(this->time, record,
                                                        this->surroundingsOf(index), this->random());
-    seat->process->queueMax = planned->queue;
-    seat->process->coldUntil = this->time.now() + coldTime;
+    seat->process->queueMax = planned.queue;
+    seat->process->coldUntil = this->time.now() + planned.coldTime;
     this->seatAt[record.address] = index;
     this->seats.push_back(std::move(seat));
     this->seats.back()->isBeating = true;
@@ -187,6 +197,7 @@
                    });
         this->judge.day.wrongService += isAllowed ? 0 : 1;
         this->judgeOpening(seat);
+        this->judgeColdOpening(index);
     };
     return around;
 }
@@ -217,6 +228,40 @@
     this->judge.day.evacuatedOpenings += late > this->plan.evacuateBound ? 1 : 0;
 }
 
+auto Emulation::judgeColdOpening(std::size_t index) -> void
+{
+    auto &seat = *this->seats[index];
+    const auto &service = this->servicePlanOf(seat.record.serviceName);
+    const auto now = this->time.now();
+    if (service.coldPerSecond <= 0 || now >= seat.process->coldUntil) {
+        return;
+    }
+    ++this->judge.day.coldOpenings;
+    auto &openings = seat.coldOpenings;
+    openings.push_back(now);
+    while (now - openings.front() >= coldRateWindow) {
+        openings.pop_front();
+    }
+    const auto bound = service.coldPerSecond * this->plan.coldExcess + this->plan.coldSlack;
+    if (static_cast<double>(openings.size()) <= bound) {
+        return;
+    }
+    ++this->judge.day.coldOverruns;
+    openings.clear();
+    this->time.later(Duration(0), [this, index] {
+        if (this->seats[index]->process->life() == UpstreamLife::Running) {
+            ++this->judge.day.coldFailures;
+            this->restartUpstream(index, UpstreamLife::Crashed, coldRestartDelay);
+        }
+    });
+}
+
+auto Emulation::servicePlanOf(const std::string &service) const -> const ServicePlan &
+{
+    return *std::find_if(this->plan.services.begin(), this->plan.services.end(),
+                         [&](const ServicePlan &it) { return it.name == service; });
+}
+
 auto Emulation::evacuateZone(const std::string &zone) -> void
 {
     if (!this->platform.evacuate(zone)) {
@@ -235,6 +280,7 @@
     this->evacuatedAt.erase(zone);
     for (const auto &seat : this->seats) {
         if (cold && seat->place.zone == zone) {
+            const auto coldTime = this->servicePlanOf(seat->record.serviceName).coldTime;
             seat->process->coldUntil = this->time.now() + coldTime;
         }
     }
@@ -290,6 +336,7 @@
     this->failUpstream(index, kind);
     this->time.later(after, [this, index] {
         auto &seat = *this->seats[index];
+        const auto coldTime = this->servicePlanOf(seat.record.serviceName).coldTime;
         seat.process->restart(this->time.now() + coldTime);
         seat.record.born = WallTime(this->time.now().time_since_epoch());
         seat.disturbedAt = this->time.now();
@@ -307,9 +354,22 @@
     seat.disturbedAt = std::max(seat.disturbedAt.value_or(until), until);
 }
 
+auto Emulation::accumulateColdTime() -> void
+{
+    for (const auto &seat : this->seats) {
+        const auto isCold = this->time.now() < seat->process->coldUntil
+                            && seat->process->life() == UpstreamLife::Running
+                            && this->servicePlanOf(seat->record.serviceName).coldPerSecond > 0;
+        const std::chrono::duration<double> passed =
+                this->hasLoadStarted && isCold ? housekeeping : Duration(0);
+        this->judge.day.coldSeconds += passed.count();
+    }
+}
+
 auto Emulation::housekeep() -> void
 {
     this->platform.expire();
+    this->accumulateColdTime();
     this->mesh.review();
     for (const auto &host : this->hosts) {
         if (host->life() != HostLife::Running || !this->platform.isStableFor(host->place())) {
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -17,6 +17,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -37,6 +38,7 @@
     bool stored = false;                   ///< The store took its newest record.
     std::optional<MonoTime> leftAt;        ///< When the store took that it leaves or is gone.
     std::optional<MonoTime> disturbedAt;   ///< Until when it was last crashed or cut.
+    std::deque<MonoTime> coldOpenings;     ///< While it is cold, within the last second.
     const EmulatedHost *through = nullptr; ///< The host whose packet it takes.
 };
 
@@ -108,6 +110,9 @@
     auto beat(std::size_t index) -> void;
     auto judgeOpening(const UpstreamSeat &seat) -> void;
     auto judgeEvacuation(const UpstreamSeat &seat) -> void;
+    auto judgeColdOpening(std::size_t index) -> void;
+    auto accumulateColdTime() -> void;
+    [[nodiscard]] auto servicePlanOf(const std::string &service) const -> const ServicePlan &;
     auto housekeep() -> void;
     auto callersSurroundings() -> PoolSurroundings;
     auto sendToFabric(std::size_t caller, const FlowPacket &packet) -> void;
@@ -130,6 +135,7 @@
     CallerPool pool;
     std::map<LogEvent, std::uint64_t> logs;
     std::map<std::string, MonoTime> evacuatedAt; ///< By zone, for evacuations in force.
+    bool hasLoadStarted = false;                 ///< Whether callers send requests.
     std::uint64_t rowsVersion = 0;
     std::uint64_t packetBytesBetweenZones = 0;
 };
--- a/src/emulator/plan.h
+++ b/src/emulator/plan.h
@@ -5,6 +5,7 @@
 #include "emulator/loadkind.h"
 
 #include <flamingograde/clock.h>
+#include <flamingograde/coldpolicy.h>
 #include <flamingograde/packetpolicy.h>
 
 #include <cstddef>
@@ -23,6 +24,8 @@
     std::map<std::string, std::size_t> upstreams; ///< By zone.
     std::uint32_t slots = 2;
     std::size_t queue = 8;
+    Duration coldTime { 2000000 }; ///< After a start.
+    double coldPerSecond = 0;      ///< Request rate limit of a cold upstream; 0: none.
 };
 
 /// A row: a kind of load and the services that carry it.
@@ -70,6 +73,10 @@
     Duration drainBound { 3000000 };    ///< A leaving upstream gets no new flow after this.
     Duration evacuateBound { 5000000 }; ///< An evacuated zone gets no new flow after this.
     PacketPolicy policy = PacketPolicy::LeastBusy;
+    ColdPolicy coldPolicy = ColdPolicy::Owner;
+    double coldExcess = 1.5; ///< A cold upstream fails when its openings within a second exceed
+                             ///< this many times its limit,
+    double coldSlack = 5;    ///< plus this many.
     double packetLoss = 0;
 };
 
--- a/src/net/metrics.cpp
+++ b/src/net/metrics.cpp
@@ -202,6 +202,8 @@
     list.gauge("upstreams", "Upstreams in the directory.", number(stats.upstreams));
     list.gauge("upstreams_silent", "Upstreams held to be silent.", number(stats.upstreamsSilent));
     list.gauge("flows", "Packet flows that are watched.", number(stats.flows));
+    list.gauge("upstreams_cold_limited", "Cold upstreams that bear few requests.",
+               number(stats.upstreamsLimited));
     list.gauge("zones_evacuated", "Availability zones that are evacuated.",
                number(stats.zonesEvacuated));
     list.histogram("handshake_seconds", "From an opening to the second packet of its flow.",
--- a/src/table/fieldreader.cpp
+++ b/src/table/fieldreader.cpp
@@ -128,18 +128,35 @@
 
 auto FieldReader::positive(std::string_view key, double fallback) -> double
 {
-    const auto *node = this->fields.get(key);
-    if (node == nullptr) {
-        return fallback;
-    }
-    const auto value = node->value<double>().value_or(0);
-    if (node->is_number() && value > 0 && std::isfinite(value)) {
+    const auto value = this->decimal(key, fallback);
+    if (value > 0 || !this->has(key)) {
         return value;
     }
     this->fault(key, "is no number above 0", "give such as 10.5");
     return fallback;
 }
 
+auto FieldReader::nonNegative(std::string_view key, double fallback) -> double
+{
+    const auto value = this->decimal(key, fallback);
+    if (value >= 0) {
+        return value;
+    }
+    this->fault(key, "is no number of at least 0", "give such as 1.5");
+    return fallback;
+}
+
+/// Returns a finite number, `fallback` for a missing one, and -1 for anything else.
+auto FieldReader::decimal(std::string_view key, double fallback) const -> double
+{
+    const auto *node = this->fields.get(key);
+    if (node == nullptr) {
+        return fallback;
+    }
+    const auto value = node->value<double>().value_or(-1);
+    return node->is_number() && std::isfinite(value) ? value : -1;
+}
+
 auto FieldReader::flag(std::string_view key, bool fallback) -> bool
 {
     const auto *node = this->fields.get(key);
--- a/src/table/fieldreader.h
+++ b/src/table/fieldreader.h
@@ -63,6 +63,8 @@
 
     /// Reads a number that may have a fraction, above 0. Precondition: none.
     [[nodiscard]] auto positive(std::string_view key, double fallback) -> double;
+    /// Reads a number of at least 0, or returns `fallback` for a missing one. Precondition: none.
+    [[nodiscard]] auto nonNegative(std::string_view key, double fallback) -> double;
 
     /// Reads a boolean. Precondition: none.
     [[nodiscard]] auto flag(std::string_view key, bool fallback) -> bool;
@@ -86,6 +88,7 @@
     auto fault(std::string_view key, const std::string &what, std::string mend) -> void;
 
 private:
+    [[nodiscard]] auto decimal(std::string_view key, double fallback) const -> double;
     const toml::table &fields;
     std::string_view kind;
     bool isBroken;
--- a/src/wire/directorycodec.cpp
+++ b/src/wire/directorycodec.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include <chrono>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -26,6 +27,8 @@
 constexpr std::size_t evacuationFields = 3;        ///< Entries of an evacuation's list.
 constexpr std::size_t removalFields = 2;           ///< Entries of a removal's or a fault's list.
 constexpr std::size_t rowFields = 9;               ///< Entries of a row's list.
+constexpr std::size_t coldLimitFields = 3;         ///< Entries of a cold limit's list.
+constexpr double rateScale = 1000;                 ///< Rates are encoded in thousandths.
 constexpr std::size_t shareFields = 2;             ///< Entries of a share's list.
 constexpr std::uint64_t startMax = 32503680000000; ///< Milliseconds up to the year 3000.
 constexpr std::uint64_t max32 = std::numeric_limits<std::uint32_t>::max();
@@ -131,6 +134,31 @@
     return row;
 }
 
+auto packColdLimits(const PacketRows &rows) -> Json
+{
+    auto list = Json::array();
+    for (const auto &limit : rows.coldLimits) {
+        const auto rate = std::llround(limit.requestsPerSecond * rateScale);
+        list.push_back(Json::array({ limit.serviceName, milliseconds(limit.coldTime),
+                                     static_cast<std::uint64_t>(rate) }));
+    }
+    return list;
+}
+
+auto unpackColdLimit(WireReader &reader, const Json &value) -> ColdLimit
+{
+    ColdLimit limit;
+    const auto *fields = reader.tuple(value, coldLimitFields);
+    if (fields == nullptr) {
+        return limit;
+    }
+    limit.serviceName = reader.name((*fields)[0]);
+    limit.service = ServiceId::ofName(limit.serviceName);
+    limit.coldTime = unpackDuration(reader, (*fields)[1]);
+    limit.requestsPerSecond = static_cast<double>(reader.number((*fields)[2], max32)) / rateScale;
+    return limit;
+}
+
 auto packRows(const PacketRows &rows) -> Json
 {
     auto list = Json::array();
@@ -140,7 +168,8 @@
     return { { "v", rows.version },
              { "c", rows.changed.number },
              { "i", milliseconds(rows.flowIdle) },
-             { "l", std::move(list) } };
+             { "l", std::move(list) },
+             { "k", packColdLimits(rows) } };
 }
 
 auto unpackRows(WireReader &reader, const Json &map) -> std::shared_ptr<const PacketRows>
@@ -152,6 +181,11 @@
     for (const auto &row : reader.list(reader.field(map, "l"), rowsMax)) {
         rows->rows.push_back(unpackRow(reader, row));
     }
+    if (map.contains("k")) { // Absent in updates of older versions.
+        for (const auto &limit : reader.list(map["k"], rowsMax)) {
+            rows->coldLimits.push_back(unpackColdLimit(reader, limit));
+        }
+    }
     return rows;
 }
 
--- a/src/wire/settings.cpp
+++ b/src/wire/settings.cpp
@@ -38,7 +38,8 @@
 const Words platformFields { "address", "publishes" };
 const Words publishedWords { "table", "directory" };
 const Words seedFields { "name", "zone", "peer", "relay" };
-const Words limitFields { "stop_timeout_ms", "clock_bound_ms", "exchanges_max", "feeds_max" };
+const Words limitFields { "stop_timeout_ms", "clock_bound_ms", "exchanges_max",
+                          "feeds_max",       "cold_excess",    "cold_slack" };
 const Words logFields { "level" };
 const Words policyFields { "placement", "seed" };
 const Words levelWords { "error", "warn", "info", "debug" };
@@ -274,6 +275,8 @@
     init.clockBound = std::chrono::milliseconds(fields.number(
             "clock_bound_ms", { 1, clockBoundMaxMs, milliseconds(config::clockBound) }));
     init.exchangesMax = fields.number("exchanges_max", { 1, countMax, config::exchangesMax });
+    init.coldExcess = fields.positive("cold_excess", config::coldExcess);
+    init.coldSlack = fields.nonNegative("cold_slack", config::coldSlack);
     init.feedsMax = fields.number("feeds_max", { 1, countMax, config::feedsMax });
 }
 
--- a/tests/net/storeanswertests.cpp
+++ b/tests/net/storeanswertests.cpp
@@ -247,6 +247,33 @@
     CHECK_FALSE(third.idempotent);
 }
 
+TEST_CASE("cold limits of services are read, and a service without a rate has none", "[store]")
+{
+    auto limited = sampleConfig();
+    limited["services"] = json::array({
+            { { "name", "desk" }, { "coldStartS", 6.5 }, { "coldPerS", 2.5 } },
+            { { "name", "vault" }, { "coldStartS", 2.0 }, { "coldPerS", 0.0 } },
+            { { "name", "hall" } },
+    });
+    const auto rows = readRows(limited.dump());
+    REQUIRE(rows);
+    REQUIRE((*rows)->coldLimits.size() == 1);
+    const auto &limit = (*rows)->coldLimits[0];
+    CHECK(limit.service == ServiceId::ofName("desk"));
+    CHECK(limit.coldTime == std::chrono::milliseconds(6500));
+    CHECK(limit.requestsPerSecond == 2.5);
+    for (const auto &wrong : { json(-1), json("3"), json(1e300), json::array(), json(true) }) {
+        for (const auto *field : { "coldStartS", "coldPerS" }) {
+            auto faulty = limited;
+            faulty["services"][0][field] = wrong;
+            INFO(field << " " << wrong);
+            CHECK_FALSE(readRows(faulty.dump()));
+        }
+    }
+    limited["services"] = 5;
+    CHECK_FALSE(readRows(limited.dump()));
+}
+
 TEST_CASE("a configuration with a fault is refused whole", "[store]")
 {
     for (const auto *prefix : { "8443", "/8443", "//", "/0/", "/70000/", "/x/", "" }) {
--- a/tests/unit/emulationtest.cpp
+++ b/tests/unit/emulationtest.cpp
@@ -243,6 +243,38 @@
     }
 }
 
+TEST_CASE("cold upstreams are not overloaded when an evacuation ends among other troubles",
+          "[emulation][cold]")
+{
+    constexpr std::uint64_t days = 20;
+    std::uint64_t openings = 0;
+    for (std::uint64_t seed = 1; seed <= days; ++seed) {
+        INFO("seed " << seed);
+        auto day = dayOf("cold-return");
+        day.seed = seed;
+        const auto result = Emulation(std::move(day)).play();
+        CHECK(result.coldOverruns == 0);
+        CHECK(result.coldFailures == 0);
+        CHECK(result.evacuatedOpenings == 0);
+        CHECK(result.all.share() > 0.97);
+        openings += result.coldOpenings;
+    }
+    CHECK(openings > 0);
+}
+
+TEST_CASE("no request fails when an evacuation ends with all upstreams cold", "[emulation][cold]")
+{
+    auto day = dayOf("cold-return");
+    day.troubles.resize(1);
+    REQUIRE(day.troubles.front().kind == "zone-evacuate");
+    const auto result = Emulation(std::move(day)).play();
+    checkPromises(result);
+    CHECK(result.coldFailures == 0);
+    CHECK(result.all.refused == 0);
+    CHECK(result.all.failed == 0);
+    CHECK(result.all.share() > 0.999);
+}
+
 TEST_CASE("many troubles of every kind at a time break no promise", "[emulation][crowded]")
 {
     // Seed 35: 16 open flows were reset on word of upstreams that had answered others since.
--- a/tests/unit/messagecodectest.cpp
+++ b/tests/unit/messagecodectest.cpp
@@ -96,7 +96,9 @@
     row.shares.push_back({ ServiceId::ofName("papers"), "papers", 10 });
     row.idempotent = false;
     row.urgency = 7;
-    update.rows = packetRows(44, { row });
+    auto rows = std::make_shared<PacketRows>(*packetRows(44, { row }));
+    rows->coldLimits = { { ServiceId::ofName("live"), "live", std::chrono::seconds(6), 0.125 } };
+    update.rows = rows;
     return update;
 }
 
@@ -328,6 +330,23 @@
     CHECK_FALSE(orders[1].inForce);
 }
 
+TEST_CASE("cold limits are decoded as encoded, and may be absent", "[codec]")
+{
+    const auto bytes = encode(sampleUpdate());
+    const auto decoded = decode(bytes);
+    REQUIRE(decoded);
+    const auto &limits = std::get<DirectoryUpdate>(*decoded).rows->coldLimits;
+    REQUIRE(limits.size() == 1);
+    CHECK(limits[0].service == ServiceId::ofName("live"));
+    CHECK(limits[0].coldTime == std::chrono::seconds(6));
+    CHECK(limits[0].requestsPerSecond == 0.125);
+    auto map = nlohmann::json::from_cbor(bytes);
+    REQUIRE(map["r"].erase("k") == 1);
+    const auto older = decode(nlohmann::json::to_cbor(map));
+    REQUIRE(older);
+    CHECK(std::get<DirectoryUpdate>(*older).rows->coldLimits.empty());
+}
+
 TEST_CASE("an update of a host that knows neither starts nor faulty entries is read", "[codec]")
 {
     auto map = nlohmann::json::from_cbor(encode(sampleUpdate()));
--- a/tests/unit/settingstests.cpp
+++ b/tests/unit/settingstests.cpp
@@ -32,6 +32,8 @@
 [limits]
 stop_timeout_ms = 5000
 exchanges_max = 10
+cold_excess = 1.5
+cold_slack = 0
 [log]
 level = "debug"
 [policy]
@@ -68,6 +70,8 @@
     CHECK(settings->init.stopTimeout == std::chrono::seconds(5));
     CHECK(settings->init.clockBound == Duration(config::clockBound));
     CHECK(settings->init.exchangesMax == 10);
+    CHECK(settings->init.coldExcess == 1.5);
+    CHECK(settings->init.coldSlack == 0);
     CHECK(settings->init.feedsMax == config::feedsMax);
     CHECK(settings->logLevel == LogLevel::Debug);
     CHECK(settings->init.policy == Policy::TwoChoices);
