Drop packets on a host that has no rows yet

Cause: a host that restarts while its zone is cut off can reach neither the platform nor a host that has rows. The fabric still sends it packets if fewer than half of the zone's hosts are ready. It holds them for a while, then found no row for any of them and reset their flows.

Ruled out: evacuations.

Change: until a host has rows for the first time, it drops every packet of a caller, and the caller resends it.

Both new tests fail without the change.

More requests of these seconds end by their deadline in place of a reset.

--- a/src/core/packets/packetsteering.cpp
+++ b/src/core/packets/packetsteering.cpp
@@ -144,7 +144,9 @@
     }
     const auto *row = board.directory.rowAt(head.service);
     if (row == nullptr) {
-        return reset(head, PacketReason::NoRow);
+        // Until it has rows for the first time, this host cannot tell whether the row is gone.
+        const auto hasRows = board.directory.rows() != nullptr;
+        return hasRows ? reset(head, PacketReason::NoRow) : drop(PacketReason::NoRow);
     }
     return head.flags.opens ? place(board, *row, head) : follow(board, *row, head);
 }
--- a/tests/unit/emulationtest.cpp
+++ b/tests/unit/emulationtest.cpp
@@ -243,6 +243,19 @@
     }
 }
 
+TEST_CASE("hosts that restart while their zone is cut off reset no open flow", "[emulation]")
+{
+    // On this seed, restarted hosts that had no rows reset flows that their upstreams still served.
+    constexpr std::uint64_t regressionSeed = 2041;
+    checkPromises(Emulation(evacuatedDay(quietDay(), regressionSeed)).play());
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        INFO("seed " << seed);
+        auto day = dayOf("cold-return");
+        day.seed = seed;
+        checkPromises(Emulation(std::move(day)).play());
+    }
+}
+
 TEST_CASE("cold upstreams are not overloaded when an evacuation ends among other troubles",
           "[emulation][cold]")
 {
--- a/tests/unit/packetsteeringtest.cpp
+++ b/tests/unit/packetsteeringtest.cpp
@@ -121,6 +121,23 @@
     CHECK(host.open(7, feedAddress, 1).verdict == PacketVerdict::Reset);
 }
 
+TEST_CASE("a host that has no rows yet drops packets of open flows and resets new flows",
+          "[packets]")
+{
+    Init init;
+    init.readsDirectory = true;
+    init.flowsTracked = 8;
+    Blackboard board(init);
+    board.now.mono += 100s;
+    const auto packet = PacketBoard::following(7, Cookie::of(InstanceId(1)), feedAddress);
+    const auto open = steerPacket(board, packet);
+    CHECK(open.verdict == PacketVerdict::Drop);
+    CHECK(open.reason == PacketReason::NoRow);
+    const auto opening = steerPacket(board, PacketBoard::opening(8, feedAddress, 0));
+    CHECK(opening.verdict == PacketVerdict::Drop);
+    CHECK(opening.reason == PacketReason::NoRow);
+}
+
 TEST_CASE("the cookie steers a packet on a host that never saw its flow", "[packets]")
 {
     PacketBoard host;
