Wait for the first directory read before requesting it from peers

Cause: a starting host reads the whole directory from the platform and at the same time requested it from the first host it heard from, in any zone. With the next change, a host that sends it updates sent the whole directory once more, because it knew of no revision there. When all hosts start at once, the directory crosses between zones and through the hubs many times.

Ruled out: - The propagation of changes itself, which sends a host what it lacks. - Waiting for the first read without a bound: a host that starts while the platform is silent would begin to serve after more than 1 s.

Change: while its first read is under way, a host requests the directory from hosts of its own zone only after 400 ms, and from hosts of other zones only once that read has failed. A change is not sent to a host that has not reported a revision.

--- a/include/flamingograde/config.h
+++ b/include/flamingograde/config.h
@@ -60,6 +60,7 @@
 
 // Directory.
 inline constexpr std::size_t directoryReaderZones = 2; ///< Zones whose first host watches the directory: the cut of one leaves a reader. With one in each of six zones, a minute in which upstreams were replaced and added made 2,826 calls.
+inline constexpr auto directoryFirstReadWait = 400ms; ///< How long a starting host waits for its first read before it also asks hosts of its own zone for the directory.
 inline constexpr auto directoryMeetTime     = 1500ms; ///< A host that has just read the directory at its start leaves watches to others for this long, until it knows its hubs: 295 hosts that start together would make a call each.
 inline constexpr auto directoryWatchWait    = 1500ms; ///< How long a watch is held; with `directoryReadMargin` it bounds how long a silent platform hides a change: 2.2 s of the 3 s that users allow.
 inline constexpr auto directoryGather       = 300ms;  ///< Pause after a watch with changes while twice this has not passed since the last such, so that those of a rollout share a call.
--- a/src/core/directory/directorycontroller.cpp
+++ b/src/core/directory/directorycontroller.cpp
@@ -42,6 +42,9 @@
         if (record == nullptr || !record->connected || !(record->directory < update.upTo)) {
             continue;
         }
+        if (!record->directory.isValid()) {
+            continue; // Without a revision it reads or requests the whole directory itself.
+        }
         if (record->directory < update.after) {
             sendPeer(board, host, board.directory.updateSince(record->directory, board.now.mono));
         } else {
@@ -233,6 +236,9 @@
 {
     const auto now = board.now.mono;
     this->behindSince = this->behindSince.value_or(now);
+    if (this->awaitsFirstRead(board, newer)) {
+        return;
+    }
     if (now < this->nextRequest || now - *this->behindSince < patienceWith(board, newer)) {
         return;
     }
@@ -241,6 +247,17 @@
     }
 }
 
+auto DirectoryController::awaitsFirstRead(const Blackboard &board, const MemberRecord &newer) const
+        -> bool
+{
+    if (!this->asked || board.directory.revision().isValid()) {
+        return false;
+    }
+    const auto isWithinWait =
+            board.now.mono - board.membership.startedAt < config::directoryFirstReadWait;
+    return isWithinWait || !isInOwnZone(board, newer);
+}
+
 auto DirectoryController::on(Blackboard &board, const Tick & /*tick*/) -> void
 {
     const auto now = board.now.mono;
--- a/src/core/directory/directorycontroller.h
+++ b/src/core/directory/directorycontroller.h
@@ -43,6 +43,12 @@
     auto noteGossip(Blackboard &board, HostId from, const Gossip &gossip) -> void;
     /// Asks a host that has newer changes for them, unless they may be on their way.
     auto askIfDue(Blackboard &board, const MemberRecord &newer) -> void;
+    /// Returns whether a request to `newer` has to wait for this host's first read, which is under
+    /// way: with both, the whole directory is transferred twice. Hosts of other zones are asked
+    /// only after that read fails, hosts of the own zone also once `config::directoryFirstReadWait`
+    /// has passed since the start.
+    [[nodiscard]] auto awaitsFirstRead(const Blackboard &board, const MemberRecord &newer) const
+            -> bool;
 
     auto start(Blackboard &board) -> void;
     auto read(Blackboard &board, const ReadDirectory &action) -> void;
--- a/tests/unit/directorycontrollertest.cpp
+++ b/tests/unit/directorycontrollertest.cpp
@@ -21,12 +21,16 @@
 class ReadingHost
 {
 public:
-    ReadingHost() : board(settings())
+    /// @param firstReadDone whether the first read has completed; otherwise it is under way.
+    explicit ReadingHost(bool firstReadDone = true) : board(settings())
     {
         this->board.now.mono += 100s;
         this->board.membership.self = this->board.init.self.id;
         addMember(this->board, this->board.init.self);
         this->tick();
+        if (!firstReadDone) {
+            return;
+        }
         DirectoryUpdate whole;
         whole.upTo = { 10 };
         whole.rows = bothRows(1);
@@ -42,6 +46,20 @@
         this->handle(DirectoryRead { update, false });
     }
 
+    /// Fails the read that is under way.
+    auto failRead() -> void
+    {
+        this->handle(DirectoryReadFailed { DirectoryFailure::Unreachable, "no answer" });
+    }
+
+    /// Returns the number of directory updates sent to a host by the last event.
+    [[nodiscard]] auto updatesSentTo(HostId to) const -> std::ptrdiff_t
+    {
+        return std::count_if(this->sent.begin(), this->sent.end(), [to](const SendPeer &it) {
+            return it.host == to && std::holds_alternative<DirectoryUpdate>(it.message);
+        });
+    }
+
     /// Lets time pass in ticks until the host reads. @returns how long that took, or `most`.
     auto untilRead(Duration most) -> Duration
     {
@@ -186,6 +204,43 @@
     CHECK(host.removeSecond(11).presence == Presence::Missing);
 }
 
+TEST_CASE("a starting host does not ask for the directory until its first read fails",
+          "[directory]")
+{
+    ReadingHost host(false);
+    host.board.membership.startedAt = host.board.now.mono;
+    REQUIRE(host.asked);
+    const auto other = host.meet("other", "a");
+    CHECK_FALSE(host.isAskedAfter(other, { 12 }));
+    host.failRead();
+    CHECK(host.isAskedAfter(other, { 12 }));
+}
+
+TEST_CASE("a starting host whose first read is slow asks only its own zone for the directory",
+          "[directory]")
+{
+    ReadingHost host(false);
+    host.board.membership.startedAt = host.board.now.mono;
+    const auto other = host.meet("other", "a");
+    const auto far = host.meet("far", "b");
+    host.pass(config::directoryFirstReadWait - 1ms);
+    CHECK_FALSE(host.isAskedAfter(other, { 12 }));
+    host.pass(1ms);
+    CHECK_FALSE(host.isAskedAfter(far, { 12 }));
+    CHECK(host.isAskedAfter(other, { 12 }));
+}
+
+TEST_CASE("a change is not sent to a host that has not reported a revision", "[directory]")
+{
+    ReadingHost host;
+    const auto other = host.meet("other", "b");
+    host.removeSecond(11);
+    CHECK(host.updatesSentTo(other) == 0);
+    host.isAskedAfter(other, { 11 });
+    host.removeSecond(12);
+    CHECK(host.updatesSentTo(other) == 1);
+}
+
 TEST_CASE("a lone change is followed by a watch at once, those of a rollout share one",
           "[directory]")
 {
