Choose owners of cold upstreams by the rendezvous that chooses homes

Cause: the loop over a zone's candidates stood twice, in MembershipState::homeOf and in the sharing of cold limits. Ruled out: another key or order of hosts; both took the first host with the highest score. Change: both call MembershipState::winnerOf.

--- a/src/core/membership/membershipstate.cpp
+++ b/src/core/membership/membershipstate.cpp
@@ -63,11 +63,16 @@
 }
 
 auto MembershipState::homeOf(CellId cell, ZoneId zone) const -> HostId
+{
+    return this->winnerOf(cell.value(), zone);
+}
+
+auto MembershipState::winnerOf(std::uint64_t key, ZoneId zone) const -> HostId
 {
     HostId best;
     double bestScore = 0;
     for (const auto host : this->candidates(zone)) {
-        const auto score = rendezvousScore(cell.value(), RendezvousNode { host.value() });
+        const auto score = rendezvousScore(key, RendezvousNode { host.value() });
         if (!best.isValid() || score > bestScore) {
             best = host;
             bestScore = score;
--- a/src/core/membership/membershipstate.h
+++ b/src/core/membership/membershipstate.h
@@ -30,7 +30,10 @@
     /// Returns the hosts of `zone` that may be homes: alive or suspect, neither leaving nor dead.
     [[nodiscard]] auto candidates(ZoneId zone) const -> const std::vector<HostId> &;
 
-    /// Returns the home of `cell` in `zone` by rendezvous over `candidates`; invalid for none.
+    /// Returns the winner for `key` by rendezvous over `candidates(zone)`; invalid for none.
+    [[nodiscard]] auto winnerOf(std::uint64_t key, ZoneId zone) const -> HostId;
+
+    /// Returns the home of `cell` in `zone`: its winner; invalid for none.
     [[nodiscard]] auto homeOf(CellId cell, ZoneId zone) const -> HostId;
 
     /// Returns whether a connection with `host` is up.
--- a/src/core/packets/coldsharing.cpp
+++ b/src/core/packets/coldsharing.cpp
@@ -2,7 +2,6 @@
 #include "core/packets/coldsharing.h"
 
 #include "core/blackboard.h"
-#include "core/rendezvous.h"
 
 #include <flamingograde/config.h>
 
@@ -33,29 +32,16 @@
                       limitRate);
 }
 
-/// Returns the host of a zone that owns an upstream; invalid where no host of it is known.
-auto ownerOf(const Blackboard &board, const Upstream &upstream) -> HostId
-{
-    HostId owner;
-    double best = 0;
-    for (const auto host : board.membership.candidates(upstream.zone)) {
-        const auto score =
-                rendezvousScore(upstream.instance.value(), RendezvousNode { host.value() });
-        if (!owner.isValid() || score > best) {
-            owner = host;
-            best = score;
-        }
-    }
-    return owner;
-}
-
 } // namespace
 
 auto SingleOwnerSharing::rateOf(const Blackboard &board, const UpstreamEntry &entry,
                                 const ColdLimit &limit) const -> double
 {
-    const auto isOwner = entry.isNear && !hasJustStarted(board)
-                         && ownerOf(board, entry.record.upstream) == board.membership.self;
+    const auto &upstream = entry.record.upstream;
+    const auto &membership = board.membership;
+    const auto isOwner =
+            entry.isNear && !hasJustStarted(board)
+            && membership.winnerOf(upstream.instance.value(), upstream.zone) == membership.self;
     return isOwner ? ownerRate(board.init, limit) : 0;
 }
 
