Ask an upstream's entry whether its cold limit leaves room

Cause: the check of limit and token stood in the directory, the choice of an upstream and the explanation. Ruled out: a difference between them; there was none. Change: UpstreamEntry::hasColdRoom serves the three.

--- a/src/core/directory/directory.cpp
+++ b/src/core/directory/directory.cpp
@@ -77,7 +77,7 @@
 
 auto Directory::acceptsOpening(const UpstreamEntry &entry) const -> bool
 {
-    return this->isOpen(entry) && (!entry.isColdLimited || entry.allowance.hasToken());
+    return this->isOpen(entry) && entry.hasColdRoom();
 }
 
 auto Directory::coldLimitOf(ServiceId service) const -> const ColdLimit *
--- a/src/core/directory/upstreamentry.h
+++ b/src/core/directory/upstreamentry.h
@@ -39,6 +39,12 @@
     bool isColdLimited = false; ///< Cold, and its service has a cold limit.
     ColdAllowance allowance;    ///< This host's share of the cold limit, if one applies.
     UpstreamEvidence evidence;
+
+    /// Returns whether the cold limit, if one applies, leaves room for a request of this host.
+    [[nodiscard]] auto hasColdRoom() const -> bool
+    {
+        return !this->isColdLimited || this->allowance.hasToken();
+    }
 };
 
 } // namespace flamingograde
--- a/src/core/packets/flowchoice.cpp
+++ b/src/core/packets/flowchoice.cpp
@@ -25,8 +25,7 @@
 /// Returns whether a candidate is not to be avoided and its cold limit, if any, allows a flow.
 auto isEligible(const Blackboard &board, std::uint32_t index, const NewFlow &flow) -> bool
 {
-    const auto &entry = board.directory.at(index);
-    return flow.avoid != index && (!entry.isColdLimited || entry.allowance.hasToken());
+    return flow.avoid != index && board.directory.at(index).hasColdRoom();
 }
 
 /// Keeps the least busy of the upstreams that are offered.
--- a/src/core/packets/packetdump.cpp
+++ b/src/core/packets/packetdump.cpp
@@ -130,7 +130,7 @@
     if (entry.isFaulty) {
         return "its entry cannot be used";
     }
-    if (entry.isColdLimited && !entry.allowance.hasToken()) {
+    if (!entry.hasColdRoom()) {
         return entry.allowance.hasRate() ? "cold: its request rate is used up"
                                          : "cold: this host has no share of its request rate";
     }
