--- a/src/emulator/randomday.cpp
+++ b/src/emulator/randomday.cpp
@@ -3,6 +3,7 @@
 
 #include "emulator/troubles.h"
 
+#include <algorithm>
 #include <random>
 #include <string>
 #include <utility>
@@ -43,30 +44,14 @@
     "zone-cut",
 };
 
-/// The kinds of `crowdedDay`. Fixed, so that a seed keeps drawing the same day.
-const std::vector<std::string> crowdedKinds {
-    "address-reuse",
-    "burst",
-    "callers-move",
-    "host-add",
-    "host-cut",
-    "host-freeze",
-    "host-kill",
-    "host-stop",
-    "release",
-    "rows",
-    "scale-in",
-    "store-down",
-    "store-forgets",
-    "store-loses-answers",
-    "store-refuses-hosts",
-    "store-slow",
-    "upstream-cut",
-    "upstream-fail",
-    "upstream-restart",
-    "upstream-slow",
-    "zone-cut",
-};
+/// Returns the kinds of `crowdedDay`. Fixed, so that a seed keeps drawing the same day.
+auto crowdedKinds() -> std::vector<std::string>
+{
+    auto kinds = drawnKinds;
+    kinds.insert(kinds.end(), { "upstream-cut", "upstream-restart" });
+    std::sort(kinds.begin(), kinds.end());
+    return kinds;
+}
 
 constexpr std::uint64_t lossyEvery = 5; ///< One of so many days loses packets.
 constexpr double lossMost = 0.1;
@@ -174,7 +159,7 @@
 
 auto crowdedDay(DayPlan day, std::uint64_t seed) -> DayPlan
 {
-    TroubleDraw draw(day, crowdedKinds, seed);
+    TroubleDraw draw(day, crowdedKinds(), seed);
     return drawDay(day, draw, fewestOfCrowded, moreOfCrowded, seed);
 }
 
