Compute from the heartbeat how long a sign of life contests a removal

Cause: the bound of 2 s was derived from a heartbeat of 1.2 s. The fleet's heartbeat is 2 s, its leases last 6 s: an upstream that is cut off from the platform and answered a caller 3 s before its lease lapsed was taken for dead, and its open flows were reset.

Ruled out: a larger constant, which would keep dead upstreams where heartbeats are short.

Change: `heartbeat_ms` of the settings, filled in from the platform's; the bound is two heartbeats less a sixth, 2 s as before with 1.2 s.

Test first: with a heartbeat of 2 s a removal 3 s after the last sign of life is contested, one after 4 s is not; with the constant both were removed.

--- a/include/flamingograde/config.h
+++ b/include/flamingograde/config.h
@@ -75,7 +75,7 @@
 inline constexpr auto directoryAskFar       = 1000ms; ///< The same wait before a host of another zone is asked: leaves two thirds of the 3 s allowed for an edit to take effect.
 inline constexpr auto directoryStartupWait  = 150ms;  ///< Longest time for which a starting host reads the directory before it connects to other hosts: ten answers of the store.
 inline constexpr auto reappearTime          = 2200ms; ///< After a platform outage, a missing upstream may register again within this time.
-inline constexpr auto signOfLifeValidity    = 2000ms; ///< An upstream that showed life within this time before its removal arrives has only lost its lease, because it is cut off from the platform: the lease of a dead upstream lapses two heartbeats of 1.2 s after its death or later.
+inline constexpr auto upstreamHeartbeat     = 1200ms; ///< Period in which upstreams renew their leases with the platform, unless the settings say otherwise; a lease lasts three periods.
 inline constexpr auto tombstoneTime         = 90s;    ///< A removed upstream is remembered this long; longer than any of its flows exists.
 inline constexpr std::size_t directoryBytesMax = 64U << 20U; ///< Largest answer of the store in bytes.
 
--- a/include/flamingograde/init.h
+++ b/include/flamingograde/init.h
@@ -22,6 +22,8 @@
     std::vector<Member> seeds; ///< Peers to contact first; may be incomplete or out of date.
     std::vector<Address> seedAddresses; ///< Peer addresses of hosts with unknown names.
     bool readsDirectory = false;        ///< The platform publishes a directory instead of a table.
+    Duration upstreamHeartbeat = config::upstreamHeartbeat; ///< Period in which upstreams renew
+                                                            ///< their leases with the platform.
     PacketPolicy packetPolicy = PacketPolicy::LeastBusy; ///< How new flows are placed.
     ColdPolicy coldPolicy = ColdPolicy::Owner;           ///< How hosts divide cold limits.
     double coldExcess = config::coldExcess; ///< Limit of all requests to a cold upstream in any
--- a/src/core/blackboard.h
+++ b/src/core/blackboard.h
@@ -39,7 +39,7 @@
     explicit Blackboard(Init settings)
         : init(std::move(settings)), random(this->init.seed), config(this->init.clockBound),
           directory(ZoneId::ofName(this->init.self.zoneName),
-                    this->init.coldPolicy != ColdPolicy::Unlimited),
+                    this->init.coldPolicy != ColdPolicy::Unlimited, this->init.upstreamHeartbeat),
           packets(this->init.flowsTracked, this->init.packetPolicy)
     {}
 
--- a/src/core/directory/directory.cpp
+++ b/src/core/directory/directory.cpp
@@ -42,18 +42,18 @@
            || (isSameProcess && known.service != record.upstream.service);
 }
 
-/// Returns whether an active upstream showed a sign of life within `config::signOfLifeValidity`, so
-/// that its removal does not mean that it stopped.
+/// Returns whether an active upstream showed a sign of life within `validity`, so that its removal
+/// does not mean that it stopped.
 ///
 /// Protects open flows of running upstreams whose leases expired during a network partition. If
 /// such removals are applied at once, flows are reset: on six hosts whose zone was cut off for
 /// some seconds, 9 to 20 non-idempotent requests failed by a reset within 0.1 s of each
 /// partition's end.
-auto showedLifeRecently(const UpstreamEntry &entry, MonoTime now) -> bool
+auto showedLifeRecently(const UpstreamEntry &entry, MonoTime now, Duration validity) -> bool
 {
     return entry.record.upstream.state == UpstreamState::Active
            && entry.evidence.lastHeardAt != MonoTime()
-           && now - entry.evidence.lastHeardAt < config::signOfLifeValidity;
+           && now - entry.evidence.lastHeardAt < validity;
 }
 
 /// Adds the services of `row` to `servicesEverHad`, without duplicates.
@@ -259,7 +259,7 @@
     --this->listed;
     ++this->unlistedEntries;
     entry.isRemovalContested = removalsDeferredFor <= Duration(0);
-    if (entry.isRemovalContested && !showedLifeRecently(entry, now)) {
+    if (entry.isRemovalContested && !showedLifeRecently(entry, now, this->signOfLifeValidity)) {
         this->remove(entry, now, changes);
         return;
     }
@@ -423,12 +423,12 @@
 auto Directory::resolveMissing(UpstreamEntry &entry, MonoTime now, DirectoryChanges &changes)
         -> void
 {
-    if (!showedLifeRecently(entry, now)) {
+    if (!showedLifeRecently(entry, now, this->signOfLifeValidity)) {
         this->remove(entry, now, changes);
         return;
     }
     entry.isRemovalContested = true;
-    entry.removalDue = entry.evidence.lastHeardAt + config::signOfLifeValidity;
+    entry.removalDue = entry.evidence.lastHeardAt + this->signOfLifeValidity;
     this->poolsStale = true;
 }
 
--- a/src/core/directory/directory.h
+++ b/src/core/directory/directory.h
@@ -9,6 +9,7 @@
 
 #include <flamingograde/address.h>
 #include <flamingograde/clock.h>
+#include <flamingograde/config.h>
 #include <flamingograde/cookie.h>
 #include <flamingograde/directoryupdate.h>
 #include <flamingograde/ids.h>
@@ -33,10 +34,23 @@
 public:
     /// @param zone this host's availability zone; its upstreams count as near.
     /// @param withColdLimits whether to enforce the cold limits of services.
-    explicit Directory(ZoneId zone, bool withColdLimits = true)
-        : ownZone(zone), enforcesColdLimits(withColdLimits)
+    /// @param heartbeat the period in which upstreams renew their leases.
+    explicit Directory(ZoneId zone, bool withColdLimits = true,
+                       Duration heartbeat = config::upstreamHeartbeat)
+        : ownZone(zone), enforcesColdLimits(withColdLimits),
+          signOfLifeValidity(signOfLifeValidityFor(heartbeat))
     {}
 
+    /// Returns how long a sign of life shows that an upstream that was removed has only lost its
+    /// lease, because it is cut off from the platform.
+    ///
+    /// The lease of an upstream that died lapses two heartbeats after its last sign of life or
+    /// later; a sixth of that is left for the removal to reach this host. Precondition: none.
+    [[nodiscard]] static constexpr auto signOfLifeValidityFor(Duration heartbeat) -> Duration
+    {
+        return 2 * heartbeat - 2 * heartbeat / 6;
+    }
+
     /// Returns whether `update` applies to the revision that this host has, that is, whether no
     /// change between them is missing. Precondition: none.
     [[nodiscard]] auto canApply(const DirectoryUpdate &update) const -> bool;
@@ -184,6 +198,7 @@
 
     ZoneId ownZone;
     bool enforcesColdLimits = true;
+    Duration signOfLifeValidity; ///< See `signOfLifeValidityFor`.
     Revision knownRevision;
     Revision newestForgotten; ///< Revision of the newest deleted tombstone.
     std::vector<UpstreamEntry> entrySlots;
--- a/src/wire/settings.cpp
+++ b/src/wire/settings.cpp
@@ -21,6 +21,7 @@
 using Names = std::vector<std::string_view>;
 
 constexpr std::uint64_t stopTimeoutMaxMs = 3600000;
+constexpr std::uint64_t heartbeatMaxMs = 3'600'000;
 constexpr std::uint64_t clockBoundMaxMs = 60000;
 constexpr std::uint64_t countMax = 10000000;
 constexpr std::uint64_t portMax = 65535;
@@ -35,7 +36,7 @@
 const Names advertiseFields { "peer", "relay" };
 const Names networkFields { "source" };
 const Names packetFields { "listen", "caller_port", "flows_tracked" };
-const Names platformFields { "address", "publishes" };
+const Names platformFields { "address", "publishes", "heartbeat_ms" };
 const Names publishesNames { "table", "directory" };
 const Names seedFields { "name", "zone", "peer", "relay" };
 const Names limitFields { "stop_timeout_ms", "clock_bound_ms", "exchanges_max",
@@ -245,7 +246,10 @@
 {
     auto fields = this->reader("platform", platformFields);
     this->settings.platform = fields.address("address");
-    this->settings.init.readsDirectory = fields.enumValue("publishes", publishesNames, 0) == 1;
+    auto &init = this->settings.init;
+    init.readsDirectory = fields.enumValue("publishes", publishesNames, 0) == 1;
+    init.upstreamHeartbeat = std::chrono::milliseconds(fields.number(
+            "heartbeat_ms", { 1, heartbeatMaxMs, milliseconds(config::upstreamHeartbeat) }));
 }
 
 auto SettingsReader::readSeeds() -> void
--- a/tests/unit/directorytest.cpp
+++ b/tests/unit/directorytest.cpp
@@ -461,9 +461,30 @@
     // The first upstream answers for another 3 s.
     directory.at(0).evidence.lastHeardAt = start + 3s;
     CHECK(directory.processRemovals(start + 100ms + config::reappearTime).removed.empty());
-    CHECK(directory.processRemovals(start + 3s + config::signOfLifeValidity - 1ms).removed.empty());
+    const auto validity = Directory::signOfLifeValidityFor(config::upstreamHeartbeat);
+    CHECK(validity == 2s);
+    CHECK(directory.processRemovals(start + 3s + validity - 1ms).removed.empty());
     CHECK(directory.poolOf(ServiceId::ofName("live")).near.empty());
-    CHECK(directory.processRemovals(start + 3s + config::signOfLifeValidity).removed.size() == 1);
+    CHECK(directory.processRemovals(start + 3s + validity).removed.size() == 1);
+}
+
+TEST_CASE("the time for which a sign of life contests a removal follows from the heartbeat",
+          "[directory]")
+{
+    // A lease lasts three heartbeats. With a heartbeat of 2 s, an upstream that was cut off from
+    // the platform may have answered a caller 3 s before its lease lapses.
+    const auto heartbeat = 2s;
+    for (const auto age : { 3s, 4s }) {
+        Directory directory(ZoneId::ofName("a"), true, heartbeat);
+        directory.apply(whole(9, { record(1, "live", "a", 3) }), start);
+        directory.at(0).evidence.lastHeardAt = start;
+        auto update = delta(9, 12, {});
+        update.removed = { { InstanceId(1), { 10 } } };
+        directory.apply(update, start + age);
+        // An upstream that died is silent for two heartbeats when its lease lapses.
+        const auto mayHaveDied = age >= 2 * heartbeat;
+        CHECK((directory.at(0).presence == Presence::Removed) == mayHaveDied);
+    }
 }
 
 TEST_CASE("a removed upstream that still answers gets new flows again once it registers",
--- a/tests/unit/settingstests.cpp
+++ b/tests/unit/settingstests.cpp
@@ -24,6 +24,7 @@
 source = "127.0.0.5"
 [platform]
 address = "10.0.0.10:8080"
+heartbeat_ms = 2000
 [[seed]]
 name = "auckland-2-a"
 zone = "auckland-2"
@@ -65,6 +66,7 @@
     CHECK(settings->peer.toString() == "127.0.0.1:7001");
     CHECK(settings->source.ipText() == "127.0.0.5");
     CHECK(settings->platform.toString() == "10.0.0.10:8080");
+    CHECK(settings->init.upstreamHeartbeat == std::chrono::seconds(2));
     REQUIRE(settings->init.seeds.size() == 1);
     CHECK(settings->init.seeds[0].name == "auckland-2-a");
     CHECK(settings->init.stopTimeout == std::chrono::seconds(5));
@@ -88,6 +90,7 @@
     CHECK(settings->peer.toString() == "127.0.0.1:0");
     CHECK_FALSE(settings->source.isValid());
     CHECK(settings->init.policy == Policy::CellHome);
+    CHECK(settings->init.upstreamHeartbeat == Duration(config::upstreamHeartbeat));
     CHECK(settings->init.seed == HostId::ofName("a").value());
 }
 
