--- a/tests/net/storeanswertests.cpp
+++ b/tests/net/storeanswertests.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <sodium.h>
 
+#include <ctime>
 #include <random>
 #include <string>
 
@@ -169,6 +170,32 @@
     CHECK(answer->update.faulty[0].instance == InstanceId(1));
 }
 
+TEST_CASE("the time to parse a response grows with its events, not with their square", "[store]")
+{
+    // After an outage of the store, the leases of all upstreams may have lapsed: a watch then
+    // returns an event for each.
+    const auto parseTime = [](std::size_t events) {
+        json list = json::array();
+        for (std::size_t i = 1; i <= events; ++i) {
+            list.push_back({ { "key", "servers/i-" + std::to_string(i) },
+                             { "revision", i },
+                             { "removed", true } });
+        }
+        const auto body = json { { "events", list }, { "currentRev", events } }.dump();
+        const auto begin = std::clock();
+        const auto answer = parseEvents(body);
+        const auto took = std::clock() - begin;
+        REQUIRE(answer);
+        CHECK(answer->update.removed.size() == events);
+        return static_cast<double>(took);
+    };
+    constexpr std::size_t few = 6000;
+    constexpr std::size_t factor = 10;
+    parseTime(few); // Fills the allocator.
+    // Allows three times the processor time of a linear growth.
+    CHECK(parseTime(factor * few) < 3.0 * factor * parseTime(few));
+}
+
 TEST_CASE("an accepted upstream can be sent to other hosts", "[store][fuzz]")
 {
     // Guards against an entry that the parser accepts but that other hosts refuse to decode: it
