--- a/src/core/directory/directorycontroller.cpp
+++ b/src/core/directory/directorycontroller.cpp
@@ -8,7 +8,6 @@
 #include "core/membership/gossip.h"
 #include "core/membership/ownzone.h"
 #include "core/milliseconds.h"
-#include "core/overlay/fleetsize.h"
 #include "core/overlay/linkchoice.h"
 #include "core/overloaded.h"
 
@@ -67,34 +66,6 @@
     return isOffered || board.config.platformAge(board.now.mono) <= config::directorySilence;
 }
 
-/// Returns whether this host, which has no directory, is to get it from its feed rather than from
-/// `offering`: the first hub that has it would otherwise send it to all hosts of its zone, one
-/// after the other over its link, instead of to the hosts that it feeds.
-auto isFeedExpected(const Blackboard &board, HostId offering) -> bool
-{
-    const auto feed = board.links.feed;
-    return feed != offering && board.membership.isConnected(feed);
-}
-
-/// Returns how long a host waits for changes to be pushed before it requests them from `newer`.
-///
-/// Prevents all hosts from requesting changes that are already being pushed: a version of 1,100
-/// rows is 42 KB and takes 0.6 ms to encode and 1.3 ms to decode. On 87 hosts with a twentieth of a
-/// core each and frequent new versions, the wait raised the share of served requests from 0.88 to
-/// 0.99.
-auto requestDelay(const Blackboard &board, const MemberRecord &newer) -> Duration
-{
-    if (!isLargeFleet(board)) {
-        return Duration(0);
-    }
-    if (!board.directory.revision().isValid()) {
-        return isFeedExpected(board, newer.member.id) ? Duration(config::directoryAskZone)
-                                                      : Duration(0);
-    }
-    return isInOwnZone(board, newer) ? Duration(config::directoryAskZone)
-                                     : Duration(config::directoryAskFar);
-}
-
 } // namespace
 
 auto DirectoryController::handle(Blackboard &board, const Event &event) -> void
@@ -223,7 +194,7 @@
         return;
     }
     if (const auto *update = std::get_if<DirectoryUpdate>(&received.message)) {
-        this->nextRequest = board.now.mono;
+        this->requester.noteAnswer(board.now.mono);
         if (auto *record = board.membership.record(received.from)) {
             record->directory = std::max(record->directory, update->upTo);
         }
@@ -257,26 +228,20 @@
 {
     this->noteContactRegained(board);
     if (page.isPart) {
-        this->transfer.forgetSender();
-        this->nextRequest = board.now.mono;
+        this->requester.noteAnswer(board.now.mono);
         this->applyPart(board, page.update);
         return;
     }
-    if (!this->transfer.add(page)) {
-        return;
-    }
-    this->nextRequest = board.now.mono;
-    if (!this->transfer.isComplete()) {
+    auto whole = this->requester.take(board, from, page);
+    if (!whole) {
         this->applyPart(board, page.update);
-        this->sendRequest(board, from);
         return;
     }
-    auto whole = this->transfer.take();
-    whole.removalsDeferredFor = this->removalDelay(board);
+    whole->removalsDeferredFor = this->removalDelay(board);
     if (auto *record = board.membership.record(from)) {
-        record->directory = std::max(record->directory, whole.upTo);
+        record->directory = std::max(record->directory, whole->upTo);
     }
-    this->applyUpdate(board, whole, from);
+    this->applyUpdate(board, *whole, from);
 }
 
 auto DirectoryController::applyPart(Blackboard &board, const DirectoryUpdate &page) -> void
@@ -291,18 +256,6 @@
     }
 }
 
-auto DirectoryController::sendRequest(Blackboard &board, HostId to) -> bool
-{
-    const auto have = board.directory.revision();
-    if (!sendPeer(board, to, DirectoryRequest { have, this->transfer.position() })) {
-        return false;
-    }
-    const auto timeout = have.isValid() ? Duration(config::directoryPeerTimeout)
-                                        : this->transfer.noteRequest(to);
-    this->nextRequest = board.now.mono + timeout;
-    return true;
-}
-
 auto DirectoryController::noteContactRegained(Blackboard &board) -> void
 {
     if (board.config.platformKnown
@@ -323,38 +276,10 @@
     record->directory = gossip.directory;
     record->readsFail = gossip.readsFail;
     if (board.directory.revision() < gossip.directory) {
-        this->requestIfDue(board, *record);
-        return;
+        this->requester.requestIfDue(board, *record, this->readPending);
+    } else if (gossip.hasPart) {
+        this->requester.requestPartIfDue(board, *record);
     }
-    // A part lets this host place new flows while the whole directory is on its way.
-    const auto needsPart = board.directory.rows() == nullptr && board.now.mono >= this->nextRequest;
-    if (gossip.hasPart && needsPart && isInOwnZone(board, *record)) {
-        this->sendRequest(board, from);
-    }
-}
-
-auto DirectoryController::requestIfDue(Blackboard &board, const MemberRecord &newer) -> void
-{
-    const auto now = board.now.mono;
-    this->behindSince = this->behindSince.value_or(now);
-    if (this->awaitsFirstRead(board, newer)) {
-        return;
-    }
-    if (now < this->nextRequest || now - *this->behindSince < requestDelay(board, newer)) {
-        return;
-    }
-    this->sendRequest(board, newer.member.id);
-}
-
-auto DirectoryController::awaitsFirstRead(const Blackboard &board, const MemberRecord &newer) const
-        -> bool
-{
-    if (!this->readPending || board.directory.revision().isValid()) {
-        return false;
-    }
-    const auto isWithinWait =
-            board.now.mono - board.membership.startedAt < config::directoryFirstReadWait;
-    return isWithinWait || !isInOwnZone(board, newer);
 }
 
 auto DirectoryController::on(Blackboard &board, const Tick & /*tick*/) -> void
@@ -367,20 +292,12 @@
     logChanges(board, board.directory.processRemovals(now));
     this->pageServer.tick(board);
     if (!board.directory.revision().isValid()) {
-        this->repeatRequestIfDue(board);
+        this->requester.tick(board);
         this->yieldIfDue(board);
     }
     this->readIfDue(board);
 }
 
-auto DirectoryController::repeatRequestIfDue(Blackboard &board) -> void
-{
-    const auto sender = this->transfer.sender();
-    if (sender && board.now.mono >= this->nextRequest && !this->sendRequest(board, *sender)) {
-        this->transfer.forgetSender(); // The next host that reports a revision continues.
-    }
-}
-
 auto DirectoryController::yieldIfDue(Blackboard &board) -> void
 {
     if (!this->readPending || !this->throttle.isYieldDue(board)) {
@@ -448,7 +365,7 @@
     if (!changes.advanced) {
         return;
     }
-    this->behindSince.reset();
+    this->requester.noteAdvanced();
     ++board.stats.directoryUpdates;
     board.stats.upstreamRestarts += changes.restarted.size();
     logChanges(board, changes);
@@ -465,7 +382,7 @@
 {
     logLoaded(board, from);
     announceDirectory(board);
-    this->transfer = PageTransfer();
+    this->requester.endTransfer();
     this->readPending = false;
     board.addAction(StopReadingDirectory { false });
 }
--- a/src/core/directory/directorycontroller.h
+++ b/src/core/directory/directorycontroller.h
@@ -1,9 +1,9 @@
 /// Keeps the directory up to date from the platform and from other hosts.
 #pragma once
 
+#include "core/directory/directoryrequester.h"
 #include "core/directory/directoryspread.h"
 #include "core/directory/fallbackreader.h"
-#include "core/directory/pagetransfer.h"
 #include "core/directory/readthrottle.h"
 
 #include <flamingograde/action.h>
@@ -11,7 +11,6 @@
 #include <flamingograde/event.h>
 #include <flamingograde/ids.h>
 
-#include <optional>
 #include <string>
 
 namespace flamingograde {
@@ -53,26 +52,12 @@
     /// message is evaluated.
     auto noteContactRegained(Blackboard &board) -> void;
     auto noteGossip(Blackboard &board, HostId from, const Gossip &gossip) -> void;
-    /// Requests changes from a host that has a newer revision, unless a push or the answer to an
-    /// earlier request is expected soon.
-    auto requestIfDue(Blackboard &board, const MemberRecord &newer) -> void;
-    /// Requests changes or, if this host has no directory, the next page of the whole one.
-    /// @returns whether there is a connection to `to`.
-    auto sendRequest(Blackboard &board, HostId to) -> bool;
     auto answer(Blackboard &board, HostId from, const DirectoryRequest &request) -> void;
     auto takePage(Blackboard &board, HostId from, const DirectoryPage &page) -> void;
     /// Adds a part of the whole directory, and offers it to other hosts if it is the first.
     auto applyPart(Blackboard &board, const DirectoryUpdate &page) -> void;
-    /// Repeats the request for a page that was not answered in time.
-    auto repeatRequestIfDue(Blackboard &board) -> void;
     /// Stops the read of the whole directory if it is too slow for all hosts that read it.
     auto yieldIfDue(Blackboard &board) -> void;
-    /// Returns whether a request to `newer` has to wait for this host's first read, which is
-    /// pending: doing both would transfer the whole directory twice. Hosts of other zones are asked
-    /// only after that read fails; hosts of the own zone also once `config::directoryFirstReadWait`
-    /// has passed since the start.
-    [[nodiscard]] auto awaitsFirstRead(const Blackboard &board, const MemberRecord &newer) const
-            -> bool;
 
     auto start(Blackboard &board) -> void;
     auto read(Blackboard &board, const ReadDirectory &action) -> void;
@@ -90,17 +75,15 @@
 
     FallbackReader fallbackReader;
     ReadThrottle throttle;
-    PageTransfer transfer;
+    DirectoryRequester requester;
     PageServer pageServer;
     bool started = false;
     bool readPending = false;
     bool needsFullRead = false; ///< The platform no longer has the changes since this revision.
     MonoTime readDeadline;      ///< When the pending read counts as failed.
     MonoTime nextRead;
-    MonoTime nextRecheck;                ///< When a host whose reads fail tries again.
-    MonoTime nextRequest;                ///< No request is sent to other hosts before this.
-    std::optional<MonoTime> behindSince; ///< Since when another host has had newer changes.
-    MonoTime lastChange;                 ///< When a read last brought changes.
+    MonoTime nextRecheck;        ///< When a host whose reads fail tries again.
+    MonoTime lastChange;         ///< When a read last brought changes.
     MonoTime platformRegainedAt; ///< When the last outage or long silence of the platform ended, by
                                  ///< a read of this host or by a message of another host.
     bool hadOutage = false;      ///< Whether `platformRegainedAt` was ever set.
--- a/src/core/directory/directoryspread.cpp
+++ b/src/core/directory/directoryspread.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::size_t pageRecords = 2500; ///< Most upstreams in a page, about 200 KB.
+constexpr std::size_t pageRecords = 1500; ///< Most upstreams in a page, about 100 KB.
 constexpr std::size_t pagesPerTick = 2;   ///< Different pages that are encoded in one tick.
 
 /// Returns the revision after which a host needs changes: its own one, or the one after which
