--- a/src/core/packets/silence.cpp
+++ b/src/core/packets/silence.cpp
@@ -116,8 +116,12 @@
 {
     const auto &evidence = entry.evidence;
     const auto oldestAt = evidence.lostRequests.oldestAt();
-    const auto isFresh = oldestAt && board.now.mono - *oldestAt < config::lostRequestsFresh;
-    return evidence.isSilent() && isFresh && entry.isNear
+    if (!oldestAt) {
+        return false;
+    }
+    const auto age = board.now.mono - *oldestAt;
+    const auto isUsable = age >= config::lostRequestsSettled && age < config::lostRequestsFresh;
+    return evidence.isSilent() && isUsable && entry.isNear
            && board.now.mono >= board.packets.evidenceValidFrom;
 }
 
--- a/src/core/packets/silence.h
+++ b/src/core/packets/silence.h
@@ -41,7 +41,8 @@
 ///
 /// The upstream must be silent, and `config::lostRequestsMin` callers must have sent it a request
 /// three times within the last `config::lostRequestsFresh` while other upstreams answered this
-/// host. A reset cannot be undone, so older evidence does not count, nor evidence from before the
+/// host; the oldest of them was lost `config::lostRequestsSettled` ago, without a sign of life
+/// since. A reset cannot be undone, so older evidence does not count, nor evidence from before the
 /// upstream was last listed. Upstreams of other zones never qualify, as their whole zone may be cut
 /// off. Precondition: `entry` is of the board's directory.
 [[nodiscard]] auto isPresumedDead(const Blackboard &board, const UpstreamEntry &entry) -> bool;
