Share what three tests had twice; format a settings header

Each stands once now: tests/net/base64.h, tests/unit/exampleday.h, directoryHostSettings in packetboard.h.

--- a/include/flamingograde/init.h
+++ b/include/flamingograde/init.h
@@ -24,8 +24,8 @@
     bool readsDirectory = false;        ///< The platform publishes a directory instead of a table.
     Duration upstreamHeartbeat = config::upstreamHeartbeat; ///< Period in which upstreams renew
                                                             ///< their leases with the platform.
-    PacketPolicy packetPolicy = PacketPolicy::LeastBusy; ///< How new flows are placed.
-    ColdPolicy coldPolicy = ColdPolicy::Owner;           ///< How hosts divide cold limits.
+    PacketPolicy packetPolicy = PacketPolicy::LeastBusy;    ///< How new flows are placed.
+    ColdPolicy coldPolicy = ColdPolicy::Owner;              ///< How hosts divide cold limits.
     double coldExcess = config::coldExcess; ///< Limit of all requests to a cold upstream in any
                                             ///< second: this multiple of its cold limit,
     double coldSlack = config::coldSlack;   ///< plus this many requests.
--- a/tests/net/storeanswertests.cpp
+++ b/tests/net/storeanswertests.cpp
@@ -1,11 +1,12 @@
 /// Parsing of the store's responses, and rejection of invalid ones.
+#include "base64.h"
+
 #include "platform/storeanswers.h"
 #include "platform/storevalues.h"
 #include "wire/messagecodec.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
-#include <sodium.h>
 
 #include <ctime>
 #include <random>
@@ -20,16 +21,6 @@
 constexpr std::uint64_t fuzzSeed = 20261202;
 constexpr int fuzzInputs = 20000;
 
-auto toBase64(const std::string &bytes) -> std::string
-{
-    std::string text(sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
-    sodium_bin2base64(text.data(), text.size(),
-                      reinterpret_cast<const unsigned char *>(bytes.data()), bytes.size(),
-                      sodium_base64_VARIANT_ORIGINAL);
-    text.resize(text.find('\0'));
-    return text;
-}
-
 auto server() -> json
 {
     return { { "service", "desk" },    { "address", "10.128.0.7:8080" },
--- a/tests/net/storereadertests.cpp
+++ b/tests/net/storereadertests.cpp
@@ -1,4 +1,5 @@
 /// Tests of reads of the whole directory that take several pages.
+#include "base64.h"
 #include "looprun.h"
 #include "scriptserver.h"
 
@@ -7,7 +8,6 @@
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
-#include <sodium.h>
 
 #include <string>
 #include <vector>
@@ -20,16 +20,6 @@
 
 namespace {
 
-auto toBase64(const std::string &bytes) -> std::string
-{
-    std::string text(sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
-    sodium_bin2base64(text.data(), text.size(),
-                      reinterpret_cast<const unsigned char *>(bytes.data()), bytes.size(),
-                      sodium_base64_VARIANT_ORIGINAL);
-    text.resize(text.find('\0'));
-    return text;
-}
-
 auto upstreamItem(const std::string &id, std::uint64_t revision) -> json
 {
     const json server { { "service", "desk" }, { "address", "10.128.0.7:8080" },
--- a/tests/unit/directorycontrollertest.cpp
+++ b/tests/unit/directorycontrollertest.cpp
@@ -22,7 +22,7 @@
 {
 public:
     /// @param firstReadDone whether the first read has completed; otherwise it is pending.
-    explicit DirectoryTestHost(bool firstReadDone = true) : board(settings())
+    explicit DirectoryTestHost(bool firstReadDone = true) : board(directoryHostSettings())
     {
         this->board.now.mono += 100s;
         this->board.membership.self = this->board.init.self.id;
@@ -143,17 +143,6 @@
     std::vector<SendPeer> sent;            ///< Messages that the last event caused.
 
 private:
-    static auto settings() -> Init
-    {
-        Init init;
-        init.self.name = "host";
-        init.self.id = HostId::ofName("host");
-        init.self.zoneName = "a";
-        init.self.zone = ZoneId::ofName("a");
-        init.readsDirectory = true;
-        return init;
-    }
-
     auto handle(const Event &event) -> void
     {
         this->board.outbox.clear();
--- a/tests/unit/emulationtest.cpp
+++ b/tests/unit/emulationtest.cpp
@@ -1,6 +1,7 @@
 /// Emulates days of the packet path in virtual time: callers, upstreams, fabric, store and hosts.
+#include "exampleday.h"
+
 #include "emulator/emulation.h"
-#include "emulator/dayfile.h"
 #include "emulator/randomday.h"
 #include "emulator/scaling.h"
 
@@ -8,8 +9,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <fstream>
-#include <iterator>
 #include <optional>
 #include <string>
 #include <vector>
@@ -20,18 +19,6 @@
 
 using namespace std::chrono_literals;
 
-/// Loads a day from examples/days.
-auto loadDay(const std::string &name) -> DayPlan
-{
-    std::ifstream file(std::string(FLAMINGOGRADE_SOURCE_FOLDER) + "/examples/days/" + name
-                       + ".toml");
-    const std::string text((std::istreambuf_iterator<char>(file)),
-                           std::istreambuf_iterator<char>());
-    auto day = parseDay(text, name);
-    REQUIRE(day);
-    return std::move(*day);
-}
-
 /// Returns the example day "calm" without its troubles.
 auto dayWithoutTroubles() -> DayPlan
 {
--- a/tests/unit/fleetreturntest.cpp
+++ b/tests/unit/fleetreturntest.cpp
@@ -1,17 +1,14 @@
 /// Emulates the return of a whole fleet, whose hosts all need the directory at the same time.
+#include "exampleday.h"
+
 #include "core/milliseconds.h"
-#include "emulator/dayfile.h"
 #include "emulator/emulation.h"
 
 #include <flamingograde/config.h>
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
 #include <cstddef>
-#include <fstream>
-#include <iterator>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,23 +26,19 @@
 /// Returns the example day "power-cut" for 120 hosts before 1,200 upstreams, without troubles.
 auto fleetDay() -> DayPlan
 {
-    std::ifstream file(FLAMINGOGRADE_SOURCE_FOLDER "/examples/days/power-cut.toml");
-    const std::string text((std::istreambuf_iterator<char>(file)),
-                           std::istreambuf_iterator<char>());
-    auto day = parseDay(text, "power-cut");
-    REQUIRE(day);
-    day->troubles.clear();
-    day->zones.clear();
-    for (auto &service : day->services) {
+    auto day = loadDay("power-cut");
+    day.troubles.clear();
+    day.zones.clear();
+    for (auto &service : day.services) {
         service.upstreams.clear();
     }
     for (std::size_t i = 0; i < zones; ++i) {
         const auto zone = "zone-" + std::to_string(i);
-        day->zones.push_back({ zone, hostsPerZone, 60 });
-        day->services[0].upstreams[zone] = upstreamsPerZone * 4 / 5;
-        day->services[1].upstreams[zone] = upstreamsPerZone / 5;
+        day.zones.push_back({ zone, hostsPerZone, 60 });
+        day.services[0].upstreams[zone] = upstreamsPerZone * 4 / 5;
+        day.services[1].upstreams[zone] = upstreamsPerZone / 5;
     }
-    return std::move(*day);
+    return day;
 }
 
 /// Sets the store's link to a tenth of what all hosts need in a second.
--- a/tests/unit/packetboard.h
+++ b/tests/unit/packetboard.h
@@ -66,6 +66,18 @@
                                  packetRow("papers", papersAddress, "papers") });
 }
 
+/// Returns the settings of a host in zone "a" that reads the directory.
+inline auto directoryHostSettings() -> Init
+{
+    Init init;
+    init.self.name = "host";
+    init.self.id = HostId::ofName("host");
+    init.self.zoneName = "a";
+    init.self.zone = ZoneId::ofName("a");
+    init.readsDirectory = true;
+    return init;
+}
+
 /// A host in zone "a" with two rows. The service "live" has upstreams 1 to 3 in zone "a" and 4 in
 /// zone "b"; the service "papers" has upstream 5 in zone "a".
 class PacketBoard
--- a/tests/unit/readthrottletest.cpp
+++ b/tests/unit/readthrottletest.cpp
@@ -98,13 +98,8 @@
 private:
     static auto settings() -> Init
     {
-        Init init;
-        init.self.name = "host";
-        init.self.id = HostId::ofName("host");
-        init.self.zoneName = "a";
-        init.self.zone = ZoneId::ofName("a");
+        auto init = directoryHostSettings();
         init.self.linkMbps = 100;
-        init.readsDirectory = true;
         return init;
     }
 
