Say exactly which reads of the directory go on

The comment of ReadThrottle said that directories of one page are never affected; an answer of one page may be stopped too if much of it is left. Comments and one page only: objects differ by nothing else.

--- a/include/flamingograde/message.h
+++ b/include/flamingograde/message.h
@@ -200,8 +200,7 @@
 /// A page of the whole directory.
 struct DirectoryPage
 {
-    DirectoryUpdate
-            update; ///< Upstreams of this page; all evacuations; the first page has the rows.
+    DirectoryUpdate update; ///< Its upstreams, and all evacuations; the first page has the rows.
     DirectoryPosition position;            ///< As in the request.
     std::optional<DirectoryPosition> next; ///< Where the next page begins; none: this is the last.
     bool isPart = false; ///< The sender has no more than this yet: no page, but enough to serve.
--- a/src/core/directory/readthrottle.h
+++ b/src/core/directory/readthrottle.h
@@ -19,7 +19,8 @@
 /// it. Hosts whose view of the fleet is not complete yet may go on for too long, never too few: a
 /// host that knows no better candidate goes on.
 ///
-/// Directories of one page, and platforms that answer late but not slowly, are not affected.
+/// An answer that is nearly complete is read to its end, so small directories are read as before,
+/// as are platforms that answer late but then at full rate.
 /// @remarks Not thread safe.
 class ReadThrottle
 {
