Log reads of the whole directory that are ignored, and the store's epoch

Now 210 names the revision read, the epoch and the revision in force, once for each pair; 204 names the revision that a refused watch asked for; a counter and a gauge go with them. No decision depends on it yet.

Tests: a read of the whole directory that is ignored as old is logged once and counted; an answer has the epoch that the store names, or epoch 0; an answer with an epoch that is no number is rejected.

--- a/include/flamingograde/logevent.h
+++ b/include/flamingograde/logevent.h
@@ -30,6 +30,7 @@
     RowsAccepted        = 207, ///< A new version of the packet rows is in force.
     DirectoryRefused    = 208, ///< Items that the platform published could not be decoded.
     ReadStopped         = 209, ///< This host stopped reading the whole directory, so that others can.
+    DirectoryReadOld    = 210, ///< The whole directory was read, older than the one in force.
     // 3xx: membership.
     MemberJoined        = 300,
     MemberSuspected     = 301,
--- a/include/flamingograde/revision.h
+++ b/include/flamingograde/revision.h
@@ -9,6 +9,7 @@
 struct Revision
 {
     std::uint64_t number = 0;
+    std::uint32_t epoch = 0; ///< Rises when the platform is restored from an older copy.
 
     /// Returns whether this is a revision that the platform assigned.
     [[nodiscard]] constexpr auto isValid() const -> bool { return this->number != 0; }
--- a/include/flamingograde/stats.h
+++ b/include/flamingograde/stats.h
@@ -44,6 +44,7 @@
     std::uint64_t upstreamsHeardAgain = 0; ///< Times a silent upstream answered again.
     std::uint64_t directoryUpdates = 0;    ///< Updates by which the directory changed.
     std::uint64_t directoryFaults = 0;     ///< Directory items that could not be decoded.
+    std::uint64_t directoryReadsOld = 0;   ///< Reads of a whole directory that was not newer.
     std::uint64_t upstreamRestarts = 0;    ///< Restarts of upstreams with the same instance.
     std::uint64_t revision = 0;            ///< Gauge: revision of the table in force.
     std::uint64_t membersAlive = 0;        ///< Gauge: hosts regarded as alive.
@@ -53,6 +54,7 @@
     std::uint64_t running = 0; ///< Gauge: requests running in the cells of this home host.
     std::uint64_t keys = 0;    ///< Gauge: remembered keys.
     std::uint64_t directoryRevision = 0; ///< Gauge: revision of the newest directory change.
+    std::uint64_t directoryEpoch = 0;    ///< Gauge: the platform's epoch, as last read.
     std::uint64_t rowsVersion = 0;       ///< Gauge: the operators' version number of the rows.
     std::uint64_t upstreams = 0;         ///< Gauge: upstreams in the directory.
     std::uint64_t upstreamsSilent = 0;   ///< Gauge: silent upstreams.
--- a/src/core/directory/directorycontroller.cpp
+++ b/src/core/directory/directorycontroller.cpp
@@ -44,6 +44,12 @@
     }
 }
 
+auto logLost(Blackboard &board, const DirectoryReadFailed &failed) -> void
+{
+    board.log(LogEvent::PlatformLost, "why=\"" + failed.why + "\" directory="
+                                              + std::to_string(board.directory.revision().number));
+}
+
 /// Returns the age of the last known successful read at which a host reads the platform itself.
 ///
 /// News of a read spreads by gossip, which takes one more round for each doubling of a zone's
@@ -112,6 +118,8 @@
     this->backoff = Duration(0);
     this->platformAnswered(board);
     auto update = read.update;
+    board.stats.directoryEpoch = update.upTo.epoch;
+    this->noteOldRead(board, update);
     update.removalsDeferredFor = this->removalDelay(board);
     const auto hasChanges = board.directory.revision() < update.upTo;
     this->applyUpdate(board, update, board.init.self.id);
@@ -123,6 +131,21 @@
     }
 }
 
+auto DirectoryController::noteOldRead(Blackboard &board, const DirectoryUpdate &read) -> void
+{
+    const auto known = board.directory.revision();
+    if (!read.isWhole() || !known.isValid() || known < read.upTo) {
+        return;
+    }
+    ++board.stats.directoryReadsOld;
+    if (std::exchange(this->lastOldRead, read.upTo) != read.upTo) {
+        board.log(LogEvent::DirectoryReadOld,
+                  "read=" + std::to_string(read.upTo.number)
+                          + " epoch=" + std::to_string(read.upTo.epoch)
+                          + " directory=" + std::to_string(known.number));
+    }
+}
+
 auto DirectoryController::on(Blackboard &board, const DirectoryPageRead &read) -> void
 {
     if (!this->readPending) {
@@ -148,12 +171,12 @@
         // The platform answers, but no longer keeps the requested history.
         this->needsFullRead = true;
         this->nextRead = board.now.mono;
-        board.log(LogEvent::PlatformLost, "why=\"" + failed.why + "\"");
+        logLost(board, failed);
         return;
     }
     this->fallbackReader.noteRead(false);
     if (!std::exchange(board.directoryReadsFail, true)) {
-        board.log(LogEvent::PlatformLost, "why=\"" + failed.why + "\"");
+        logLost(board, failed);
         sendReadStatus(board);
     }
     this->backoff = std::clamp<Duration>(this->backoff * 2, config::directoryRetryMin,
--- a/src/core/directory/directorycontroller.h
+++ b/src/core/directory/directorycontroller.h
@@ -69,6 +69,8 @@
     /// Ends the first load of the directory, by whichever way it was complete first.
     auto loaded(Blackboard &board, HostId from) -> void;
     auto platformAnswered(Blackboard &board) -> void;
+    /// Counts and logs the read of a whole directory that is not newer than the one in force.
+    auto noteOldRead(Blackboard &board, const DirectoryUpdate &read) -> void;
     /// Returns for how long a removal that is received now is deferred: until
     /// `config::reappearTime` after the end of the last outage.
     [[nodiscard]] auto removalDelay(const Blackboard &board) const -> Duration;
@@ -88,6 +90,7 @@
                                  ///< a read of this host or by a message of another host.
     bool hadOutage = false;      ///< Whether `platformRegainedAt` was ever set.
     std::string lastFaults;      ///< The last report of unreadable directory items.
+    Revision lastOldRead;        ///< Revision of the last read that was logged as old.
     Duration backoff { 0 };      ///< Pause after the last failed read; zero after a success.
 };
 
--- a/src/core/logevent.cpp
+++ b/src/core/logevent.cpp
@@ -11,7 +11,7 @@
 
 using Name = std::pair<LogEvent, std::string_view>;
 
-constexpr std::array<Name, 61> names { {
+constexpr std::array<Name, 62> names { {
         { LogEvent::Started, "Started" },
         { LogEvent::StopBegan, "StopBegan" },
         { LogEvent::StopWaits, "StopWaits" },
@@ -30,6 +30,7 @@
         { LogEvent::RowsAccepted, "RowsAccepted" },
         { LogEvent::DirectoryRefused, "DirectoryRefused" },
         { LogEvent::ReadStopped, "ReadStopped" },
+        { LogEvent::DirectoryReadOld, "DirectoryReadOld" },
         { LogEvent::MemberJoined, "MemberJoined" },
         { LogEvent::MemberSuspected, "MemberSuspected" },
         { LogEvent::MemberDead, "MemberDead" },
--- a/src/net/metrics.cpp
+++ b/src/net/metrics.cpp
@@ -194,10 +194,13 @@
     list.counter("directory_updates", "Updates of the directory.", number(stats.directoryUpdates));
     list.counter("directory_faults", "Items of the directory that could not be read.",
                  number(stats.directoryFaults));
+    list.counter("directory_reads_old", "Reads of a whole directory that was not newer.",
+                 number(stats.directoryReadsOld));
     list.counter("upstream_restarts", "Further starts of one upstream's instance.",
                  number(stats.upstreamRestarts));
     list.gauge("directory_revision", "The directory's newest change.",
                number(stats.directoryRevision));
+    list.gauge("directory_epoch", "The platform's epoch.", number(stats.directoryEpoch));
     list.gauge("rows_version", "The version of the packet rows.", number(stats.rowsVersion));
     list.gauge("upstreams", "Upstreams in the directory.", number(stats.upstreams));
     list.gauge("upstreams_silent", "Upstreams held to be silent.", number(stats.upstreamsSilent));
--- a/tests/net/storereadertests.cpp
+++ b/tests/net/storereadertests.cpp
@@ -34,13 +34,16 @@
 }
 
 /// Returns the HTTP answer with a page of one upstream.
-auto pageWith(const std::string &id, bool hasMore, std::uint64_t revision) -> std::string
+/// @param headers further header lines.
+auto pageWith(const std::string &id, bool hasMore, std::uint64_t revision,
+              const std::string &headers = "") -> std::string
 {
     const json page { { "items", json::array({ upstreamItem(id, 2) }) },
                       { "morePages", hasMore },
                       { "currentRev", revision } };
     const auto body = page.dump();
-    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return "HTTP/1.1 200 OK\r\n" + headers + "Content-Length: " + std::to_string(body.size())
+           + "\r\n\r\n" + body;
 }
 
 const std::string busy = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
@@ -133,3 +136,24 @@
     CHECK_FALSE(runUntil(
             test.loop, [&] { return test.events.size() > reported; }, 100ms));
 }
+
+TEST_CASE("an answer has the epoch that the store names, or epoch 0", "[store]")
+{
+    ReaderTest test;
+    const auto [header, epoch] = GENERATE(table<std::string, std::uint32_t>(
+            { { "", 0 }, { "Store-Era: 3\r\n", 3 }, { "store-era: 7\r\n", 7 } }));
+    test.server.answerWith(pageWith("i-01", false, 20, header), AfterAnswer::Close);
+    test.readWhole();
+    REQUIRE(test.runUntilReported<DirectoryRead>(1));
+    CHECK(std::get<DirectoryRead>(test.events.back()).update.upTo.epoch == epoch);
+}
+
+TEST_CASE("an answer with an epoch that is no number is rejected", "[store]")
+{
+    ReaderTest test;
+    test.server.answerWith(pageWith("i-01", false, 20, "Store-Era: new\r\n"), AfterAnswer::Close);
+    test.readWhole();
+    REQUIRE(test.runUntilReported<DirectoryReadFailed>(1));
+    const auto &failed = std::get<DirectoryReadFailed>(test.events.back());
+    CHECK(failed.failure == DirectoryFailure::Malformed);
+}
--- a/tests/unit/directorycontrollertest.cpp
+++ b/tests/unit/directorycontrollertest.cpp
@@ -141,6 +141,7 @@
     Blackboard board;
     std::optional<ReadDirectory> lastRead; ///< The last read that the host started.
     std::vector<SendPeer> sent;            ///< Messages that the last event caused.
+    std::vector<Log> logs;                 ///< All log lines so far.
 
 private:
     auto handle(const Event &event) -> void
@@ -160,6 +161,9 @@
             if (const auto *read = std::get_if<ReadDirectory>(&action)) {
                 this->lastRead = *read;
             }
+            if (const auto *log = std::get_if<Log>(&action)) {
+                this->logs.push_back(*log);
+            }
         }
     }
 
@@ -233,6 +237,21 @@
     CHECK(host.updatesSentTo(other) == 1);
 }
 
+TEST_CASE("a read of the whole directory that is ignored as old is logged once and counted",
+          "[directory]")
+{
+    DirectoryTestHost host;
+    DirectoryUpdate older;
+    older.upTo = { 8 };
+    host.completeRead(older);
+    host.completeRead(older);
+    CHECK(host.board.stats.directoryReadsOld == 2);
+    const auto isOldRead = [](const Log &log) { return log.event == LogEvent::DirectoryReadOld; };
+    REQUIRE(std::count_if(host.logs.begin(), host.logs.end(), isOldRead) == 1);
+    const auto line = std::find_if(host.logs.begin(), host.logs.end(), isOldRead)->text;
+    CHECK(line == "read=8 epoch=0 directory=10");
+}
+
 TEST_CASE("a directory read that returns a change is followed at once by the next read, or after a "
           "pause if changes come in quick succession",
           "[directory]")
