Fail tests of a store that is restored from an older copy

The emulator now judges rows, too: each undisturbed host has what was published 3 s ago, and no process goes back.

--- a/src/emulator/dayreport.cpp
+++ b/src/emulator/dayreport.cpp
@@ -54,6 +54,8 @@
              { "latest_opening_ms", day.latestOpening.count() / 1000 },
              { "evacuated_openings", day.evacuatedOpenings },
              { "latest_evacuated_ms", day.latestEvacuated.count() / 1000 },
+             { "late_rows", day.lateRows },
+             { "reverted_rows", day.revertedRows },
              { "cold_overruns", day.coldOverruns },
              { "cold_failures", day.coldFailures },
              { "cold_openings", day.coldOpenings },
--- a/src/emulator/dayresult.h
+++ b/src/emulator/dayresult.h
@@ -46,6 +46,9 @@
     Duration latestOpening { 0 };   ///< Longest time from a drain notice to a new flow.
     std::uint64_t evacuatedOpenings = 0; ///< Flows opened in evacuated zones after `evacuateBound`.
     Duration latestEvacuated { 0 };      ///< Longest time from an evacuation order to a new flow.
+    std::uint64_t lateRows = 0;          ///< Checks, ten a second, of a host without rows that were
+                                         ///< published `rowsBound` ago.
+    std::uint64_t revertedRows = 0;      ///< Times that a process went back to older rows.
     std::uint64_t coldOverruns = 0;      ///< Times that the openings at a cold upstream within a
                                          ///< second exceeded the bound set by `coldExcess`.
     std::uint64_t coldFailures = 0;      ///< Failures of cold upstreams caused by overruns.
--- a/src/emulator/emulatedstore.cpp
+++ b/src/emulator/emulatedstore.cpp
@@ -33,8 +33,8 @@
 auto EmulatedStore::publish(PacketRows published) -> void
 {
     this->recordChange(InstanceId());
-    published.changed = { this->last };
-    this->rows = std::make_shared<const PacketRows>(std::move(published));
+    published.changed = this->revision();
+    this->contents.rows = std::make_shared<const PacketRows>(std::move(published));
     this->answerWatches();
 }
 
@@ -54,28 +54,29 @@
     if (this->modeFor(from) != StoreMode::Answers) {
         return false;
     }
-    const auto found = this->records.find(upstream.instance);
+    const auto found = this->contents.records.find(upstream.instance);
     const auto leaseEnd = this->clock.now() + this->lease;
-    if (found != this->records.end() && isSame(found->second.record.upstream, upstream)) {
+    if (found != this->contents.records.end() && isSame(found->second.record.upstream, upstream)) {
         found->second.leaseEnd = leaseEnd;
         return true;
     }
     this->recordChange(upstream.instance);
-    const Revision changed { this->last };
-    const auto created = found != this->records.end() ? found->second.record.created : changed;
-    this->records[upstream.instance] = { { upstream, changed, created }, leaseEnd };
-    this->removals.erase(upstream.instance);
+    const auto changed = this->revision();
+    const auto created =
+            found != this->contents.records.end() ? found->second.record.created : changed;
+    this->contents.records[upstream.instance] = { { upstream, changed, created }, leaseEnd };
+    this->contents.removals.erase(upstream.instance);
     this->answerWatches();
     return true;
 }
 
 auto EmulatedStore::remove(const Place &from, InstanceId instance) -> bool
 {
-    if (this->modeFor(from) != StoreMode::Answers || this->records.erase(instance) == 0) {
+    if (this->modeFor(from) != StoreMode::Answers || this->contents.records.erase(instance) == 0) {
         return false;
     }
     this->recordChange(instance);
-    this->removals[instance] = this->last;
+    this->contents.removals[instance] = this->contents.last;
     this->answerWatches();
     return true;
 }
@@ -96,7 +97,7 @@
         return false;
     }
     this->recordChange(InstanceId());
-    this->evacuations[zone] = { ZoneId::ofName(zone), zone, { this->last }, inForce };
+    this->contents.evacuations[zone] = { ZoneId::ofName(zone), zone, this->revision(), inForce };
     this->answerWatches();
     return true;
 }
@@ -106,32 +107,79 @@
     if (this->mode != StoreMode::Answers && !this->leasesExpireDuringOutage) {
         return;
     }
-    for (auto it = this->records.begin(); it != this->records.end();) {
+    for (auto it = this->contents.records.begin(); it != this->contents.records.end();) {
         if (this->clock.now() < it->second.leaseEnd) {
             ++it;
             continue;
         }
         this->recordChange(it->first);
-        this->removals[it->first] = this->last;
-        it = this->records.erase(it);
+        this->contents.removals[it->first] = this->contents.last;
+        it = this->contents.records.erase(it);
     }
     this->answerWatches();
 }
 
 auto EmulatedStore::recordChange(InstanceId instance) -> void
 {
-    this->history.push_back({ ++this->last, instance, this->clock.now() });
+    this->contents.history.push_back({ ++this->contents.last, instance, this->clock.now() });
 }
 
 auto EmulatedStore::forgetHistory() -> void
 {
-    this->history.clear();
-    this->historyStart = this->last;
+    this->contents.history.clear();
+    this->contents.historyStart = this->contents.last;
+    this->cutWatches("watch was cut: the store discarded its history");
+}
+
+auto EmulatedStore::cutWatches(const std::string &why) -> void
+{
     for (const auto &watch : std::exchange(this->watches, {})) {
         this->reply(watch.from, watch.answer,
-                    DirectoryReadFailed { DirectoryFailure::Unreachable,
-                                          "watch was cut: the store discarded its history" });
+                    DirectoryReadFailed { DirectoryFailure::Unreachable, why });
+    }
+}
+
+auto EmulatedStore::takeCopy() -> void
+{
+    this->copied = this->contents;
+}
+
+auto EmulatedStore::restoreCopy() -> void
+{
+    this->contents = this->copied;
+    ++this->epoch;
+    this->markEpoch();
+    for (auto &[instance, stored] : this->contents.records) {
+        stored.leaseEnd = this->clock.now() + this->lease;
+    }
+    this->cutWatches("watch was cut: the store was restored");
+}
+
+auto EmulatedStore::markEpoch() -> void
+{
+    for (auto &[instance, stored] : this->contents.records) {
+        stored.record.changed.epoch = this->epoch;
+        stored.record.created.epoch = this->epoch;
     }
+    for (auto &[zone, evacuation] : this->contents.evacuations) {
+        evacuation.at.epoch = this->epoch;
+    }
+    if (this->contents.rows != nullptr) {
+        auto marked = *this->contents.rows;
+        marked.changed.epoch = this->epoch;
+        this->contents.rows = std::make_shared<const PacketRows>(std::move(marked));
+    }
+}
+
+auto EmulatedStore::rowsVersion() const -> std::uint64_t
+{
+    return this->contents.rows == nullptr ? 0 : this->contents.rows->version;
+}
+
+auto EmulatedStore::isEvacuated(const std::string &zone) const -> bool
+{
+    const auto found = this->contents.evacuations.find(zone);
+    return found != this->contents.evacuations.end() && found->second.inForce;
 }
 
 auto EmulatedStore::consumeReadAllowance(bool mayBeStale) -> bool
@@ -260,7 +308,8 @@
 
 auto EmulatedStore::addWatch(const Place &from, const ReadDirectory &asked, Answer answer) -> void
 {
-    if (asked.after.number < this->historyStart) {
+    if (asked.after.number < this->contents.historyStart
+        || asked.after.number > this->contents.last) {
         this->reply(from, answer,
                     DirectoryReadFailed { DirectoryFailure::Forgotten,
                                           "revision is no longer in the store's history" });
@@ -289,7 +338,7 @@
     }
     std::vector<Watch> left;
     for (auto &watch : std::exchange(this->watches, {})) {
-        if (watch.after.number < this->last) {
+        if (watch.after.number < this->contents.last) {
             this->reply(watch.from, watch.answer,
                         DirectoryRead { this->changesAfter(watch.after), false });
         } else {
@@ -317,17 +366,18 @@
 auto EmulatedStore::pageAfter(InstanceId after) const -> StorePage
 {
     StorePage page;
-    page.update.upTo = { this->last };
-    auto it = this->records.upper_bound(after);
-    for (; it != this->records.end() && page.update.present.size() < this->pageRecords; ++it) {
+    page.update.upTo = this->revision();
+    auto it = this->contents.records.upper_bound(after);
+    for (; it != this->contents.records.end() && page.update.present.size() < this->pageRecords;
+         ++it) {
         page.update.present.push_back(it->second.record);
     }
-    page.hasMore = it != this->records.end();
+    page.hasMore = it != this->contents.records.end();
     if (after.isValid()) {
         return page;
     }
-    page.update.rows = this->rows;
-    for (const auto &[zone, evacuation] : this->evacuations) {
+    page.update.rows = this->contents.rows;
+    for (const auto &[zone, evacuation] : this->contents.evacuations) {
         if (evacuation.inForce) {
             page.update.evacuations.push_back(evacuation);
         }
@@ -339,22 +389,22 @@
 {
     DirectoryUpdate update;
     update.after = after;
-    update.upTo = { this->last };
-    if (this->rows != nullptr && after < this->rows->changed) {
-        update.rows = this->rows;
+    update.upTo = this->revision();
+    if (this->contents.rows != nullptr && after.number < this->contents.rows->changed.number) {
+        update.rows = this->contents.rows;
     }
-    for (const auto &[instance, entry] : this->records) {
-        if (after < entry.record.changed) {
+    for (const auto &[instance, entry] : this->contents.records) {
+        if (after.number < entry.record.changed.number) {
             update.present.push_back(entry.record);
         }
     }
-    for (const auto &[instance, at] : this->removals) {
+    for (const auto &[instance, at] : this->contents.removals) {
         if (after.number < at) {
-            update.removed.push_back({ instance, { at } });
+            update.removed.push_back({ instance, { at, this->epoch } });
         }
     }
-    for (const auto &[zone, evacuation] : this->evacuations) {
-        if (after < evacuation.at) {
+    for (const auto &[zone, evacuation] : this->contents.evacuations) {
+        if (after.number < evacuation.at.number) {
             update.evacuations.push_back(evacuation);
         }
     }
--- a/src/emulator/emulatedstore.h
+++ b/src/emulator/emulatedstore.h
@@ -77,6 +77,14 @@
     /// Precondition: `asked.after` is valid.
     auto watch(const Place &from, const ReadDirectory &asked, const Answer &report) -> void;
 
+    /// Copies the present contents, to which `restoreCopy` goes back. Precondition: none.
+    auto takeCopy() -> void;
+    /// Loses everything written since `takeCopy`: goes back to the copied contents and revision,
+    /// starts a new epoch and fails all open watches. Revisions after the copy are given out again,
+    /// and watches from one of them fail with `DirectoryFailure::Forgotten`. Leases begin anew.
+    /// Precondition: `takeCopy` was called.
+    auto restoreCopy() -> void;
+
     /// Discards the history and fails all open watches; later watches from an earlier revision fail
     /// with `DirectoryFailure::Forgotten`. Precondition: none.
     auto forgetHistory() -> void;
@@ -84,7 +92,11 @@
     auto expire() -> void;
 
     /// Returns the revision of the latest change. Precondition: none.
-    [[nodiscard]] auto revision() const -> Revision { return { this->last }; }
+    [[nodiscard]] auto revision() const -> Revision { return { this->contents.last, this->epoch }; }
+    /// Returns the version of the rows; 0 if there are none.
+    [[nodiscard]] auto rowsVersion() const -> std::uint64_t;
+    /// Returns whether an order to evacuate a zone is in force.
+    [[nodiscard]] auto isEvacuated(const std::string &zone) const -> bool;
     /// Returns whether calls from a place are answered and no answers are being lost.
     /// Precondition: none.
     [[nodiscard]] auto isStableFor(const Place &from) const -> bool
@@ -122,6 +134,17 @@
         InstanceId instance; ///< Invalid for changes of rows or evacuations.
         MonoTime at;
     };
+    /// What the store keeps, and loses when it is restored from a copy.
+    struct Contents
+    {
+        std::uint64_t last = 1;
+        std::uint64_t historyStart = 1; ///< Changes up to this revision have been discarded.
+        std::map<InstanceId, StoredRecord> records;
+        std::map<InstanceId, std::uint64_t> removals;      ///< Revisions of removals.
+        std::map<std::string, ZoneEvacuation> evacuations; ///< By zone, including ended ones.
+        std::shared_ptr<const PacketRows> rows;
+        std::deque<Change> history;
+    };
     struct Watch
     {
         Place from;
@@ -141,6 +164,10 @@
 
     auto storeEvacuation(const std::string &zone, bool inForce) -> bool;
     auto recordChange(InstanceId instance) -> void;
+    /// Fails all open watches. @param why the reason that their callers get.
+    auto cutWatches(const std::string &why) -> void;
+    /// Marks everything that the store keeps as of its present epoch.
+    auto markEpoch() -> void;
     auto answerWatches() -> void;
     /// Wraps `report` so that it is called once: with the store's answer, or with a failure when
     /// the caller's HTTP client would time out.
@@ -157,13 +184,9 @@
     Network &network;
     std::mt19937_64 random;
     Place place { "store", "" };
-    std::uint64_t last = 1;
-    std::uint64_t historyStart = 1; ///< Changes up to this revision have been discarded.
-    std::map<InstanceId, StoredRecord> records;
-    std::map<InstanceId, std::uint64_t> removals;      ///< Revisions of removals.
-    std::map<std::string, ZoneEvacuation> evacuations; ///< By zone, including ended ones.
-    std::shared_ptr<const PacketRows> rows;
-    std::deque<Change> history;
+    Contents contents;
+    Contents copied; ///< See `takeCopy`.
+    std::uint32_t epoch = 1;
     std::vector<Watch> watches;
     std::uint64_t lastWatchNumber = 0;
     MonoTime linkFreeAt; ///< When the link has sent what has been passed to it.
--- a/src/emulator/emulation.cpp
+++ b/src/emulator/emulation.cpp
@@ -22,6 +22,8 @@
 constexpr Duration coldRateWindow = 1s;
 constexpr Duration coldRestartDelay = 1500ms; ///< Restart time of an overloaded cold upstream.
 constexpr Duration evacuationRetry = 500ms;   ///< Delay before a refused order is retried.
+/// How long after the store's return operators write again what it lost.
+constexpr Duration operatorRewriteDelay = 300ms;
 /// Openings and resets are not judged for this long after a fault of the host or upstream.
 constexpr Duration disturbanceWindow = 4s;
 constexpr std::uint32_t packetHeadBytes = 44; ///< Overhead before the data, with the instance.
@@ -120,7 +122,7 @@
 auto Emulation::makeRows() -> PacketRows
 {
     PacketRows rows;
-    rows.version = ++this->rowsVersion;
+    rows.version = this->newestRows.version + 1;
     for (const auto &planned : this->plan.rows) {
         PacketRow row;
         row.name = planned.load.name;
@@ -145,7 +147,52 @@
 
 auto Emulation::publish() -> void
 {
-    this->platform.publish(this->makeRows());
+    this->newestRows = this->makeRows();
+    this->publishedAt.push_back(this->time.now());
+    this->platform.publish(this->newestRows);
+}
+
+auto Emulation::restoreStore() -> void
+{
+    this->platform.restoreCopy();
+    this->time.later(operatorRewriteDelay, [this] { this->rewriteLost(); });
+}
+
+auto Emulation::rewriteLost() -> void
+{
+    if (this->platform.rowsVersion() != this->newestRows.version) {
+        this->platform.publish(this->newestRows);
+    }
+    for (const auto &zone : this->plan.zones) {
+        const auto isOrdered = this->evacuatedAt.count(zone.name) != 0;
+        if (isOrdered && !this->platform.isEvacuated(zone.name)) {
+            this->platform.evacuate(zone.name);
+        }
+        if (!isOrdered && this->platform.isEvacuated(zone.name)) {
+            this->platform.endEvacuation(zone.name);
+        }
+    }
+}
+
+auto Emulation::checkRows() -> void
+{
+    const auto now = this->time.now();
+    std::uint64_t due = 0; // The newest version that each host must have.
+    while (due < this->publishedAt.size() && now - this->publishedAt[due] > this->plan.rowsBound) {
+        ++due;
+    }
+    for (const auto &host : this->hosts) {
+        if (host->life() != HostLife::Running) {
+            continue;
+        }
+        const auto version = host->balancer().stats().rowsVersion;
+        auto &seen = this->rowsSeen[host->name()];
+        const auto isSameProcess = seen.process == host->startCount;
+        this->judge.day.revertedRows += isSameProcess && version < seen.version ? 1 : 0;
+        seen = { host->startCount, version };
+        const auto isUndisturbed = now - host->disturbedAt > disturbanceWindow;
+        this->judge.day.lateRows += isUndisturbed && version < due ? 1 : 0;
+    }
 }
 
 auto Emulation::addUpstream(const std::string &service, const std::string &zone, Address address)
@@ -378,6 +425,7 @@
             host->disturbedAt = this->time.now();
         }
     }
+    this->checkRows();
     this->time.later(housekeepingInterval, [this] { this->runHousekeeping(); });
 }
 
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -42,6 +42,13 @@
     const EmulatedHost *lastHost = nullptr; ///< The host that sent the latest packet.
 };
 
+/// The rows that a host's process was last seen with.
+struct RowsOfHost
+{
+    std::uint64_t process = 0; ///< Number of starts of the host's process.
+    std::uint64_t version = 0;
+};
+
 /// Runs a day deterministically: the same plan gives the same result.
 /// @remarks Not thread safe. Not movable: its parts refer to each other.
 class Emulation
@@ -82,6 +89,9 @@
     /// Ends a zone's evacuation; retries until the store accepts the order.
     /// @param cold whether the zone's upstreams are cold afterwards.
     auto endEvacuation(const std::string &zone, bool cold) -> void;
+    /// Brings the store back from the copy that it took last, after which operators write again
+    /// what it lost. Upstreams do so with their heartbeats. Precondition: it has taken a copy.
+    auto restoreStore() -> void;
     /// Adds a host and starts it. @returns its index.
     auto addHost(const std::string &zone) -> std::size_t;
     /// Publishes the current rows of the plan under the next version.
@@ -127,6 +137,11 @@
     /// @param resetBy why a host reset the flow; empty for a packet from an upstream.
     auto toCaller(const FlowPacket &packet, std::optional<PacketReason> resetBy) -> void;
     auto makeRows() -> PacketRows;
+    /// Writes the newest rows and the evacuations in force again if the store lost them.
+    auto rewriteLost() -> void;
+    /// Checks that each undisturbed host has the rows that were published `rowsBound` ago, and that
+    /// no process goes back to older ones.
+    auto checkRows() -> void;
 
     VirtualClock time;
     std::mt19937_64 random;
@@ -142,7 +157,9 @@
     std::map<LogEvent, std::uint64_t> logs;
     std::map<std::string, MonoTime> evacuatedAt; ///< Start of the evacuations in force, by zone.
     bool hasLoadStarted = false;                 ///< Whether callers send requests.
-    std::uint64_t rowsVersion = 0;
+    PacketRows newestRows;                       ///< As last published.
+    std::vector<MonoTime> publishedAt;           ///< When each version of the rows was published.
+    std::map<std::string, RowsOfHost> rowsSeen;  ///< By host.
     std::uint64_t packetBytesBetweenZones = 0;
 };
 
--- a/src/emulator/plan.h
+++ b/src/emulator/plan.h
@@ -73,6 +73,7 @@
     HostTimes hosts;
     Duration drainBound { 3000000 };    ///< A draining upstream must get no new flow after this.
     Duration evacuateBound { 5000000 }; ///< An evacuated zone must get no new flow after this.
+    Duration rowsBound { 3000000 }; ///< Published rows must be in force on all hosts after this.
     PacketPolicy policy = PacketPolicy::LeastBusy;
     ColdPolicy coldPolicy = ColdPolicy::Owner;
     double coldExcess = 1.5; ///< A cold upstream fails when its openings within a second exceed
--- a/src/emulator/randomday.cpp
+++ b/src/emulator/randomday.cpp
@@ -1,8 +1,6 @@
 /// Generates days with random troubles.
 #include "emulator/randomday.h"
 
-#include "emulator/troubles.h"
-
 #include <algorithm>
 #include <random>
 #include <string>
@@ -54,6 +52,21 @@
     return kinds;
 }
 
+/// Returns the trouble kinds used by `evacuatedDay`. Fixed, so that a seed always generates the
+/// same day.
+auto evacuatedDayKinds() -> std::vector<std::string>
+{
+    auto kinds = crowdedDayKinds();
+    kinds.emplace_back("zone-evacuate");
+    return kinds;
+}
+
+constexpr std::uint64_t restoresMax = 3; ///< Of a restored day, which gets at least one.
+/// Versions of the rows and replaced upstreams that a restored day gets besides its troubles, so
+/// that there is something to lose.
+constexpr std::size_t restoredDayVersions = 24;
+constexpr double restoredDayReleases = 0.5;
+
 constexpr std::uint64_t lossyDayPeriod = 5; ///< One day in this many has packet loss.
 constexpr double packetLossMax = 0.1;
 
@@ -116,7 +129,7 @@
         if (kind == "host-kill") {
             return first ? "power" : "";
         }
-        if (kind == "store-down") {
+        if (kind == "store-down" || kind == "store-restore") {
             return first ? "busy-lapse" : "silent-lapse";
         }
         if (kind == "store-refuses-hosts") {
@@ -166,7 +179,7 @@
 
 auto evacuatedDay(DayPlan day, std::uint64_t seed) -> DayPlan
 {
-    TroubleGenerator draw(day, troubleKinds(), seed);
+    TroubleGenerator draw(day, evacuatedDayKinds(), seed);
     auto drawn = generateDay(day, draw, crowdedTroublesMin, crowdedTroublesExtra, seed);
     for (auto left = 1 + draw.below(evacuationsMax); left > 0; --left) {
         drawn.troubles.push_back(draw.next("zone-evacuate"));
@@ -174,4 +187,21 @@
     return drawn;
 }
 
+auto restoredDay(DayPlan day, std::uint64_t seed) -> DayPlan
+{
+    TroubleGenerator draw(day, evacuatedDayKinds(), seed);
+    auto drawn = generateDay(day, draw, randomTroublesMin, randomTroublesExtra, seed);
+    for (auto left = 1 + draw.below(restoresMax); left > 0; --left) {
+        drawn.troubles.push_back(draw.next("store-restore"));
+    }
+    auto versions = draw.next("rows");
+    versions.at = Duration(0);
+    versions.count = restoredDayVersions;
+    auto releases = draw.next("release");
+    releases.at = Duration(0);
+    releases.share = restoredDayReleases;
+    drawn.troubles.insert(drawn.troubles.end(), { versions, releases });
+    return drawn;
+}
+
 } // namespace flamingograde::emulator
--- a/src/emulator/randomday.h
+++ b/src/emulator/randomday.h
@@ -17,9 +17,15 @@
 /// @remarks Thread safe.
 [[nodiscard]] auto crowdedDay(DayPlan day, std::uint64_t seed) -> DayPlan;
 
-/// Returns `day` with five to thirteen troubles of every kind that `troubleKinds` lists, plus one
-/// to three evacuations. Precondition: the day has two zones and two services.
+/// Returns `day` with five to thirteen troubles of the kinds of `crowdedDay` and evacuations, plus
+/// one to three evacuations. Precondition: the day has two zones and two services.
 /// @remarks Thread safe.
 [[nodiscard]] auto evacuatedDay(DayPlan day, std::uint64_t seed) -> DayPlan;
 
+/// Returns `day` with three to six troubles of the kinds of `evacuatedDay`, one to three restores
+/// of the store from an older copy, versions of the rows and replaced upstreams. Precondition: the
+/// day has two zones and two services.
+/// @remarks Thread safe.
+[[nodiscard]] auto restoredDay(DayPlan day, std::uint64_t seed) -> DayPlan;
+
 } // namespace flamingograde::emulator
--- a/src/emulator/troubles.cpp
+++ b/src/emulator/troubles.cpp
@@ -261,6 +261,16 @@
     emulation.store().forgetHistory();
 }
 
+/// Takes a copy of the store, and restores it after an outage that begins `gap` later.
+auto restoreStore(Emulation &emulation, const TroublePlan &trouble) -> void
+{
+    emulation.store().takeCopy();
+    emulation.clock().later(trouble.gap, [&emulation, trouble] {
+        stopStore(emulation, trouble);
+        emulation.clock().later(trouble.duration, [&emulation] { emulation.restoreStore(); });
+    });
+}
+
 auto publishRows(Emulation &emulation, const TroublePlan &trouble) -> void
 {
     for (std::size_t i = 0; i < trouble.count; ++i) {
@@ -317,6 +327,7 @@
         { "store-slow", &slowStore },
         { "store-loses-answers", &loseAnswers },
         { "store-forgets", &forgetHistory },
+        { "store-restore", &restoreStore },
         { "rows", &publishRows },
         { "callers-move", &moveCallers },
         { "burst", &burst },
--- a/tests/unit/emulationtest.cpp
+++ b/tests/unit/emulationtest.cpp
@@ -47,6 +47,8 @@
     CHECK(day.wrongService == 0);
     CHECK(day.lateOpenings == 0);
     CHECK(day.evacuatedOpenings == 0);
+    CHECK(day.lateRows == 0);
+    CHECK(day.revertedRows == 0);
 }
 
 /// Time for a watch to time out, plus 300 ms for other hosts to read and forward the change.
@@ -372,6 +374,73 @@
     }
 }
 
+TEST_CASE("changes acknowledged by a store that was restored from an older copy reach all hosts",
+          "[emulation][restore]")
+{
+    Emulation emulation(dayWithoutTroubles());
+    emulation.begin();
+    emulation.store().takeCopy();
+    REQUIRE(publishAndWait(emulation));
+    REQUIRE(publishAndWait(emulation));
+    emulation.store().restoreCopy();
+    emulation.run(1s);
+    const auto took = publishAndWait(emulation);
+    REQUIRE(took);
+    CHECK(*took < 3s);
+    CHECK(emulation.host(0).balancer().stats().rowsVersion == 4);
+}
+
+TEST_CASE("no change is skipped when a restored store passes the revisions of before while no host "
+          "reads",
+          "[emulation][restore]")
+{
+    Emulation emulation(dayWithoutTroubles());
+    emulation.begin();
+    emulation.store().takeCopy();
+    REQUIRE(publishAndWait(emulation));
+    emulation.store().restoreCopy();
+    emulation.store().mode = StoreMode::Silent;
+    const auto leaving = emulation.running("live-pack").front();
+    emulation.run(3s);
+    emulation.store().mode = StoreMode::Answers;
+    emulation.drainUpstream(leaving);
+    for (int i = 0; i < 3; ++i) {
+        emulation.publish();
+    }
+    emulation.run(2s);
+    CHECK(emulation.logCount(LogEvent::UpstreamLeaving) == emulation.hostCount());
+}
+
+TEST_CASE("a store restored from an older copy breaks no promise while upstreams are replaced and "
+          "rows change",
+          "[emulation][restore]")
+{
+    for (const auto *how : { "silent", "silent-lapse", "busy" }) {
+        auto day = dayWithoutTroubles();
+        auto versions = makeTrouble("rows");
+        versions.at = 0s;
+        versions.count = 24;
+        auto releases = makeTrouble("release");
+        releases.at = 0s;
+        releases.share = 0.5;
+        auto restore = makeTrouble("store-restore");
+        restore.gap = 3s;
+        restore.duration = 2s;
+        restore.how = how;
+        day.troubles = { versions, releases, restore };
+        INFO("the store " << how);
+        checkInvariants(Emulation(std::move(day)).play());
+    }
+}
+
+TEST_CASE("random days on which the store is restored violate no invariant", "[emulation][restore]")
+{
+    for (const std::uint64_t seed : { 1, 14, 17, 18, 21, 33, 40, 44, 53 }) {
+        INFO("seed " << seed);
+        checkInvariants(Emulation(restoredDay(loadDay("calm"), seed)).play());
+    }
+}
+
 TEST_CASE("a host that starts while the store is silent gets the directory from a peer",
           "[emulation]")
 {
--- a/tools/flamingogradesim/main.cpp
+++ b/tools/flamingogradesim/main.cpp
@@ -39,6 +39,7 @@
     bool randomTroubles = false;
     bool crowded = false;
     bool evacuated = false;
+    bool restored = false;
     int seeds = 1;
     int hosts = 0; ///< Hosts to scale each day to; 0 keeps the number in the day file.
 };
@@ -58,7 +59,8 @@
     int randomTroubles = 0;
     int crowded = 0;
     int evacuated = 0;
-    const std::array<poptOption, 10> table { {
+    int restored = 0;
+    const std::array<poptOption, 11> table { {
             { "policies", 'p', POPT_ARG_NONE, &all, 0, "run every placement policy", nullptr },
             { "seeds", 's', POPT_ARG_INT, &options.seeds, 0, "number of seeds to run for each day",
               "N" },
@@ -72,6 +74,9 @@
             { "evacuated", 'e', POPT_ARG_NONE, &evacuated, 0,
               "draw five to thirteen troubles of every kind and one to three zone evacuations",
               nullptr },
+            { "restored", 'b', POPT_ARG_NONE, &restored, 0,
+              "draw three to six troubles of every kind and one to three restores of the store",
+              nullptr },
             { "report", 'r', POPT_ARG_STRING, &report, 0, "write all results as JSON", "FILE" },
             POPT_AUTOHELP POPT_TABLEEND,
     } };
@@ -99,6 +104,7 @@
     options.randomTroubles = randomTroubles != 0;
     options.crowded = crowded != 0;
     options.evacuated = evacuated != 0;
+    options.restored = restored != 0;
     return options;
 }
 
@@ -134,7 +140,8 @@
 auto reportViolations(const std::string &name, std::uint64_t seed, const DayResult &result) -> bool
 {
     const auto violations = result.brokenFlows + result.doubleRuns + result.wrongService
-                            + result.lateOpenings + result.evacuatedOpenings;
+                            + result.lateOpenings + result.evacuatedOpenings + result.lateRows
+                            + result.revertedRows;
     if (violations == 0) {
         return true;
     }
@@ -144,7 +151,8 @@
     }
     std::cout << ", runs " << result.doubleRuns << ", services " << result.wrongService
               << ", openings " << result.lateOpenings << ", in evacuated zones "
-              << result.evacuatedOpenings << std::endl;
+              << result.evacuatedOpenings << ", late rows " << result.lateRows << ", reverted rows "
+              << result.revertedRows << std::endl;
     return false;
 }
 
@@ -164,17 +172,31 @@
     return results;
 }
 
-/// Returns `day` with the random changes drawn from its seed for the option `evacuated`, `crowded`
-/// or `randomTroubles`; unchanged if none of these is set.
+using DayDraw = DayPlan (*)(DayPlan, std::uint64_t);
+
+/// Returns the function that draws the random changes of a day, or null if no option asks for them.
+auto dayDrawOf(const Options &options) -> DayDraw
+{
+    if (options.restored) {
+        return &restoredDay;
+    }
+    if (options.evacuated) {
+        return &evacuatedDay;
+    }
+    if (options.crowded) {
+        return &crowdedDay;
+    }
+    return options.randomTroubles ? &randomDay : nullptr;
+}
+
+/// Returns `day` with the random changes that the options ask for, drawn from its seed.
 auto withRandomTroubles(DayPlan day, const Options &options) -> DayPlan
 {
-    if (!options.randomTroubles && !options.crowded && !options.evacuated) {
+    const auto draw = dayDrawOf(options);
+    if (draw == nullptr) {
         return day;
     }
     const auto seed = day.seed;
-    const auto draw = options.evacuated ? &evacuatedDay
-                      : options.crowded ? &crowdedDay
-                                        : &randomDay;
     auto drawn = draw(std::move(day), seed);
     drawn.name += "-" + std::to_string(seed);
     return drawn;
