--- a/include/flamingograde/logevent.h
+++ b/include/flamingograde/logevent.h
@@ -31,6 +31,7 @@
     DirectoryRefused    = 208, ///< Items that the platform published could not be decoded.
     ReadStopped         = 209, ///< This host stopped reading the whole directory, so that others can.
     DirectoryReadOld    = 210, ///< The whole directory was read, older than the one in force.
+    PlatformRestored    = 211, ///< The platform was restored from an older copy of its data.
     // 3xx: membership.
     MemberJoined        = 300,
     MemberSuspected     = 301,
--- a/src/core/directory/directory.cpp
+++ b/src/core/directory/directory.cpp
@@ -30,6 +30,12 @@
            && before.upstream.startedAt != record.upstream.startedAt;
 }
 
+/// Returns whether an entry is known only from before the platform was restored.
+auto isOfEarlierEpoch(const UpstreamEntry &entry) -> bool
+{
+    return entry.newest.epoch != 0 && !entry.newest.isValid();
+}
+
 /// Returns whether a record cannot belong to the upstream known under its instance: two upstream
 /// ids map to the same instance number, or another writer overwrote the platform's entry. An
 /// upstream never changes its name, and changes its service only by a restart.
@@ -56,6 +62,16 @@
            && now - entry.evidence.lastHeardAt < validity;
 }
 
+/// Returns whether rows are newer than others. The version decides: a platform that was restored
+/// from an older copy publishes older rows at a newer revision.
+auto isNewer(const PacketRows &rows, const PacketRows &others) -> bool
+{
+    if (rows.version != others.version) {
+        return others.version < rows.version;
+    }
+    return others.changed < rows.changed;
+}
+
 /// Adds the services of `row` to `servicesEverHad`, without duplicates.
 auto addServices(const PacketRow &row, std::vector<ServiceId> &servicesEverHad) -> void
 {
@@ -136,14 +152,20 @@
 auto Directory::apply(const DirectoryUpdate &update, MonoTime now) -> DirectoryChanges
 {
     DirectoryChanges changes;
-    if (!(this->knownRevision < update.upTo)) {
+    if (!(this->knownRevision < update.upTo) || update.upTo.epoch < this->epoch) {
         return changes;
     }
+    if (this->epoch < update.upTo.epoch) {
+        this->beginEpoch(update.upTo.epoch);
+    }
     this->applyEntries(update, now, changes);
     if (update.isWhole()) {
         this->removeAbsent(update, now, changes);
     }
     this->applyRows(update.rows, now, changes);
+    if (this->currentRows != nullptr && !this->currentRows->changed.isValid()) {
+        this->setRowsChanged(update.upTo); // Newer than the platform's: other hosts may lack them.
+    }
     this->applyEvacuations(update, now, changes);
     this->knownRevision = update.upTo;
     changes.advanced = true;
@@ -151,9 +173,42 @@
     return changes;
 }
 
+auto Directory::beginEpoch(std::uint32_t newEpoch) -> void
+{
+    const Revision before { 0, newEpoch };
+    this->epoch = newEpoch;
+    this->newestForgotten = before;
+    for (auto &entry : this->entrySlots) {
+        entry.newest = before;
+        entry.record.changed = before;
+        entry.record.created = before;
+    }
+    if (this->currentRows != nullptr) {
+        this->setRowsChanged(before);
+    }
+    this->zoneEvacuations.beginEpoch(newEpoch);
+}
+
+/// Marks the rows in force as changed at `at`.
+auto Directory::setRowsChanged(Revision at) -> void
+{
+    auto marked = std::make_shared<PacketRows>(*this->currentRows);
+    marked->changed = at;
+    for (auto &[address, entry] : this->rowsByAddress) {
+        entry.row = marked->rows.data() + (entry.row - this->currentRows->rows.data());
+    }
+    this->currentRows = std::move(marked);
+}
+
 auto Directory::applyPage(const DirectoryUpdate &page, MonoTime now) -> DirectoryChanges
 {
     DirectoryChanges changes;
+    if (page.upTo.epoch < this->epoch) {
+        return changes;
+    }
+    if (this->epoch < page.upTo.epoch) {
+        this->beginEpoch(page.upTo.epoch);
+    }
     this->applyEntries(page, now, changes);
     this->applyRows(page.rows, now, changes);
     this->applyEvacuations(page, now, changes);
@@ -194,10 +249,15 @@
         this->resetAfterRestart(entry, changes);
     }
     const auto wasActive = entry.record.upstream.state == UpstreamState::Active;
+    const auto staysDraining =
+            !isNew && !wasActive && isOfEarlierEpoch(entry) && !isRestart(entry.record, record);
     const auto wasListed = !isNew && entry.presence == Presence::Listed;
     this->unlistedEntries -= !isNew && !wasListed ? 1 : 0;
     this->listed += wasListed ? 0 : 1;
     entry.record = record;
+    if (staysDraining) {
+        entry.record.upstream.state = UpstreamState::Draining;
+    }
     entry.newest = record.changed;
     entry.presence = Presence::Listed;
     entry.isFaulty = false;
@@ -210,7 +270,7 @@
         this->claimCookie(entry, changes);
         changes.listed.push_back(this->indexOf(entry));
     }
-    if (wasActive && record.upstream.state == UpstreamState::Draining) {
+    if (wasActive && entry.record.upstream.state == UpstreamState::Draining) {
         changes.leaving.push_back(this->indexOf(entry));
     }
 }
@@ -294,8 +354,7 @@
 auto Directory::applyRows(const std::shared_ptr<const PacketRows> &rows, MonoTime now,
                           DirectoryChanges &changes) -> void
 {
-    if (rows == nullptr
-        || (this->currentRows != nullptr && !(this->currentRows->changed < rows->changed))) {
+    if (rows == nullptr || (this->currentRows != nullptr && !isNewer(*rows, *this->currentRows))) {
         return;
     }
     auto before = std::exchange(this->rowsByAddress, {});
--- a/src/core/directory/directory.h
+++ b/src/core/directory/directory.h
@@ -27,6 +27,11 @@
 ///
 /// The directory's revision never decreases. An entry's index stays valid until its tombstone is
 /// deleted.
+///
+/// The platform may be restored from an older copy, which begins an epoch. What this host knows
+/// from before then counts as older than everything of the new epoch, but the copy takes back
+/// nothing that had been accepted: rows of a higher version stay in force, and an upstream that was
+/// draining stays so. All revisions of a directory are of one epoch.
 /// @remarks Not thread safe. The directory controller writes everything except
 /// `UpstreamEntry::evidence`, which the packet path writes.
 class Directory
@@ -73,10 +78,19 @@
     [[nodiscard]] auto updateSince(Revision have, MonoTime now) const -> DirectoryUpdate;
 
     /// Returns whether the changes since `have` are known, so that `updateSince(have)` is not the
-    /// whole directory. Precondition: none.
+    /// whole directory. Those since an earlier epoch are not. Precondition: none.
     [[nodiscard]] auto hasChangesSince(Revision have) const -> bool
     {
-        return have.isValid() && !(have < this->newestForgotten);
+        return have.isValid() && have.epoch == this->epoch && !(have < this->newestForgotten);
+    }
+
+    /// Returns the epoch of the directory's revisions; 0 before the first update.
+    [[nodiscard]] auto currentEpoch() const -> std::uint32_t { return this->epoch; }
+
+    /// Returns whether applying `update` would begin an epoch. Precondition: none.
+    [[nodiscard]] auto beginsEpoch(const DirectoryUpdate &update) const -> bool
+    {
+        return this->knownRevision.isValid() && this->epoch < update.upTo.epoch;
     }
 
     /// Returns the revision up to which all changes are applied; invalid before the first update.
@@ -171,6 +185,8 @@
     [[nodiscard]] auto listedCount() const -> std::size_t { return this->listed; }
 
 private:
+    /// Begins an epoch: makes all known revisions older than any of it.
+    auto beginEpoch(std::uint32_t newEpoch) -> void;
     auto applyEntries(const DirectoryUpdate &update, MonoTime now, DirectoryChanges &changes)
             -> void;
     auto applyRecord(const DirectoryRecord &record, MonoTime now, DirectoryChanges &changes)
@@ -183,6 +199,7 @@
             -> void;
     auto applyRows(const std::shared_ptr<const PacketRows> &rows, MonoTime now,
                    DirectoryChanges &changes) -> void;
+    auto setRowsChanged(Revision at) -> void;
     auto updateColdLimit(UpstreamEntry &entry, MonoTime now) -> void;
     auto assumeZoneCold(ZoneId zone, Revision at, MonoTime now) -> void;
     auto applyEvacuations(const DirectoryUpdate &update, MonoTime now, DirectoryChanges &changes)
@@ -199,6 +216,7 @@
     ZoneId ownZone;
     bool enforcesColdLimits = true;
     Duration signOfLifeValidity; ///< See `signOfLifeValidityFor`.
+    std::uint32_t epoch = 0;     ///< Of all revisions of this directory.
     Revision knownRevision;
     Revision newestForgotten; ///< Revision of the newest deleted tombstone.
     std::vector<UpstreamEntry> entrySlots;
--- a/src/core/directory/directorycontroller.cpp
+++ b/src/core/directory/directorycontroller.cpp
@@ -117,9 +117,13 @@
     this->fallbackReader.noteRead(true);
     this->backoff = Duration(0);
     this->platformAnswered(board);
+    if (!read.update.isWhole() && read.update.upTo.epoch != read.update.after.epoch) {
+        this->readWholeNext(board); // These are no changes since this host's revision.
+        return;
+    }
     auto update = read.update;
-    board.stats.directoryEpoch = update.upTo.epoch;
     this->noteOldRead(board, update);
+    this->noteEpoch(board, update);
     update.removalsDeferredFor = this->removalDelay(board);
     const auto hasChanges = board.directory.revision() < update.upTo;
     this->applyUpdate(board, update, board.init.self.id);
@@ -169,8 +173,7 @@
     ++board.stats.platformFailures;
     if (failed.failure == DirectoryFailure::Forgotten) {
         // The platform answers, but no longer keeps the requested history.
-        this->needsFullRead = true;
-        this->nextRead = board.now.mono;
+        this->readWholeNext(board);
         logLost(board, failed);
         return;
     }
@@ -184,6 +187,25 @@
     this->nextRead = board.now.mono + jittered(board, this->backoff);
 }
 
+auto DirectoryController::readWholeNext(Blackboard &board) -> void
+{
+    this->needsFullRead = true;
+    this->nextRead = board.now.mono;
+}
+
+auto DirectoryController::noteEpoch(Blackboard &board, const DirectoryUpdate &update) -> void
+{
+    if (!board.directory.beginsEpoch(update)) {
+        return;
+    }
+    this->hadOutage = true;
+    this->platformRegainedAt = board.now.mono;
+    board.log(LogEvent::PlatformRestored,
+              "epoch=" + std::to_string(update.upTo.epoch)
+                      + " read=" + std::to_string(update.upTo.number)
+                      + " directory=" + std::to_string(board.directory.revision().number));
+}
+
 auto DirectoryController::on(Blackboard &board, const DirectoryItemsFaulty &faulty) -> void
 {
     board.stats.directoryFaults += faulty.count;
@@ -222,6 +244,7 @@
             record->directory = std::max(record->directory, update->upTo);
         }
         this->noteContactRegained(board);
+        this->noteEpoch(board, *update);
         auto accepted = *update;
         accepted.removalsDeferredFor =
                 std::max(accepted.removalsDeferredFor, this->removalDelay(board));
@@ -260,6 +283,7 @@
         this->applyPart(board, page.update);
         return;
     }
+    this->noteEpoch(board, *whole);
     whole->removalsDeferredFor = this->removalDelay(board);
     if (auto *record = board.membership.record(from)) {
         record->directory = std::max(record->directory, whole->upTo);
@@ -314,8 +338,10 @@
     }
     logChanges(board, board.directory.processRemovals(now));
     this->pageServer.tick(board);
-    if (!board.directory.revision().isValid()) {
+    if (!board.directory.revision().isValid() || this->requester.isReceiving()) {
         this->requester.tick(board);
+    }
+    if (!board.directory.revision().isValid()) {
         this->yieldIfDue(board);
     }
     this->readIfDue(board);
@@ -384,6 +410,7 @@
         return; // Earlier changes are missing; the next gossip triggers a request for them.
     }
     const auto isFirst = !board.directory.revision().isValid();
+    const auto beginsEpoch = board.directory.beginsEpoch(update);
     const auto changes = board.directory.apply(update, board.now.mono);
     if (!changes.advanced) {
         return;
@@ -395,6 +422,10 @@
     if (isFirst) {
         this->loaded(board, from);
     }
+    if (beginsEpoch) {
+        this->requester.endTransfer();
+        announceDirectory(board);
+    }
     sendChanges(board, forwardTargets(board, from), update);
     if (from == board.membership.self) {
         sendChanges(board, crossZoneRecipients(board), update);
--- a/src/core/directory/directorycontroller.h
+++ b/src/core/directory/directorycontroller.h
@@ -69,6 +69,12 @@
     /// Ends the first load of the directory, by whichever way it was complete first.
     auto loaded(Blackboard &board, HostId from) -> void;
     auto platformAnswered(Blackboard &board) -> void;
+    /// Makes the next read one of the whole directory, as changes since this host's revision cannot
+    /// be had.
+    auto readWholeNext(Blackboard &board) -> void;
+    /// Defers removals if `update` is of a later epoch than this host's directory: what the
+    /// platform lost by being restored is written again.
+    auto noteEpoch(Blackboard &board, const DirectoryUpdate &update) -> void;
     /// Counts and logs the read of a whole directory that is not newer than the one in force.
     auto noteOldRead(Blackboard &board, const DirectoryUpdate &read) -> void;
     /// Returns for how long a removal that is received now is deferred: until
--- a/src/core/directory/directorylog.cpp
+++ b/src/core/directory/directorylog.cpp
@@ -22,7 +22,9 @@
 
 auto describeDirectory(const Blackboard &board) -> std::string
 {
-    return " directory=" + std::to_string(board.directory.revision().number) + " platform_age_ms="
+    const auto epoch = board.directory.currentEpoch();
+    return " directory=" + std::to_string(board.directory.revision().number)
+           + (epoch == 0 ? "" : " epoch=" + std::to_string(epoch)) + " platform_age_ms="
            + std::to_string(milliseconds(board.config.platformAge(board.now.mono)));
 }
 
--- a/src/core/directory/directorypages.cpp
+++ b/src/core/directory/directorypages.cpp
@@ -95,6 +95,7 @@
     DirectoryPage part;
     part.position = position;
     part.isPart = true;
+    part.update.upTo = { 0, directory.currentEpoch() };
     part.update.rows = directory.sharedRows();
     part.update.evacuations = directory.evacuations().changedAfter(Revision());
     Entries entries;
--- a/src/core/directory/directoryrequester.cpp
+++ b/src/core/directory/directoryrequester.cpp
@@ -78,9 +78,12 @@
 auto DirectoryRequester::take(Blackboard &board, HostId from, const DirectoryPage &page)
         -> std::optional<DirectoryUpdate>
 {
-    if (!this->transfer.sender() || !this->transfer.add(page)) {
+    if (!this->transfer.sender()) {
         return std::nullopt;
     }
+    if (!this->transfer.add(page) && this->transfer.sender()) {
+        return std::nullopt; // Still expects another page.
+    }
     this->nextRequest = board.now.mono;
     if (this->transfer.isComplete()) {
         return this->transfer.take();
--- a/src/core/directory/directoryrequester.h
+++ b/src/core/directory/directoryrequester.h
@@ -49,8 +49,12 @@
     /// Gives up the transfer, as this host has the whole directory. Precondition: none.
     auto endTransfer() -> void { this->transfer = PageTransfer(); }
 
+    /// Returns whether a part of the whole directory has arrived from other hosts.
+    /// Precondition: none.
+    [[nodiscard]] auto isReceiving() const -> bool { return this->transfer.isUnderWay(); }
+
     /// Repeats a request for a page that was not answered in time. Precondition: called on each
-    /// `Tick` while this host has no directory.
+    /// `Tick` while this host has no directory or is receiving it.
     auto tick(Blackboard &board) -> void;
 
 private:
--- a/src/core/directory/directoryspread.cpp
+++ b/src/core/directory/directoryspread.cpp
@@ -54,7 +54,7 @@
 auto announceDirectory(Blackboard &board) -> void
 {
     for (const auto &[id, record] : board.membership.records()) {
-        if (record.connected && !record.directory.isValid()) {
+        if (record.connected && !board.directory.hasChangesSince(record.directory)) {
             sendPeer(board, id, Ping { 0, makeGossip(board, id) });
         }
     }
--- a/src/core/directory/directoryspread.h
+++ b/src/core/directory/directoryspread.h
@@ -19,8 +19,8 @@
 auto sendChanges(Blackboard &board, const std::vector<HostId> &hosts, const DirectoryUpdate &update)
         -> void;
 
-/// Tells the connected hosts that have no directory that this host has one, or a part of it, so
-/// that they request it. Precondition: none.
+/// Tells the connected hosts that need the whole directory, as they have none or one of an earlier
+/// epoch, that this host has it, or a part of it, so that they request it. Precondition: none.
 auto announceDirectory(Blackboard &board) -> void;
 
 /// Answers requests for pages of the whole directory; while this host has a part, with that part.
--- a/src/core/directory/pagetransfer.cpp
+++ b/src/core/directory/pagetransfer.cpp
@@ -33,6 +33,11 @@
     this->requestedFrom.reset();
     auto &all = this->collected;
     const auto &update = page.update;
+    if (all.upTo.isValid() && all.upTo.epoch != update.upTo.epoch) {
+        this->collected = DirectoryUpdate();
+        this->next = DirectoryPosition();
+        return false; // The platform was restored meanwhile.
+    }
     // The lowest revision of all pages counts: changes above it may be missing from other pages.
     all.upTo = all.upTo.isValid() ? std::min(all.upTo, update.upTo) : update.upTo;
     std::copy(update.present.begin(), update.present.end(), std::back_inserter(all.present));
--- a/src/core/directory/pagetransfer.h
+++ b/src/core/directory/pagetransfer.h
@@ -21,6 +21,9 @@
     /// Returns where the next page begins. Precondition: none.
     [[nodiscard]] auto position() const -> DirectoryPosition { return this->next; }
 
+    /// Returns whether pages have arrived, but not all. Precondition: none.
+    [[nodiscard]] auto isUnderWay() const -> bool { return !(this->next == DirectoryPosition()); }
+
     /// Returns the host from which a page has been requested, or nothing. Precondition: none.
     [[nodiscard]] auto sender() const -> std::optional<HostId> { return this->requestedFrom; }
 
@@ -33,8 +36,9 @@
     /// Precondition: none.
     auto forgetSender() -> void { this->requestedFrom.reset(); }
 
-    /// Adds a page if it is the next one. Precondition: not complete.
-    /// @returns whether it was added.
+    /// Adds a page if it is the next one, after which no answer is expected from the sender. A page
+    /// of another epoch than those before it is not added, and the transfer begins anew.
+    /// Precondition: not complete. @returns whether the page was added.
     auto add(const DirectoryPage &page) -> bool;
 
     /// Returns whether all pages have arrived. Precondition: none.
--- a/src/core/directory/zoneevacuations.cpp
+++ b/src/core/directory/zoneevacuations.cpp
@@ -20,6 +20,13 @@
     return changed;
 }
 
+auto ZoneEvacuations::beginEpoch(std::uint32_t epoch) -> void
+{
+    for (auto &[zone, stored] : this->orders) {
+        stored.order.at = { 0, epoch };
+    }
+}
+
 /// @param mayInsert whether an order for a new zone is stored.
 /// @returns whether the order changed whether its zone is evacuated.
 auto ZoneEvacuations::applyOrder(const ZoneEvacuation &order, bool mayInsert, MonoTime now) -> bool
--- a/src/core/directory/zoneevacuations.h
+++ b/src/core/directory/zoneevacuations.h
@@ -8,6 +8,7 @@
 #include <flamingograde/zoneevacuation.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <unordered_set>
 #include <vector>
@@ -37,6 +38,9 @@
     auto apply(const DirectoryUpdate &update, const ZoneSet &zones, MonoTime now)
             -> std::vector<ZoneEvacuation>;
 
+    /// Makes all stored orders older than any of the epoch that begins. Precondition: none.
+    auto beginEpoch(std::uint32_t epoch) -> void;
+
     /// Returns whether a zone is evacuated, so that its upstreams receive no new flows.
     /// Precondition: none.
     [[nodiscard]] auto isEvacuated(ZoneId zone) const -> bool;
--- a/src/core/dump.cpp
+++ b/src/core/dump.cpp
@@ -206,6 +206,7 @@
 {
     const auto *rows = board.directory.rows();
     stats.directoryRevision = board.directory.revision().number;
+    stats.directoryEpoch = board.directory.currentEpoch();
     stats.rowsVersion = rows == nullptr ? 0 : rows->version;
     stats.upstreams = board.directory.listedCount();
     stats.flows = board.packets.flows.used;
--- a/src/core/logevent.cpp
+++ b/src/core/logevent.cpp
@@ -11,7 +11,7 @@
 
 using Name = std::pair<LogEvent, std::string_view>;
 
-constexpr std::array<Name, 62> names { {
+constexpr std::array<Name, 63> names { {
         { LogEvent::Started, "Started" },
         { LogEvent::StopBegan, "StopBegan" },
         { LogEvent::StopWaits, "StopWaits" },
@@ -31,6 +31,7 @@
         { LogEvent::DirectoryRefused, "DirectoryRefused" },
         { LogEvent::ReadStopped, "ReadStopped" },
         { LogEvent::DirectoryReadOld, "DirectoryReadOld" },
+        { LogEvent::PlatformRestored, "PlatformRestored" },
         { LogEvent::MemberJoined, "MemberJoined" },
         { LogEvent::MemberSuspected, "MemberSuspected" },
         { LogEvent::MemberDead, "MemberDead" },
--- a/src/wire/directorycodec.cpp
+++ b/src/wire/directorycodec.cpp
@@ -1,7 +1,8 @@
 /// Wire format of directory updates.
 ///
 /// Keys are one letter; records, removals and rows are arrays with a fixed order of fields. Only
-/// the IDs of instances are sent; the other IDs are derived from the names.
+/// the IDs of instances are sent; the other IDs are derived from the names. All revisions of an
+/// update are of one epoch, which is sent once.
 #include "wire/directorycodec.h"
 
 #include "wire/wirereader.h"
@@ -56,7 +57,7 @@
                          record.created.number });
 }
 
-auto unpackRecord(WireReader &reader, const Json &value) -> DirectoryRecord
+auto unpackRecord(WireReader &reader, const Json &value, std::uint32_t epoch) -> DirectoryRecord
 {
     DirectoryRecord record;
     const auto *fields = reader.tuple(value, recordFields);
@@ -79,8 +80,8 @@
     upstream.state = static_cast<UpstreamState>(reader.number(at[7], lastState));
     upstream.warmup = unpackDuration(reader, at[8]);
     upstream.version = reader.text(at[9], versionBytesMax);
-    record.changed = { reader.number(at[10]) };
-    record.created = { reader.number(at[11]) };
+    record.changed = { reader.number(at[10]), epoch };
+    record.created = { reader.number(at[11]), epoch };
     if (!upstream.instance.isValid() || upstream.slots == 0) {
         reader.fail("an upstream has no instance ID or no slots");
     }
@@ -174,11 +175,12 @@
              { "k", packColdLimits(rows) } };
 }
 
-auto unpackRows(WireReader &reader, const Json &map) -> std::shared_ptr<const PacketRows>
+auto unpackRows(WireReader &reader, const Json &map, std::uint32_t epoch)
+        -> std::shared_ptr<const PacketRows>
 {
     auto rows = std::make_shared<PacketRows>();
     rows->version = reader.number(reader.field(map, "v"));
-    rows->changed = { reader.number(reader.field(map, "c")) };
+    rows->changed = { reader.number(reader.field(map, "c")), epoch };
     rows->flowIdle = unpackDuration(reader, reader.field(map, "i"));
     for (const auto &row : reader.list(reader.field(map, "l"), rowsMax)) {
         rows->rows.push_back(unpackRow(reader, row));
@@ -192,13 +194,14 @@
 }
 
 /// Decodes a removal or a fault: the instance and the revision of that change.
-auto unpackInstance(WireReader &reader, const Json &value) -> std::pair<InstanceId, Revision>
+auto unpackInstance(WireReader &reader, const Json &value, std::uint32_t epoch)
+        -> std::pair<InstanceId, Revision>
 {
     const auto *fields = reader.tuple(value, removalFields);
     if (fields == nullptr) {
         return {};
     }
-    return { InstanceId(reader.number((*fields)[0])), { reader.number((*fields)[1]) } };
+    return { InstanceId(reader.number((*fields)[0])), { reader.number((*fields)[1]), epoch } };
 }
 
 /// Encodes the start times of the upstreams in `present`, in the same order. They are a separate
@@ -232,7 +235,7 @@
     return list;
 }
 
-auto unpackEvacuation(WireReader &reader, const Json &value) -> ZoneEvacuation
+auto unpackEvacuation(WireReader &reader, const Json &value, std::uint32_t epoch) -> ZoneEvacuation
 {
     ZoneEvacuation order;
     const auto *fields = reader.tuple(value, evacuationFields);
@@ -241,13 +244,19 @@
     }
     order.zoneName = reader.name((*fields)[0]);
     order.zone = ZoneId::ofName(order.zoneName);
-    order.at = { reader.number((*fields)[1]) };
+    order.at = { reader.number((*fields)[1]), epoch };
     order.inForce = reader.flag((*fields)[2]);
     return order;
 }
 
 } // namespace
 
+auto unpackEpoch(WireReader &reader, const Json &map, const char *key) -> std::uint32_t
+{
+    // Absent in epoch 0, and in messages from hosts of older versions.
+    return map.contains(key) ? static_cast<std::uint32_t>(reader.number(map[key], uint32Max)) : 0;
+}
+
 auto packUpdate(const DirectoryUpdate &update) -> Json
 {
     auto present = Json::array();
@@ -269,6 +278,9 @@
                { "b", packStartTimes(update) },
                { "f", std::move(faulty) },
                { "s", milliseconds(update.removalsDeferredFor) } };
+    if (update.upTo.epoch != 0) {
+        map["n"] = update.upTo.epoch;
+    }
     if (!update.evacuations.empty()) {
         map["e"] = packEvacuations(update);
     }
@@ -281,13 +293,15 @@
 auto unpackUpdate(WireReader &reader, const Json &map) -> DirectoryUpdate
 {
     DirectoryUpdate update;
-    update.after = { reader.number(reader.field(map, "a")) };
-    update.upTo = { reader.number(reader.field(map, "u")) };
+    const auto epoch = unpackEpoch(reader, map, "n");
+    const Revision after { reader.number(reader.field(map, "a")), epoch };
+    update.after = after.isValid() ? after : Revision();
+    update.upTo = { reader.number(reader.field(map, "u")), epoch };
     for (const auto &record : reader.list(reader.field(map, "p"), recordsMax)) {
-        update.present.push_back(unpackRecord(reader, record));
+        update.present.push_back(unpackRecord(reader, record, epoch));
     }
     for (const auto &removal : reader.list(reader.field(map, "x"), recordsMax)) {
-        const auto [instance, at] = unpackInstance(reader, removal);
+        const auto [instance, at] = unpackInstance(reader, removal, epoch);
         update.removed.push_back({ instance, at });
     }
     if (map.contains("b")) {
@@ -295,18 +309,18 @@
     }
     if (map.contains("f")) {
         for (const auto &fault : reader.list(map["f"], recordsMax)) {
-            const auto [instance, at] = unpackInstance(reader, fault);
+            const auto [instance, at] = unpackInstance(reader, fault, epoch);
             update.faulty.push_back({ instance, at });
         }
     }
     if (map.contains("e")) {
         for (const auto &order : reader.list(map["e"], recordsMax)) {
-            update.evacuations.push_back(unpackEvacuation(reader, order));
+            update.evacuations.push_back(unpackEvacuation(reader, order, epoch));
         }
     }
     update.removalsDeferredFor = unpackDuration(reader, reader.field(map, "s"));
     if (map.contains("r")) {
-        update.rows = unpackRows(reader, map["r"]);
+        update.rows = unpackRows(reader, map["r"], epoch);
     }
     return update;
 }
--- a/src/wire/messagedecoder.cpp
+++ b/src/wire/messagedecoder.cpp
@@ -118,7 +118,7 @@
             static_cast<std::uint32_t>(reader.number(reader.field(map, "a"), uint32Max));
     gossip.placements = reader.number(reader.field(map, "p"));
     gossip.agreed = reader.flag(reader.field(map, "s"));
-    gossip.directory = { reader.number(reader.field(map, "y")) };
+    gossip.directory = { reader.number(reader.field(map, "y")), unpackEpoch(reader, map, "e") };
     gossip.members =
             map.contains("m") ? static_cast<std::uint32_t>(reader.number(map["m"], uint32Max)) : 0;
     gossip.readsFail = map.contains("f") && reader.flag(map["f"]);
@@ -265,7 +265,7 @@
 
 auto unpack(WireReader &reader, const Json &map, DirectoryRequest &message) -> void
 {
-    message.have = { reader.number(reader.field(map, "r")) };
+    message.have = { reader.number(reader.field(map, "r")), unpackEpoch(reader, map, "e") };
     if (map.contains("p")) { // Absent in requests from hosts of older versions.
         message.position = unpackPosition(reader, map["p"]);
     }
--- a/src/wire/messageencoder.cpp
+++ b/src/wire/messageencoder.cpp
@@ -42,6 +42,9 @@
     Json map = { { "r", gossip.revision.number }, { "d", gossip.tableDigest },
                  { "a", gossip.platformAgeMs },   { "p", gossip.placements },
                  { "s", gossip.agreed },          { "y", gossip.directory.number } };
+    if (gossip.directory.epoch != 0) {
+        map["e"] = gossip.directory.epoch;
+    }
     if (gossip.members != 0) {
         map["m"] = gossip.members;
     }
@@ -190,6 +193,9 @@
 auto pack(const DirectoryRequest &message) -> Json
 {
     Json map { { "r", message.have.number } };
+    if (message.have.epoch != 0) {
+        map["e"] = message.have.epoch;
+    }
     if (message.position) {
         map["p"] = packPosition(*message.position);
     }
--- a/tests/net/storeanswertests.cpp
+++ b/tests/net/storeanswertests.cpp
@@ -18,6 +18,8 @@
 
 namespace {
 
+constexpr std::uint32_t storeEpoch = 3;
+
 constexpr std::uint64_t fuzzSeed = 20261202;
 constexpr int fuzzInputs = 20000;
 
@@ -134,13 +136,13 @@
         { "morePages", false },
         { "currentRev", 40 }
     };
-    const auto answer = parseItems(body.dump());
+    const auto answer = parseItems(body.dump(), storeEpoch);
     REQUIRE(answer);
     REQUIRE(answer->update.present.size() == 1);
     CHECK(answer->update.present[0].upstream.instance == InstanceId(1));
     REQUIRE(answer->update.faulty.size() == 2);
     CHECK(answer->update.faulty[0].instance == InstanceId(2));
-    CHECK(answer->update.faulty[0].at == Revision { 32 });
+    CHECK(answer->update.faulty[0].at == Revision { 32, storeEpoch });
     CHECK(answer->update.faulty[1].instance == InstanceId(3));
     CHECK(answer->faults.size() == 3);
 }
@@ -153,7 +155,7 @@
                           item("servers/i-02", "{", 33),
                           item("servers/i-02", server().dump(), 34) } },
                       { "currentRev", 40 } };
-    const auto answer = parseEvents(body.dump());
+    const auto answer = parseEvents(body.dump(), storeEpoch);
     REQUIRE(answer);
     REQUIRE(answer->update.present.size() == 1);
     CHECK(answer->update.present[0].upstream.instance == InstanceId(2));
@@ -174,7 +176,7 @@
         }
         const auto body = json { { "events", list }, { "currentRev", events } }.dump();
         const auto begin = std::clock();
-        const auto answer = parseEvents(body);
+        const auto answer = parseEvents(body, storeEpoch);
         const auto took = std::clock() - begin;
         REQUIRE(answer);
         CHECK(answer->update.removed.size() == events);
@@ -324,16 +326,16 @@
                           item("servers/i-0a", server().dump(), 7), item("other/thing", "x", 6) } },
                       { "morePages", true },
                       { "currentRev", 9 } };
-    const auto answer = parseItems(body.dump());
+    const auto answer = parseItems(body.dump(), storeEpoch);
     REQUIRE(answer);
     CHECK(answer->faults.empty());
-    CHECK(answer->update.upTo.number == 9);
+    CHECK(answer->update.upTo == Revision { 9, storeEpoch });
     CHECK(answer->nextPage == "other/thing");
     REQUIRE(answer->update.rows != nullptr);
-    CHECK(answer->update.rows->changed.number == 5);
+    CHECK(answer->update.rows->changed == Revision { 5, storeEpoch });
     REQUIRE(answer->update.present.size() == 1);
-    CHECK(answer->update.present[0].changed.number == 7);
-    CHECK(answer->update.present[0].created.number == 6);
+    CHECK(answer->update.present[0].changed == Revision { 7, storeEpoch });
+    CHECK(answer->update.present[0].created == Revision { 6, storeEpoch });
 }
 
 TEST_CASE("invalid items are reported, and the valid one is kept", "[store]")
@@ -347,7 +349,7 @@
                           { { "key", "servers/i-0d" } } } },
                       { "morePages", false },
                       { "currentRev", 9 } };
-    const auto answer = parseItems(body.dump());
+    const auto answer = parseItems(body.dump(), storeEpoch);
     REQUIRE(answer);
     CHECK(answer->faults.size() == 3);
     CHECK(answer->update.present.size() == 1);
@@ -364,13 +366,13 @@
                           item("servers/i-0b", server().dump(), 9),
                           { { "key", "op/config" }, { "revision", 10 }, { "removed", true } } } },
                       { "currentRev", 11 } };
-    const auto answer = parseEvents(body.dump());
+    const auto answer = parseEvents(body.dump(), storeEpoch);
     REQUIRE(answer);
     REQUIRE(answer->update.present.size() == 1);
     CHECK(answer->update.present[0].upstream.instance == InstanceId(11));
     REQUIRE(answer->update.removed.size() == 1);
     CHECK(answer->update.removed[0].instance == InstanceId(10));
-    CHECK(answer->update.removed[0].at.number == 8);
+    CHECK(answer->update.removed[0].at == Revision { 8, storeEpoch });
     CHECK(answer->update.rows == nullptr);
 }
 
@@ -383,7 +385,7 @@
                           notBase64, item("op/evacuate/hall-4", std::string(1U << 20U, 'x'), 9) } },
                       { "morePages", false },
                       { "currentRev", 9 } };
-    const auto answer = parseItems(body.dump());
+    const auto answer = parseItems(body.dump(), storeEpoch);
     REQUIRE(answer);
     CHECK(answer->faults.empty());
     REQUIRE(answer->update.evacuations.size() == 4);
@@ -403,7 +405,7 @@
                         { item("op/evacuate/hall-1", "{}", 5), removal("op/evacuate/hall-1", 6),
                           removal("op/evacuate/hall-2", 7), item("op/evacuate/hall-2", "{}", 8) } },
                       { "currentRev", 9 } };
-    const auto answer = parseEvents(body.dump());
+    const auto answer = parseEvents(body.dump(), storeEpoch);
     REQUIRE(answer);
     REQUIRE(answer->update.evacuations.size() == 2);
     CHECK_FALSE(answer->update.evacuations[0].inForce);
@@ -422,7 +424,7 @@
                           item("servers/i-0a", server().dump(), 8) } },
                       { "morePages", false },
                       { "currentRev", 9 } };
-    const auto answer = parseItems(body.dump());
+    const auto answer = parseItems(body.dump(), storeEpoch);
     REQUIRE(answer);
     CHECK(answer->faults.size() == 4);
     CHECK(answer->update.evacuations.empty());
@@ -434,8 +436,8 @@
     for (const auto *body : { "", "x", "[]", "{}", R"({"items": 5, "currentRev": 1})",
                               R"({"events": []})", R"({"items": [], "currentRev": "x"})" }) {
         INFO(body);
-        CHECK_FALSE(parseItems(body));
-        CHECK_FALSE(parseEvents(body));
+        CHECK_FALSE(parseItems(body, storeEpoch));
+        CHECK_FALSE(parseEvents(body, storeEpoch));
     }
 }
 
@@ -465,9 +467,9 @@
                 text.insert(at, 1, "0123456789{}[]\",:-e."[random() % 20]);
             }
         }
-        const auto answer = parseItems(text);
+        const auto answer = parseItems(text, storeEpoch);
         refused += answer ? 0 : 1;
-        (void)parseEvents(text);
+        (void)parseEvents(text, storeEpoch);
         for (auto value : values) {
             value[random() % value.size()] = static_cast<char>(random());
             (void)readRows(value);
--- a/tests/net/storereadertests.cpp
+++ b/tests/net/storereadertests.cpp
@@ -157,3 +157,20 @@
     const auto &failed = std::get<DirectoryReadFailed>(test.events.back());
     CHECK(failed.failure == DirectoryFailure::Malformed);
 }
+
+TEST_CASE("pages that were read before and after a restore of the store are not combined",
+          "[store][restore]")
+{
+    ReaderTest test;
+    test.server.answerWith(pageWith("i-01", true, 20, "Store-Era: 1\r\n"), AfterAnswer::Keep);
+    test.readFirstPageAndFail();
+    test.server.answerWith(pageWith("i-02", false, 12, "Store-Era: 2\r\n"), AfterAnswer::Keep);
+    test.readWhole();
+    REQUIRE(test.runUntilReported<DirectoryReadFailed>(2));
+    CHECK(std::get<DirectoryReadFailed>(test.events.back()).failure == DirectoryFailure::Forgotten);
+    test.server.received.clear();
+    test.readWhole();
+    REQUIRE(test.runUntilReported<DirectoryRead>(1));
+    CHECK(test.server.received.find("after=") == std::string::npos);
+    CHECK(std::get<DirectoryRead>(test.events.back()).update.upTo == Revision { 12, 2 });
+}
--- a/tests/packets/faulttests.cpp
+++ b/tests/packets/faulttests.cpp
@@ -1,6 +1,7 @@
 /// Faults of the store, of hosts and of upstreams, most of them under load.
 #include "fleettest.h"
 
+#include <algorithm>
 #include <csignal>
 #include <string>
 
@@ -172,3 +173,41 @@
     CHECK(fleet.waitRevision(fleet.publishRows(), Millis(3000)));
     CHECK(fleet.metric("host-1-1", "rows_version") == 6);
 }
+
+TEST_CASE("a store restored from an older copy under load fails no request and hides no later "
+          "change",
+          "[fleet][restore]")
+{
+    harness::Loop loop;
+    harness::PacketFleet fleet(loop);
+    fleet.start(2, 2, 2);
+    fleet.beginLoad(40);
+    const auto order = [&fleet](const std::string &command) {
+        return fleet.store().call({ { "cmd", command } });
+    };
+    order("copy");
+    fleet.addUpstream("live-1-new", "live", 1);
+    fleet.publishRows();
+    CHECK(fleet.waitRevision(fleet.publishRows(), Millis(3000)));
+    fleet.store().call({ { "cmd", "mode" }, { "mode", "silent" } });
+    loop.runFor(Millis(1000));
+    order("restore");
+    fleet.store().call({ { "cmd", "mode" }, { "mode", "up" } });
+    loop.runFor(Millis(1000));
+    fleet.registerUpstream("live-1-new", nlohmann::json::object());
+    fleet.drainUpstream("live-1-1");
+    const auto revision = fleet.publishRows();
+    const auto names = fleet.hostNames();
+    const auto hasChanges = [&](const std::string &host) {
+        return fleet.metric(host, "directory_epoch") == 2
+               && fleet.metric(host, "directory_revision") >= static_cast<double>(revision);
+    };
+    CHECK(loop.waitUntil([&] { return std::all_of(names.begin(), names.end(), hasChanges); }));
+    loop.runFor(Millis(1000));
+    const auto report = fleet.endLoad();
+    INFO(fleet.logs());
+    checkGuarantees(report);
+    CHECK(report.at("failed") == 0);
+    CHECK(report.at("latest_opening_ms") < 3000);
+    CHECK(report.at("runs").at("live-1-new") > 0);
+}
--- a/tests/standins/store/storeprogram.cpp
+++ b/tests/standins/store/storeprogram.cpp
@@ -106,14 +106,19 @@
         return Json::object();
     });
     control.on("forget", [this](const Json & /*command*/) -> Json {
-        this->history.clear();
-        this->compactedRevision = this->revision;
+        this->contents.history.clear();
+        this->contents.compactedRevision = this->contents.revision;
         return Json::object();
     });
+    control.on("copy", [this](const Json & /*command*/) -> Json {
+        this->copied = this->contents;
+        return Json::object();
+    });
+    control.on("restore", [this](const Json & /*command*/) { return this->restore(); });
     control.on("counts", [this](const Json & /*command*/) -> Json {
         return { { "calls", this->callsByPath },
                  { "late", this->staleOkCalls },
-                 { "revision", this->revision } };
+                 { "revision", this->contents.revision } };
     });
 }
 
@@ -121,9 +126,9 @@
 {
     const auto key = command.at("key").get<std::string>();
     const auto &value = command.at("value");
-    auto &item = this->items[key];
+    auto &item = this->contents.items[key];
     item.value = value.is_string() ? value.get<std::string>() : value.dump();
-    item.revision = ++this->revision;
+    item.revision = ++this->contents.revision;
     item.createdRevision = item.createdRevision == 0 ? item.revision : item.createdRevision;
     this->recordChange(key, this->itemJson(key, item));
     return { { "revision", item.revision } };
@@ -132,21 +137,21 @@
 auto StoreProgram::remove(const Json &command) -> Json
 {
     const auto key = command.at("key").get<std::string>();
-    if (this->items.erase(key) == 0) {
+    if (this->contents.items.erase(key) == 0) {
         throw std::invalid_argument("no such key");
     }
-    ++this->revision;
-    this->recordChange(key,
-                       { { "key", key }, { "revision", this->revision }, { "removed", true } });
-    return { { "revision", this->revision } };
+    ++this->contents.revision;
+    this->recordChange(
+            key, { { "key", key }, { "revision", this->contents.revision }, { "removed", true } });
+    return { { "revision", this->contents.revision } };
 }
 
 auto StoreProgram::recordChange(const std::string &key, Json event) -> void
 {
-    this->history.push_back({ this->revision, key, std::move(event) });
-    if (this->history.size() > historyMax) {
-        this->compactedRevision = this->history.front().revision;
-        this->history.pop_front();
+    this->contents.history.push_back({ this->contents.revision, key, std::move(event) });
+    if (this->contents.history.size() > historyMax) {
+        this->contents.compactedRevision = this->contents.history.front().revision;
+        this->contents.history.pop_front();
     }
     const auto waiting = this->watches;
     for (const auto &watch : waiting) {
@@ -165,16 +170,29 @@
     const auto host = command.value("host", "");
     this->modesByHost[host] = mode;
     if (host.empty() && mode != StoreMode::Up) {
-        for (const auto &watch : std::exchange(this->watches, {})) {
-            watch->timer->cancel();
-            if (mode != StoreMode::Silent) {
-                watch->connection->close();
-            }
-        }
+        this->closeWatches(mode != StoreMode::Silent);
     }
     return Json::object();
 }
 
+auto StoreProgram::restore() -> Json
+{
+    this->contents = this->copied;
+    ++this->epoch;
+    this->closeWatches(true);
+    return { { "revision", this->contents.revision } };
+}
+
+auto StoreProgram::closeWatches(bool withConnections) -> void
+{
+    for (const auto &watch : std::exchange(this->watches, {})) {
+        watch->timer->cancel();
+        if (withConnections) {
+            watch->connection->close();
+        }
+    }
+}
+
 auto StoreProgram::modeOf(const Connection &connection) const -> StoreMode
 {
     const auto all = this->modesByHost.find("");
@@ -205,7 +223,7 @@
             refused.status = 200;
             refused.body = "{\"items\": \x01";
         }
-        connection->answer(refused);
+        this->send(connection, refused);
         return;
     }
     const auto timer = std::make_shared<asio::steady_timer>(this->loop, this->answerDelay);
@@ -226,7 +244,7 @@
     } else if (path == "/-/kv-watch") {
         this->watch(connection, target);
     } else {
-        connection->answer(statusAnswer(404));
+        this->send(connection, statusAnswer(404));
     }
 }
 
@@ -244,19 +262,25 @@
     HttpAnswer answer;
     answer.headers = { { "Content-Type", "application/json" } };
     answer.body = body.dump();
+    this->send(connection, std::move(answer));
+}
+
+auto StoreProgram::send(const Connection &connection, HttpAnswer answer) -> void
+{
+    answer.headers.emplace_back("Store-Era", std::to_string(this->epoch));
     connection->answer(answer);
 }
 
 auto StoreProgram::readKey(const Connection &connection, const std::string &target) -> void
 {
     const auto key = queryParameter(target, "key");
-    const auto found = this->items.find(key);
-    if (found == this->items.end()) {
-        connection->answer(statusAnswer(404));
+    const auto found = this->contents.items.find(key);
+    if (found == this->contents.items.end()) {
+        this->send(connection, statusAnswer(404));
         return;
     }
     auto body = this->itemJson(key, found->second);
-    body["currentRev"] = this->revision;
+    body["currentRev"] = this->contents.revision;
     this->answer(connection, body);
 }
 
@@ -266,7 +290,7 @@
     const auto after = queryParameter(target, "after");
     auto list = Json::array();
     bool more = false;
-    for (const auto &[key, item] : this->items) {
+    for (const auto &[key, item] : this->contents.items) {
         if (!startsWith(key, prefix) || (!after.empty() && key <= after)) {
             continue;
         }
@@ -278,13 +302,13 @@
     }
     this->answer(connection, { { "items", std::move(list) },
                                { "morePages", more },
-                               { "currentRev", this->revision } });
+                               { "currentRev", this->contents.revision } });
 }
 
 auto StoreProgram::eventsFor(const Watch &watch) const -> Json
 {
     auto events = Json::array();
-    for (const auto &change : this->history) {
+    for (const auto &change : this->contents.history) {
         if (change.revision > watch.after && startsWith(change.key, watch.prefix)) {
             events.push_back(change.event);
         }
@@ -298,8 +322,8 @@
     watch->connection = connection;
     watch->prefix = queryParameter(target, "prefix");
     watch->after = parseNumber(queryParameter(target, "after"));
-    if (watch->after < this->compactedRevision) {
-        connection->answer(statusAnswer(410));
+    if (watch->after < this->contents.compactedRevision || watch->after > this->contents.revision) {
+        this->send(connection, statusAnswer(410));
         return;
     }
     const Millis wait(static_cast<std::int64_t>(parseNumber(queryParameter(target, "waitMs"))));
@@ -324,8 +348,8 @@
     }
     this->watches.erase(found);
     watch->timer->cancel();
-    this->answer(watch->connection,
-                 { { "events", this->eventsFor(*watch) }, { "currentRev", this->revision } });
+    this->answer(watch->connection, { { "events", this->eventsFor(*watch) },
+                                      { "currentRev", this->contents.revision } });
 }
 
 } // namespace standins
--- a/tests/standins/store/storeprogram.h
+++ b/tests/standins/store/storeprogram.h
@@ -45,6 +45,13 @@
         std::string key;
         Json event;
     };
+    struct Contents
+    {
+        std::map<std::string, Item> items;
+        std::deque<Change> history;
+        std::uint64_t revision = 1;
+        std::uint64_t compactedRevision = 0; ///< Changes up to this revision were dropped.
+    };
     struct Watch
     {
         Connection connection;
@@ -57,6 +64,8 @@
     auto put(const Json &command) -> Json;
     auto remove(const Json &command) -> Json;
     auto setMode(const Json &command) -> Json;
+    auto restore() -> Json;
+    auto closeWatches(bool withConnections) -> void;
     auto handle(const Connection &connection, const HttpRequest &request) -> void;
     auto route(const Connection &connection, const std::string &target) -> void;
     auto readKey(const Connection &connection, const std::string &target) -> void;
@@ -65,16 +74,17 @@
     auto answerWatch(const WatchPtr &watch) -> void;
     auto recordChange(const std::string &key, Json event) -> void;
     auto answer(const Connection &connection, const Json &body) -> void;
+    /// Sends an answer with the epoch, which each answer has.
+    auto send(const Connection &connection, HttpAnswer answer) -> void;
     [[nodiscard]] auto eventsFor(const Watch &watch) const -> Json;
     [[nodiscard]] auto itemJson(const std::string &key, const Item &item) const -> Json;
     [[nodiscard]] auto modeOf(const Connection &connection) const -> StoreMode;
 
     asio::io_context &loop;
     std::mt19937_64 random { 1 };
-    std::map<std::string, Item> items;
-    std::deque<Change> history;
-    std::uint64_t revision = 1;
-    std::uint64_t compactedRevision = 0;          ///< Changes up to this revision were dropped.
+    Contents contents;
+    Contents copied;         ///< The contents to which the command "restore" goes back.
+    std::uint32_t epoch = 1; ///< Rises with each restore.
     std::map<std::string, StoreMode> modesByHost; ///< By the host's IP address; "" for all hosts.
     Millis answerDelay { 0 };
     double unansweredShare = 0; ///< Share of calls that are not answered, 0 to 1.
--- a/tests/unit/directorycontrollertest.cpp
+++ b/tests/unit/directorycontrollertest.cpp
@@ -252,6 +252,62 @@
     CHECK(line == "read=8 epoch=0 directory=10");
 }
 
+TEST_CASE(
+        "changes that a restored platform answers to a watch from before are read anew as a whole",
+        "[directory][restore]")
+{
+    DirectoryTestHost host;
+    auto passed = DirectoryTestHost::removalOfUpstream2();
+    passed.upTo.epoch = 1;
+    passed.removed.front().at.epoch = 1;
+    host.completeRead(passed);
+    CHECK(host.upstream2().presence == Presence::Listed);
+    host.tickUntilRead(1s);
+    REQUIRE(host.lastRead);
+    CHECK_FALSE(host.lastRead->after.isValid());
+    CHECK_FALSE(host.lastRead->mayBeStale);
+}
+
+TEST_CASE("removals are deferred when the platform was restored from an older copy",
+          "[directory][restore]")
+{
+    DirectoryTestHost host;
+    host.advanceTime(1s);
+    DirectoryUpdate copy;
+    copy.upTo = { 8, 1 };
+    copy.present = { record(1, "live", "a", 2) };
+    copy.present.front().changed.epoch = 1;
+    SECTION("as read by this host")
+    {
+        host.completeRead(copy);
+    }
+    SECTION("as sent by another host")
+    {
+        host.receiveUpdate(host.addConnectedHost("other", "a"), copy);
+    }
+    CHECK(host.board.directory.revision() == copy.upTo);
+    CHECK(host.upstream2().presence == Presence::Missing);
+    const auto isRestored = [](const Log &log) { return log.event == LogEvent::PlatformRestored; };
+    CHECK(std::count_if(host.logs.begin(), host.logs.end(), isRestored) == 1);
+}
+
+TEST_CASE("a host that took a restored platform's directory tells hosts of earlier epochs at once",
+          "[directory][restore]")
+{
+    DirectoryTestHost host;
+    const auto other = host.addConnectedHost("other", "a");
+    host.requestsAfterRevision(other, { 9 });
+    DirectoryUpdate copy;
+    copy.upTo = { 8, 1 };
+    host.completeRead(copy);
+    const auto isGossip = [other](const SendPeer &it) {
+        const auto *ping = std::get_if<Ping>(&it.message);
+        return it.host == other && ping != nullptr && ping->gossip.directory == Revision { 8, 1 };
+    };
+    CHECK(std::count_if(host.sent.begin(), host.sent.end(), isGossip) == 1);
+    CHECK(host.updatesSentTo(other) == 0);
+}
+
 TEST_CASE("a directory read that returns a change is followed at once by the next read, or after a "
           "pause if changes come in quick succession",
           "[directory]")
--- a/tests/unit/directorypagestest.cpp
+++ b/tests/unit/directorypagestest.cpp
@@ -21,10 +21,10 @@
 
 /// Returns a directory at `revision` with upstreams 1 to `upstreams`; those with even numbers are
 /// in zone "a", the others in zone "b".
-auto sampleDirectory(std::uint64_t revision) -> Directory
+auto sampleDirectory(std::uint64_t revision, std::uint32_t epoch = 0) -> Directory
 {
     DirectoryUpdate update;
-    update.upTo = { revision };
+    update.upTo = { revision, epoch };
     update.rows = bothRows(1);
     for (std::uint64_t i = 1; i <= upstreams; ++i) {
         update.present.push_back(record(i, "live", i % 2 == 0 ? "a" : "b", 2));
@@ -90,6 +90,23 @@
     CHECK(instancesOf(whole).size() == upstreams);
 }
 
+TEST_CASE("a page transfer begins anew when a page of another epoch arrives",
+          "[directory][restore]")
+{
+    const auto before = sampleDirectory(10, 1);
+    const auto restored = sampleDirectory(8, 2);
+    PageTransfer transfer;
+    REQUIRE(transfer.add(makePage(before, zoneA, transfer.position(), pageSize)));
+    CHECK_FALSE(transfer.add(makePage(restored, zoneA, transfer.position(), pageSize)));
+    CHECK(transfer.position() == DirectoryPosition());
+    while (!transfer.isComplete()) {
+        REQUIRE(transfer.add(makePage(restored, zoneA, transfer.position(), pageSize)));
+    }
+    const auto whole = transfer.take();
+    CHECK(whole.upTo == Revision { 8, 2 });
+    CHECK(instancesOf(whole).size() == upstreams);
+}
+
 TEST_CASE("a page that arrives twice is added once", "[directory]")
 {
     const auto directory = sampleDirectory(10);
--- a/tests/unit/directorytest.cpp
+++ b/tests/unit/directorytest.cpp
@@ -32,6 +32,26 @@
     return update;
 }
 
+/// Returns `update` with all its revisions in `epoch`.
+auto inEpoch(std::uint32_t epoch, DirectoryUpdate update) -> DirectoryUpdate
+{
+    update.after.epoch = update.isWhole() ? 0 : epoch;
+    update.upTo.epoch = epoch;
+    for (auto &record : update.present) {
+        record.changed.epoch = epoch;
+        record.created.epoch = epoch;
+    }
+    for (auto &order : update.evacuations) {
+        order.at.epoch = epoch;
+    }
+    if (update.rows != nullptr) {
+        auto rows = std::make_shared<PacketRows>(*update.rows);
+        rows->changed.epoch = epoch;
+        update.rows = std::move(rows);
+    }
+    return update;
+}
+
 auto evacuation(const std::string &zone, std::uint64_t at, bool inForce = true) -> ZoneEvacuation
 {
     return { ZoneId::ofName(zone), zone, { at }, inForce };
@@ -334,6 +354,99 @@
     CHECK(directory.rowAt(papersAddress) == nullptr);
 }
 
+TEST_CASE("a whole update of a later epoch is applied although its revision is lower",
+          "[directory][restore]")
+{
+    Directory directory(ZoneId::ofName("a"));
+    directory.apply(inEpoch(1, whole(30, { record(1, "live", "a", 20) })), start);
+    auto copy = inEpoch(2, whole(25, { record(1, "live", "a", 20), record(2, "live", "a", 25) }));
+    REQUIRE(directory.beginsEpoch(copy));
+    CHECK(directory.apply(copy, start).advanced);
+    CHECK(directory.revision() == Revision { 25, 2 });
+    CHECK(directory.poolOf(ServiceId::ofName("live")).near.size() == 2);
+
+    // Revisions that were given out before are given out again.
+    auto draining = record(1, "live", "a", 28);
+    draining.upstream.state = UpstreamState::Draining;
+    const auto next = inEpoch(2, delta(25, 28, { draining }));
+    REQUIRE(directory.canApply(next));
+    CHECK(directory.apply(next, start).leaving.size() == 1);
+    CHECK_FALSE(directory.apply(inEpoch(1, whole(31, {})), start).advanced);
+    CHECK_FALSE(directory.canApply(inEpoch(3, delta(28, 29, {}))));
+}
+
+TEST_CASE("an older copy of the platform takes back no drain and no newer rows",
+          "[directory][restore]")
+{
+    Directory directory(ZoneId::ofName("a"));
+    auto draining = record(1, "live", "a", 30);
+    draining.upstream.state = UpstreamState::Draining;
+    auto before = whole(30, { draining, record(2, "live", "a", 3) });
+    before.rows = bothRows(29);
+    directory.apply(inEpoch(1, before), start);
+    auto copy = whole(25, { record(1, "live", "a", 2), record(2, "live", "a", 3) });
+    copy.rows = bothRows(20);
+    const auto changes = directory.apply(inEpoch(2, copy), start);
+    CHECK_FALSE(changes.rowsChanged);
+    CHECK(directory.rows()->version == 29);
+    REQUIRE(directory.rowAt(feedAddress) != nullptr);
+    CHECK(directory.rowAt(feedAddress)->row->name == "feed");
+    REQUIRE(directory.poolOf(ServiceId::ofName("live")).near.size() == 1);
+
+    SECTION("rows in between do not take it back either")
+    {
+        auto between = delta(25, 26, {});
+        between.rows = packetRows(26, {});
+        CHECK_FALSE(directory.apply(inEpoch(2, between), start).rowsChanged);
+    }
+    SECTION("other hosts of the epoch get the newer rows")
+    {
+        const auto changesSince = directory.updateSince({ 24, 2 }, start);
+        REQUIRE(changesSince.rows != nullptr);
+        CHECK(changesSince.rows->version == 29);
+    }
+    SECTION("a new process of the drained upstream is active")
+    {
+        auto restarted = record(1, "live", "a", 26);
+        restarted.upstream.startedAt = WallTime(5s);
+        directory.apply(inEpoch(2, delta(25, 26, { restarted })), start);
+        CHECK(directory.poolOf(ServiceId::ofName("live")).near.size() == 2);
+    }
+}
+
+TEST_CASE("an upstream that an older copy lacks stays in use until the deferral of removals ends",
+          "[directory][restore]")
+{
+    Directory directory(ZoneId::ofName("a"));
+    directory.apply(
+            inEpoch(1, whole(30, { record(1, "live", "a", 2), record(2, "live", "a", 28) })),
+            start);
+    auto copy = whole(25, { record(1, "live", "a", 2) });
+    copy.removalsDeferredFor = 2s;
+    CHECK(directory.apply(inEpoch(2, copy), start).missing.size() == 1);
+    CHECK(directory.poolOf(ServiceId::ofName("live")).near.size() == 2);
+    SECTION("it writes its record again")
+    {
+        directory.apply(inEpoch(2, delta(25, 26, { record(2, "live", "a", 26) })), start + 1s);
+        CHECK(directory.processRemovals(start + 3s).removed.empty());
+    }
+    SECTION("it does not")
+    {
+        CHECK(directory.processRemovals(start + 3s).removed.size() == 1);
+    }
+}
+
+TEST_CASE("a host of an earlier epoch is sent the whole directory", "[directory][restore]")
+{
+    Directory directory(ZoneId::ofName("a"));
+    directory.apply(inEpoch(1, whole(30, { record(1, "live", "a", 20) })), start);
+    CHECK(directory.hasChangesSince({ 29, 1 }));
+    directory.apply(inEpoch(2, whole(40, { record(1, "live", "a", 20) })), start);
+    CHECK_FALSE(directory.hasChangesSince({ 29, 1 }));
+    CHECK(directory.updateSince({ 29, 1 }, start).isWhole());
+    CHECK(directory.hasChangesSince({ 39, 2 }));
+}
+
 TEST_CASE("a restart of an instance clears its evidence and makes it cold", "[directory][born]")
 {
     Directory directory(ZoneId::ofName("a"));
--- a/tests/unit/messagecodectest.cpp
+++ b/tests/unit/messagecodectest.cpp
@@ -241,6 +241,44 @@
     CHECK(row.urgency == 7);
 }
 
+TEST_CASE("revisions are decoded with their epoch", "[codec][restore]")
+{
+    constexpr std::uint32_t epoch = 3;
+    auto sent = sampleUpdate();
+    sent.after.epoch = epoch;
+    sent.upTo.epoch = epoch;
+    const auto decoded = decode(encode(sent));
+    REQUIRE(decoded);
+    const auto &update = std::get<DirectoryUpdate>(*decoded);
+    CHECK(update.after == Revision { 40, epoch });
+    CHECK(update.upTo == Revision { 45, epoch });
+    CHECK(update.present.at(0).changed == Revision { 41, epoch });
+    CHECK(update.present.at(0).created == Revision { 41, epoch });
+    CHECK(update.removed.at(0).at == Revision { 43, epoch });
+    CHECK(update.faulty.at(0).at == Revision { 45, epoch });
+    CHECK(update.evacuations.at(0).at == Revision { 44, epoch });
+    CHECK(update.rows->changed == Revision { 44, epoch });
+
+    Ping ping;
+    ping.gossip.directory = { 7, epoch };
+    const auto decodedPing = decode(encode(ping));
+    REQUIRE(decodedPing);
+    CHECK(std::get<Ping>(*decodedPing).gossip.directory == Revision { 7, epoch });
+    const auto request = decode(encode(DirectoryRequest { { 7, epoch }, std::nullopt }));
+    REQUIRE(request);
+    CHECK(std::get<DirectoryRequest>(*request).have == Revision { 7, epoch });
+}
+
+TEST_CASE("a whole update has no revision before it in any epoch", "[codec][restore]")
+{
+    auto sent = sampleUpdate();
+    sent.after = Revision();
+    sent.upTo.epoch = 3;
+    const auto decoded = decode(encode(sent));
+    REQUIRE(decoded);
+    CHECK(std::get<DirectoryUpdate>(*decoded).after == Revision());
+}
+
 TEST_CASE("keys handed over by a claim grant, and a claim release, are decoded as encoded",
           "[codec]")
 {
