Keep an evacuation that an older copy of the platform lacks until it is ordered again

Found while looking for the same cause elsewhere: an evacuation ends on a host if a whole reading lacks it. A platform restored from a copy of before the order lacks it, too, so upstreams of an evacuated zone would get new flows until operators give the order again.

Change: an order known only from an earlier epoch is kept as long as removals are deferred, then ends with the zone's upstreams taken as cold, as at any other end. An end that the copy lacks is not kept: the zone is evacuated again until operators end it again, which costs capacity and breaks no promise.

--- a/src/core/directory/directory.cpp
+++ b/src/core/directory/directory.cpp
@@ -149,6 +149,15 @@
     }
 }
 
+auto Directory::assumeZonesCold(const std::vector<ZoneEvacuation> &ended, MonoTime now) -> void
+{
+    for (const auto &order : ended) {
+        if (!order.inForce) {
+            this->assumeZoneCold(order.zone, order.at, now);
+        }
+    }
+}
+
 auto Directory::apply(const DirectoryUpdate &update, MonoTime now) -> DirectoryChanges
 {
     DirectoryChanges changes;
@@ -388,11 +397,7 @@
         }
     }
     changes.evacuations = this->zoneEvacuations.apply(update, zones, now);
-    for (const auto &order : changes.evacuations) {
-        if (!order.inForce) {
-            this->assumeZoneCold(order.zone, order.at, now);
-        }
-    }
+    this->assumeZonesCold(changes.evacuations, now);
 }
 
 auto Directory::add(const DirectoryRecord &record) -> UpstreamEntry &
@@ -460,6 +465,9 @@
 auto Directory::processRemovals(MonoTime now) -> DirectoryChanges
 {
     DirectoryChanges changes;
+    changes.evacuations = this->zoneEvacuations.endUnconfirmed(this->knownRevision, now);
+    this->assumeZonesCold(changes.evacuations, now);
+    this->poolsStale = this->poolsStale || !changes.evacuations.empty();
     if (this->unlistedEntries == 0) {
         return changes;
     }
--- a/src/core/directory/directory.h
+++ b/src/core/directory/directory.h
@@ -69,8 +69,8 @@
     /// invalid.
     auto applyPage(const DirectoryUpdate &page, MonoTime now) -> DirectoryChanges;
 
-    /// Completes deferred removals that are due, and deletes tombstones older than
-    /// `config::tombstoneTime`. Precondition: none.
+    /// Completes deferred removals and ends of evacuations that are due, and deletes tombstones
+    /// older than `config::tombstoneTime`. Precondition: none.
     auto processRemovals(MonoTime now) -> DirectoryChanges;
 
     /// Returns all changes newer than `have`, or the whole directory if the tombstones of some of
@@ -202,6 +202,7 @@
     auto setRowsChanged(Revision at) -> void;
     auto updateColdLimit(UpstreamEntry &entry, MonoTime now) -> void;
     auto assumeZoneCold(ZoneId zone, Revision at, MonoTime now) -> void;
+    auto assumeZonesCold(const std::vector<ZoneEvacuation> &ended, MonoTime now) -> void;
     auto applyEvacuations(const DirectoryUpdate &update, MonoTime now, DirectoryChanges &changes)
             -> void;
     auto add(const DirectoryRecord &record) -> UpstreamEntry &;
--- a/src/core/directory/zoneevacuations.cpp
+++ b/src/core/directory/zoneevacuations.cpp
@@ -3,6 +3,16 @@
 
 namespace flamingograde {
 
+namespace {
+
+/// Returns whether an order is known only from before the platform was restored.
+auto isOfEarlierEpoch(const ZoneEvacuation &order) -> bool
+{
+    return order.at.epoch != 0 && !order.at.isValid();
+}
+
+} // namespace
+
 auto ZoneEvacuations::apply(const DirectoryUpdate &update, const ZoneSet &zones, MonoTime now)
         -> std::vector<ZoneEvacuation>
 {
@@ -17,6 +27,7 @@
     if (update.isWhole()) {
         this->endAbsent(update, now, changed);
     }
+    this->setEnds(now + update.removalsDeferredFor);
     return changed;
 }
 
@@ -27,6 +38,33 @@
     }
 }
 
+/// Sets when the orders known only from an earlier epoch end, unless it is set already.
+auto ZoneEvacuations::setEnds(MonoTime end) -> void
+{
+    for (auto &[zone, stored] : this->orders) {
+        if (stored.order.inForce && isOfEarlierEpoch(stored.order)) {
+            stored.endsAt = stored.endsAt.value_or(end);
+        }
+    }
+}
+
+auto ZoneEvacuations::endUnconfirmed(Revision at, MonoTime now) -> std::vector<ZoneEvacuation>
+{
+    std::vector<ZoneEvacuation> ended;
+    for (auto &[zone, stored] : this->orders) {
+        if (!stored.endsAt || now < *stored.endsAt) {
+            continue;
+        }
+        stored.endsAt.reset();
+        stored.order.inForce = false;
+        stored.order.at = at;
+        stored.since = now;
+        --this->evacuatedZoneCount;
+        ended.push_back(stored.order);
+    }
+    return ended;
+}
+
 /// @param mayInsert whether an order for a new zone is stored.
 /// @returns whether the order changed whether its zone is evacuated.
 auto ZoneEvacuations::applyOrder(const ZoneEvacuation &order, bool mayInsert, MonoTime now) -> bool
@@ -34,7 +72,7 @@
     const auto found = this->orders.find(order.zone);
     if (found == this->orders.end()) {
         if (mayInsert) {
-            this->orders.emplace(order.zone, StoredOrder { order, now });
+            this->orders.emplace(order.zone, StoredOrder { order, now, std::nullopt });
             this->evacuatedZoneCount += order.inForce ? 1 : 0;
         }
         return order.inForce && mayInsert;
@@ -47,6 +85,7 @@
     this->evacuatedZoneCount += order.inForce ? 1 : 0;
     this->evacuatedZoneCount -= wasInForce ? 1 : 0;
     entry.order = order;
+    entry.endsAt.reset();
     if (wasInForce == order.inForce) {
         return false;
     }
@@ -54,7 +93,8 @@
     return true;
 }
 
-/// Ends the evacuations that a whole update does not contain.
+/// Ends the evacuations that a whole update does not contain, except those that a platform restored
+/// from an older copy may have lost.
 auto ZoneEvacuations::endAbsent(const DirectoryUpdate &update, MonoTime now,
                                 std::vector<ZoneEvacuation> &changed) -> void
 {
@@ -63,7 +103,7 @@
         present.insert(order.zone);
     }
     for (const auto &[zone, entry] : this->orders) {
-        if (present.count(zone) != 0 || !entry.order.inForce) {
+        if (present.count(zone) != 0 || !entry.order.inForce || isOfEarlierEpoch(entry.order)) {
             continue;
         }
         auto ended = entry.order;
--- a/src/core/directory/zoneevacuations.h
+++ b/src/core/directory/zoneevacuations.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <unordered_set>
 #include <vector>
 
@@ -26,6 +27,8 @@
     {
         ZoneEvacuation order;
         MonoTime since;
+        std::optional<MonoTime> endsAt; ///< Set while the order is known only from an earlier
+                                        ///< epoch: it ends then unless it is given again.
     };
     using ZoneSet = std::unordered_set<ZoneId>;
 
@@ -41,6 +44,11 @@
     /// Makes all stored orders older than any of the epoch that begins. Precondition: none.
     auto beginEpoch(std::uint32_t epoch) -> void;
 
+    /// Ends the evacuations known only from an earlier epoch that were not ordered again in time.
+    /// @param at the directory's revision, as which their ends count. Precondition: none.
+    /// @returns the orders that ended.
+    auto endUnconfirmed(Revision at, MonoTime now) -> std::vector<ZoneEvacuation>;
+
     /// Returns whether a zone is evacuated, so that its upstreams receive no new flows.
     /// Precondition: none.
     [[nodiscard]] auto isEvacuated(ZoneId zone) const -> bool;
@@ -61,6 +69,7 @@
     auto applyOrder(const ZoneEvacuation &order, bool mayInsert, MonoTime now) -> bool;
     auto endAbsent(const DirectoryUpdate &update, MonoTime now,
                    std::vector<ZoneEvacuation> &changed) -> void;
+    auto setEnds(MonoTime end) -> void;
 
     std::map<ZoneId, StoredOrder> orders;
     std::size_t evacuatedZoneCount = 0;
--- a/tests/unit/directorytest.cpp
+++ b/tests/unit/directorytest.cpp
@@ -210,6 +210,44 @@
     CHECK(directory.evacuations().isEvacuated(ZoneId::ofName("c")));
 }
 
+TEST_CASE("an evacuation that an older copy of the platform lacks ends only if it is not ordered "
+          "again",
+          "[directory][restore]")
+{
+    const auto zoneB = ZoneId::ofName("b");
+    Directory directory(ZoneId::ofName("a"));
+    auto before = whole(30, { record(1, "live", "a", 2), record(2, "live", "b", 3) });
+    before.evacuations = { evacuation("b", 29) };
+    directory.apply(inEpoch(1, before), start);
+    auto copy = whole(25, { record(1, "live", "a", 2), record(2, "live", "b", 3) });
+    copy.removalsDeferredFor = 2s;
+    CHECK(directory.apply(inEpoch(2, copy), start).evacuations.empty());
+    CHECK(directory.evacuations().isEvacuated(zoneB));
+    SECTION("it is ordered again")
+    {
+        auto again = delta(25, 26, {});
+        again.evacuations = { evacuation("b", 26) };
+        directory.apply(inEpoch(2, again), start + 1s);
+        CHECK(directory.processRemovals(start + 3s).evacuations.empty());
+        CHECK(directory.evacuations().isEvacuated(zoneB));
+    }
+    SECTION("it is not")
+    {
+        CHECK(directory.processRemovals(start + 3s).evacuations.size() == 1);
+        CHECK_FALSE(directory.evacuations().isEvacuated(zoneB));
+        CHECK(directory.poolOf(ServiceId::ofName("live")).far.size() == 1);
+    }
+    SECTION("another host that gets it ends it, too")
+    {
+        Directory other(ZoneId::ofName("a"));
+        auto sent = directory.updateSince(Revision(), start + 1s);
+        sent.removalsDeferredFor = 1s;
+        other.apply(sent, start + 1s);
+        CHECK(other.evacuations().isEvacuated(zoneB));
+        CHECK(other.processRemovals(start + 3s).evacuations.size() == 1);
+    }
+}
+
 TEST_CASE("an update for another host has the evacuations that began or ended since its revision",
           "[directory]")
 {
