Compute from the heartbeat how long an upstream has to register again

Found while looking for the same cause elsewhere: what the platform lost, upstreams write again with their heartbeats, but a host waited for 2.2 s whatever the heartbeat. With one of 6 s an upstream that registered since the copy, or whose lease lapsed in an outage, would be removed before its next write, and open flows without a recent sign of life reset.

Change: the wait is the time to the second heartbeat less a sixth, as for signs of life, and 2.2 s at least, which it is at the usual 1.2 s: nothing changes there. Test: the time that an upstream has to register again follows from the heartbeat (the function did not exist before).

--- a/src/core/directory/directory.cpp
+++ b/src/core/directory/directory.cpp
@@ -335,7 +335,7 @@
     entry.presence = Presence::Missing;
     entry.since = now;
     entry.removalDue =
-            now + (entry.isRemovalContested ? Duration(config::reappearTime) : removalsDeferredFor);
+            now + (entry.isRemovalContested ? this->timeToReappear : removalsDeferredFor);
     changes.missing.push_back(this->indexOf(entry));
 }
 
--- a/src/core/directory/directory.h
+++ b/src/core/directory/directory.h
@@ -15,6 +15,7 @@
 #include <flamingograde/ids.h>
 #include <flamingograde/revision.h>
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -43,7 +44,8 @@
     explicit Directory(ZoneId zone, bool withColdLimits = true,
                        Duration heartbeat = config::upstreamHeartbeat)
         : ownZone(zone), enforcesColdLimits(withColdLimits),
-          signOfLifeValidity(signOfLifeValidityFor(heartbeat))
+          signOfLifeValidity(signOfLifeValidityFor(heartbeat)),
+          timeToReappear(reappearTimeFor(heartbeat))
     {}
 
     /// Returns how long a sign of life shows that an upstream that was removed has only lost its
@@ -56,6 +58,18 @@
         return 2 * heartbeat - 2 * heartbeat / 6;
     }
 
+    /// Returns how long after the end of an outage, or a restore, of the platform an upstream that
+    /// it no longer lists may register again: at its next heartbeat, or at the one after that if a
+    /// write was lost. Precondition: none.
+    [[nodiscard]] static constexpr auto reappearTimeFor(Duration heartbeat) -> Duration
+    {
+        const auto untilSecondHeartbeat = 2 * heartbeat - heartbeat / 6;
+        return std::max<Duration>(config::reappearTime, untilSecondHeartbeat);
+    }
+
+    /// Returns `reappearTimeFor` the heartbeat of this deployment.
+    [[nodiscard]] auto reappearTime() const -> Duration { return this->timeToReappear; }
+
     /// Returns whether `update` applies to the revision that this host has, that is, whether no
     /// change between them is missing. Precondition: none.
     [[nodiscard]] auto canApply(const DirectoryUpdate &update) const -> bool;
@@ -217,6 +231,7 @@
     ZoneId ownZone;
     bool enforcesColdLimits = true;
     Duration signOfLifeValidity; ///< See `signOfLifeValidityFor`.
+    Duration timeToReappear;     ///< See `reappearTimeFor`.
     std::uint32_t epoch = 0;     ///< Of all revisions of this directory.
     Revision knownRevision;
     Revision newestForgotten; ///< Revision of the newest deleted tombstone.
--- a/src/core/directory/directorycontroller.cpp
+++ b/src/core/directory/directorycontroller.cpp
@@ -464,7 +464,8 @@
     if (!this->hadOutage) {
         return Duration(0);
     }
-    const Duration left = this->platformRegainedAt + config::reappearTime - board.now.mono;
+    const Duration left =
+            this->platformRegainedAt + board.directory.reappearTime() - board.now.mono;
     return std::max(left, Duration(0));
 }
 
--- a/src/core/directory/directorycontroller.h
+++ b/src/core/directory/directorycontroller.h
@@ -78,7 +78,7 @@
     /// Counts and logs the read of a whole directory that is not newer than the one in force.
     auto noteOldRead(Blackboard &board, const DirectoryUpdate &read) -> void;
     /// Returns for how long a removal that is received now is deferred: until
-    /// `config::reappearTime` after the end of the last outage.
+    /// `Directory::reappearTime` after the end of the last outage.
     [[nodiscard]] auto removalDelay(const Blackboard &board) const -> Duration;
 
     FallbackReader fallbackReader;
--- a/tests/unit/directorytest.cpp
+++ b/tests/unit/directorytest.cpp
@@ -638,6 +638,15 @@
     }
 }
 
+TEST_CASE("the time that an upstream has to register again follows from the heartbeat",
+          "[directory][restore]")
+{
+    const auto zone = ZoneId::ofName("a");
+    CHECK(Directory(zone, true, 1200ms).reappearTime() == 2200ms);
+    CHECK(Directory(zone, true, 500ms).reappearTime() == 2200ms);
+    CHECK(Directory(zone, true, 6s).reappearTime() == 11s);
+}
+
 TEST_CASE("a removed upstream that still answers gets new flows again once it registers",
           "[directory]")
 {
