Pause between reads of a whole directory that is older than the one in force

Found in the incident: two hosts, for moments three, asked the store 20 to 50 times a second for 5 to 11 s, a refused watch and a whole read in turn. A whole read that is of no use counted as a success and ended any pause. The epoch takes away that cause; a platform that comes back older and does not say so, or old replicas, would bring it back.

Change: such a read is followed by the growing pause of a failed one. A host without a directory reads next from a replica that is not old. A watch that was asked of an earlier epoch and answered after another host sent the new directory is repeated from there, not followed by a whole read.

--- a/include/flamingograde/stats.h
+++ b/include/flamingograde/stats.h
@@ -44,7 +44,7 @@
     std::uint64_t upstreamsHeardAgain = 0; ///< Times a silent upstream answered again.
     std::uint64_t directoryUpdates = 0;    ///< Updates by which the directory changed.
     std::uint64_t directoryFaults = 0;     ///< Directory items that could not be decoded.
-    std::uint64_t directoryReadsOld = 0;   ///< Reads of a whole directory that was not newer.
+    std::uint64_t directoryReadsOld = 0;   ///< Reads of a whole directory that was older.
     std::uint64_t upstreamRestarts = 0;    ///< Restarts of upstreams with the same instance.
     std::uint64_t revision = 0;            ///< Gauge: revision of the table in force.
     std::uint64_t membersAlive = 0;        ///< Gauge: hosts regarded as alive.
--- a/src/core/directory/directory.h
+++ b/src/core/directory/directory.h
@@ -101,6 +101,12 @@
     /// Returns the epoch of the directory's revisions; 0 before the first update.
     [[nodiscard]] auto currentEpoch() const -> std::uint32_t { return this->epoch; }
 
+    /// Returns whether the directory is newer than `update`. Precondition: none.
+    [[nodiscard]] auto isOlder(const DirectoryUpdate &update) const -> bool
+    {
+        return update.upTo < this->knownRevision || update.upTo.epoch < this->epoch;
+    }
+
     /// Returns whether applying `update` would begin an epoch. Precondition: none.
     [[nodiscard]] auto beginsEpoch(const DirectoryUpdate &update) const -> bool
     {
--- a/src/core/directory/directorycontroller.cpp
+++ b/src/core/directory/directorycontroller.cpp
@@ -103,6 +103,7 @@
 {
     ++board.stats.platformReads;
     this->readPending = true;
+    this->readAfter = action.after;
     this->readDeadline = board.now.mono + action.wait + 2 * config::directoryReadMargin;
     if (!action.after.isValid()) {
         this->throttle.begin();
@@ -115,14 +116,18 @@
     this->readPending = false;
     this->needsFullRead = false;
     this->fallbackReader.noteRead(true);
-    this->backoff = Duration(0);
     this->platformAnswered(board);
+    if (read.update.isWhole() && board.directory.isOlder(read.update)) {
+        this->noteOldRead(board, read.update);
+        this->pauseReads(board);
+        return;
+    }
+    this->backoff = Duration(0);
     if (!read.update.isWhole() && read.update.upTo.epoch != read.update.after.epoch) {
         this->readWholeNext(board); // These are no changes since this host's revision.
         return;
     }
     auto update = read.update;
-    this->noteOldRead(board, update);
     this->noteEpoch(board, update);
     update.removalsDeferredFor = this->removalDelay(board);
     const auto hasChanges = board.directory.revision() < update.upTo;
@@ -137,16 +142,14 @@
 
 auto DirectoryController::noteOldRead(Blackboard &board, const DirectoryUpdate &read) -> void
 {
-    const auto known = board.directory.revision();
-    if (!read.isWhole() || !known.isValid() || known < read.upTo) {
-        return;
-    }
+    // A host without a directory reads again, but not from a replica that may be old.
+    this->needsFullRead = !board.directory.revision().isValid();
     ++board.stats.directoryReadsOld;
     if (std::exchange(this->lastOldRead, read.upTo) != read.upTo) {
         board.log(LogEvent::DirectoryReadOld,
                   "read=" + std::to_string(read.upTo.number)
                           + " epoch=" + std::to_string(read.upTo.epoch)
-                          + " directory=" + std::to_string(known.number));
+                          + " directory=" + std::to_string(board.directory.revision().number));
     }
 }
 
@@ -182,6 +185,11 @@
         logLost(board, failed);
         sendReadStatus(board);
     }
+    this->pauseReads(board);
+}
+
+auto DirectoryController::pauseReads(Blackboard &board) -> void
+{
     this->backoff = std::clamp<Duration>(this->backoff * 2, config::directoryRetryMin,
                                          config::directoryRetryMax);
     this->nextRead = board.now.mono + jittered(board, this->backoff);
@@ -189,7 +197,10 @@
 
 auto DirectoryController::readWholeNext(Blackboard &board) -> void
 {
-    this->needsFullRead = true;
+    // Another host may have sent this one the directory of a later epoch meanwhile.
+    const auto isOvertaken =
+            this->readAfter.isValid() && this->readAfter.epoch < board.directory.currentEpoch();
+    this->needsFullRead = !isOvertaken;
     this->nextRead = board.now.mono;
 }
 
--- a/src/core/directory/directorycontroller.h
+++ b/src/core/directory/directorycontroller.h
@@ -69,13 +69,15 @@
     /// Ends the first load of the directory, by whichever way it was complete first.
     auto loaded(Blackboard &board, HostId from) -> void;
     auto platformAnswered(Blackboard &board) -> void;
-    /// Makes the next read one of the whole directory, as changes since this host's revision cannot
-    /// be had.
+    /// Makes the next read one of the whole directory, as the changes that were asked for cannot be
+    /// had.
     auto readWholeNext(Blackboard &board) -> void;
     /// Defers removals if `update` is of a later epoch than this host's directory: what the
     /// platform lost by being restored is written again.
     auto noteEpoch(Blackboard &board, const DirectoryUpdate &update) -> void;
-    /// Counts and logs the read of a whole directory that is not newer than the one in force.
+    /// Begins a pause before the next read, longer than the last one if that read did not succeed.
+    auto pauseReads(Blackboard &board) -> void;
+    /// Counts and logs a read that is older than the directory.
     auto noteOldRead(Blackboard &board, const DirectoryUpdate &read) -> void;
     /// Returns for how long a removal that is received now is deferred: until
     /// `Directory::reappearTime` after the end of the last outage.
@@ -87,6 +89,7 @@
     PageServer pageServer;
     bool started = false;
     bool readPending = false;
+    Revision readAfter;         ///< The pending read, or the last one, is of changes after this.
     bool needsFullRead = false; ///< The platform no longer has the changes since this revision.
     MonoTime readDeadline;      ///< When the pending read counts as failed.
     MonoTime nextRead;
--- a/src/net/metrics.cpp
+++ b/src/net/metrics.cpp
@@ -194,7 +194,7 @@
     list.counter("directory_updates", "Updates of the directory.", number(stats.directoryUpdates));
     list.counter("directory_faults", "Items of the directory that could not be read.",
                  number(stats.directoryFaults));
-    list.counter("directory_reads_old", "Reads of a whole directory that was not newer.",
+    list.counter("directory_reads_old", "Reads of a whole directory that was older.",
                  number(stats.directoryReadsOld));
     list.counter("upstream_restarts", "Further starts of one upstream's instance.",
                  number(stats.upstreamRestarts));
--- a/tests/unit/directorycontrollertest.cpp
+++ b/tests/unit/directorycontrollertest.cpp
@@ -53,6 +53,12 @@
         this->handle(DirectoryReadFailed { DirectoryFailure::Unreachable, "no answer" });
     }
 
+    /// Makes the pending directory read fail because the platform lacks the changes asked for.
+    auto forgetHistory() -> void
+    {
+        this->handle(DirectoryReadFailed { DirectoryFailure::Forgotten, "status 410" });
+    }
+
     /// Returns the number of directory updates sent to a host by the last event.
     [[nodiscard]] auto updatesSentTo(HostId to) const -> std::ptrdiff_t
     {
@@ -308,6 +314,28 @@
     CHECK(host.updatesSentTo(other) == 0);
 }
 
+TEST_CASE("reads of a whole directory that is older than the one in force are spaced out",
+          "[directory][restore]")
+{
+    DirectoryTestHost host;
+    DirectoryUpdate older;
+    older.upTo = { 8 };
+    Duration passed { 0 };
+    int reads = 0;
+    while (passed < 10s) {
+        passed += host.tickUntilRead(10s);
+        ++reads;
+        host.forgetHistory();
+        passed += host.tickUntilRead(10s);
+        REQUIRE(host.lastRead);
+        REQUIRE_FALSE(host.lastRead->after.isValid());
+        host.completeRead(older);
+    }
+    // As for a platform that does not answer: pauses grow to `config::directoryRetryMax`.
+    CHECK(reads < 30);
+    CHECK(passed / reads > config::directoryRetryMin);
+}
+
 TEST_CASE("a directory read that returns a change is followed at once by the next read, or after a "
           "pause if changes come in quick succession",
           "[directory]")
