Take changes from hosts of older versions, which name no epoch

What it would have done to callers: while a fleet is upgraded, hosts of the version before send revisions without an epoch. In a platform of epoch 1 or later these count as older than everything, so a new host ignores the changes that an old reader pushes, yet hears from it that the platform answers and does not read itself.

Change: a revision of another host that names no epoch is taken for one of this host's epoch, until this process has seen the platform restored: then what an old host has may be of before, and is not taken. What old hosts are sent is changes, as before. A directory got from an old host before any epoch is known is read again as a whole at the first answer that names one; that is no restore.

The two new unit tests fail without it. What remains: in a mixed fleet that sees a restore, old hosts behave as in the incident, and new ones must read for themselves.

--- a/src/core/directory/directorycontroller.cpp
+++ b/src/core/directory/directorycontroller.cpp
@@ -2,6 +2,7 @@
 #include "core/directory/directorycontroller.h"
 
 #include "core/blackboard.h"
+#include "core/directory/directoryepoch.h"
 #include "core/directory/directorylog.h"
 #include "core/directory/directoryspread.h"
 #include "core/directory/readerelection.h"
@@ -211,6 +212,10 @@
     }
     this->hadOutage = true;
     this->platformRegainedAt = board.now.mono;
+    if (board.directory.currentEpoch() == 0) {
+        return; // Got from a host that names no epoch: this need be no restore.
+    }
+    this->hasSeenRestore = true;
     board.log(LogEvent::PlatformRestored,
               "epoch=" + std::to_string(update.upTo.epoch)
                       + " read=" + std::to_string(update.upTo.number)
@@ -246,21 +251,45 @@
         return;
     }
     if (const auto *page = std::get_if<DirectoryPage>(&received.message)) {
-        this->takePage(board, received.from, *page);
+        if (!this->isUnnamedEpoch(page->update.upTo)) {
+            this->takePage(board, received.from, *page);
+            return;
+        }
+        auto named = *page;
+        named.update = inEpoch(std::move(named.update), board.directory.currentEpoch());
+        this->takePage(board, received.from, named);
         return;
     }
     if (const auto *update = std::get_if<DirectoryUpdate>(&received.message)) {
-        this->requester.noteAnswer(board.now.mono);
-        if (auto *record = board.membership.record(received.from)) {
-            record->directory = std::max(record->directory, update->upTo);
-        }
-        this->noteContactRegained(board);
-        this->noteEpoch(board, *update);
-        auto accepted = *update;
-        accepted.removalsDeferredFor =
-                std::max(accepted.removalsDeferredFor, this->removalDelay(board));
-        this->applyUpdate(board, accepted, received.from);
+        this->takeUpdate(board, received.from, *update);
+    }
+}
+
+auto DirectoryController::takeUpdate(Blackboard &board, HostId from, DirectoryUpdate update) -> void
+{
+    if (this->isUnnamedEpoch(update.upTo)) {
+        update = inEpoch(std::move(update), board.directory.currentEpoch());
+    }
+    this->requester.noteAnswer(board.now.mono);
+    if (auto *record = board.membership.record(from)) {
+        record->directory = std::max(record->directory, update.upTo);
     }
+    this->noteContactRegained(board);
+    this->noteEpoch(board, update);
+    update.removalsDeferredFor = std::max(update.removalsDeferredFor, this->removalDelay(board));
+    this->applyUpdate(board, update, from);
+}
+
+auto DirectoryController::isUnnamedEpoch(Revision revision) const -> bool
+{
+    return revision.isValid() && revision.epoch == 0 && !this->hasSeenRestore;
+}
+
+auto DirectoryController::withEpoch(const Blackboard &board, Revision revision) const -> Revision
+{
+    const auto epoch =
+            this->isUnnamedEpoch(revision) ? board.directory.currentEpoch() : revision.epoch;
+    return { revision.number, epoch };
 }
 
 auto DirectoryController::answer(Blackboard &board, HostId from, const DirectoryRequest &request)
@@ -270,14 +299,15 @@
         this->pageServer.request(board, from, *request.position);
         return;
     }
-    if (!(request.have < board.directory.revision())) {
+    const auto have = this->withEpoch(board, request.have);
+    if (!(have < board.directory.revision())) {
         return;
     }
-    if (request.position && !board.directory.hasChangesSince(request.have)) {
+    if (request.position && !board.directory.hasChangesSince(have)) {
         this->pageServer.request(board, from, *request.position);
         return;
     }
-    sendPeer(board, from, board.directory.updateSince(request.have, board.now.mono));
+    sendPeer(board, from, board.directory.updateSince(have, board.now.mono));
 }
 
 auto DirectoryController::takePage(Blackboard &board, HostId from, const DirectoryPage &page)
@@ -331,9 +361,9 @@
     if (record == nullptr) {
         return;
     }
-    record->directory = gossip.directory;
+    record->directory = this->withEpoch(board, gossip.directory);
     record->readsFail = gossip.readsFail;
-    if (board.directory.revision() < gossip.directory) {
+    if (board.directory.revision() < record->directory) {
         this->requester.requestIfDue(board, *record, this->readPending);
     } else if (gossip.hasPart) {
         this->requester.requestPartIfDue(board, *record);
--- a/src/core/directory/directorycontroller.h
+++ b/src/core/directory/directorycontroller.h
@@ -54,6 +54,13 @@
     auto noteGossip(Blackboard &board, HostId from, const Gossip &gossip) -> void;
     auto answer(Blackboard &board, HostId from, const DirectoryRequest &request) -> void;
     auto takePage(Blackboard &board, HostId from, const DirectoryPage &page) -> void;
+    auto takeUpdate(Blackboard &board, HostId from, DirectoryUpdate update) -> void;
+    /// Returns whether a revision that another host sent names no epoch and is taken for one of
+    /// this host's. Hosts of older versions name none; once the platform was restored, theirs is
+    /// unknown.
+    [[nodiscard]] auto isUnnamedEpoch(Revision revision) const -> bool;
+    /// Returns a revision that another host sent, with this host's epoch if it names none.
+    [[nodiscard]] auto withEpoch(const Blackboard &board, Revision revision) const -> Revision;
     /// Adds a part of the whole directory, and offers it to other hosts if it is the first.
     auto applyPart(Blackboard &board, const DirectoryUpdate &page) -> void;
     /// Stops the read of the whole directory if it is too slow for all hosts that read it.
@@ -98,6 +105,7 @@
     MonoTime platformRegainedAt; ///< When the last outage or long silence of the platform ended, by
                                  ///< a read of this host or by a message of another host.
     bool hadOutage = false;      ///< Whether `platformRegainedAt` was ever set.
+    bool hasSeenRestore = false; ///< Whether the platform was restored since this process started.
     std::string lastFaults;      ///< The last report of unreadable directory items.
     Revision lastOldRead;        ///< Revision of the last read that was logged as old.
     Duration backoff { 0 };      ///< Pause after the last failed read; zero after a success.
--- /dev/null
+++ b/src/core/directory/directoryepoch.cpp
@@ -0,0 +1,36 @@
+/// Change of the epoch that the revisions of an update name.
+#include "core/directory/directoryepoch.h"
+
+#include <flamingograde/directoryupdate.h>
+
+#include <memory>
+#include <utility>
+
+namespace flamingograde {
+
+auto inEpoch(DirectoryUpdate update, std::uint32_t epoch) -> DirectoryUpdate
+{
+    update.after.epoch = update.isWhole() ? 0 : epoch;
+    update.upTo.epoch = epoch;
+    for (auto &record : update.present) {
+        record.changed.epoch = epoch;
+        record.created.epoch = epoch;
+    }
+    for (auto &removal : update.removed) {
+        removal.at.epoch = epoch;
+    }
+    for (auto &fault : update.faulty) {
+        fault.at.epoch = epoch;
+    }
+    for (auto &order : update.evacuations) {
+        order.at.epoch = epoch;
+    }
+    if (update.rows != nullptr && update.rows->changed.epoch != epoch) {
+        auto rows = std::make_shared<PacketRows>(*update.rows);
+        rows->changed.epoch = epoch;
+        update.rows = std::move(rows);
+    }
+    return update;
+}
+
+} // namespace flamingograde
--- a/tests/unit/directorycontrollertest.cpp
+++ b/tests/unit/directorycontrollertest.cpp
@@ -2,6 +2,7 @@
 #include "packetboard.h"
 
 #include "core/directory/directorycontroller.h"
+#include "core/directory/directoryepoch.h"
 #include "core/directory/readerelection.h"
 #include "core/membership/membermerge.h"
 
@@ -17,6 +18,16 @@
 
 namespace {
 
+/// Returns a whole directory of two upstreams.
+auto wholeAt(std::uint64_t revision) -> DirectoryUpdate
+{
+    DirectoryUpdate whole;
+    whole.upTo = { revision };
+    whole.rows = bothRows(1);
+    whole.present = { record(1, "live", "a", 2), record(2, "live", "a", 3) };
+    return whole;
+}
+
 /// A host whose directory has two upstreams at revision 10.
 class DirectoryTestHost
 {
@@ -31,11 +42,7 @@
         if (!firstReadDone) {
             return;
         }
-        DirectoryUpdate whole;
-        whole.upTo = { 10 };
-        whole.rows = bothRows(1);
-        whole.present = { record(1, "live", "a", 2), record(2, "live", "a", 3) };
-        this->completeRead(whole);
+        this->completeRead(wholeAt(10));
     }
 
     auto tick() -> void { this->handle(Tick {}); }
@@ -274,15 +281,58 @@
     CHECK_FALSE(host.lastRead->mayBeStale);
 }
 
+TEST_CASE("changes from hosts that name no epoch are taken until the platform was restored",
+          "[directory][restore]")
+{
+    DirectoryTestHost host;
+    const auto older = host.addConnectedHost("older", "a");
+    host.completeRead(inEpoch(wholeAt(12), 1));
+    CHECK(host.requestsAfterRevision(older, { 13 }));
+    DirectoryUpdate unnamed;
+    unnamed.after = { 12 };
+    unnamed.upTo = { 13 };
+    unnamed.present = { record(3, "live", "a", 13) };
+    host.receiveUpdate(older, unnamed);
+    CHECK(host.board.directory.revision() == Revision { 13, 1 });
+    CHECK(host.board.directory.listedCount() == 3);
+
+    host.completeRead(inEpoch(wholeAt(9), 2));
+    unnamed.after = Revision();
+    unnamed.upTo = { 20 };
+    host.receiveUpdate(older, unnamed);
+    CHECK(host.board.directory.revision() == Revision { 9, 2 });
+    CHECK_FALSE(host.requestsAfterRevision(older, { 20 }));
+}
+
+TEST_CASE("a host that names no epoch is sent changes, not the whole directory",
+          "[directory][restore]")
+{
+    DirectoryTestHost host;
+    const auto older = host.addConnectedHost("older", "b");
+    host.completeRead(inEpoch(wholeAt(12), 1));
+    host.requestsAfterRevision(older, { 12 });
+    DirectoryUpdate change;
+    change.after = { 12 };
+    change.upTo = { 13 };
+    change.present = { record(3, "live", "a", 13) };
+    host.completeRead(inEpoch(change, 1));
+    REQUIRE(host.updatesSentTo(older) == 1);
+    const auto sent = std::find_if(host.sent.begin(), host.sent.end(), [](const SendPeer &it) {
+        return std::holds_alternative<DirectoryUpdate>(it.message);
+    });
+    CHECK(std::get<DirectoryUpdate>(sent->message).after.number == 12);
+}
+
 TEST_CASE("removals are deferred when the platform was restored from an older copy",
           "[directory][restore]")
 {
     DirectoryTestHost host;
+    host.completeRead(inEpoch(wholeAt(10), 1));
     host.advanceTime(1s);
     DirectoryUpdate copy;
-    copy.upTo = { 8, 1 };
+    copy.upTo = { 8 };
     copy.present = { record(1, "live", "a", 2) };
-    copy.present.front().changed.epoch = 1;
+    copy = inEpoch(copy, 2);
     SECTION("as read by this host")
     {
         host.completeRead(copy);
--- a/tests/unit/directorytest.cpp
+++ b/tests/unit/directorytest.cpp
@@ -2,6 +2,7 @@
 #include "packetboard.h"
 
 #include "core/directory/directory.h"
+#include "core/directory/directoryepoch.h"
 
 #include <catch2/catch.hpp>
 
@@ -32,26 +33,6 @@
     return update;
 }
 
-/// Returns `update` with all its revisions in `epoch`.
-auto inEpoch(std::uint32_t epoch, DirectoryUpdate update) -> DirectoryUpdate
-{
-    update.after.epoch = update.isWhole() ? 0 : epoch;
-    update.upTo.epoch = epoch;
-    for (auto &record : update.present) {
-        record.changed.epoch = epoch;
-        record.created.epoch = epoch;
-    }
-    for (auto &order : update.evacuations) {
-        order.at.epoch = epoch;
-    }
-    if (update.rows != nullptr) {
-        auto rows = std::make_shared<PacketRows>(*update.rows);
-        rows->changed.epoch = epoch;
-        update.rows = std::move(rows);
-    }
-    return update;
-}
-
 auto evacuation(const std::string &zone, std::uint64_t at, bool inForce = true) -> ZoneEvacuation
 {
     return { ZoneId::ofName(zone), zone, { at }, inForce };
@@ -218,16 +199,16 @@
     Directory directory(ZoneId::ofName("a"));
     auto before = whole(30, { record(1, "live", "a", 2), record(2, "live", "b", 3) });
     before.evacuations = { evacuation("b", 29) };
-    directory.apply(inEpoch(1, before), start);
+    directory.apply(inEpoch(before, 1), start);
     auto copy = whole(25, { record(1, "live", "a", 2), record(2, "live", "b", 3) });
     copy.removalsDeferredFor = 2s;
-    CHECK(directory.apply(inEpoch(2, copy), start).evacuations.empty());
+    CHECK(directory.apply(inEpoch(copy, 2), start).evacuations.empty());
     CHECK(directory.evacuations().isEvacuated(zoneB));
     SECTION("it is ordered again")
     {
         auto again = delta(25, 26, {});
         again.evacuations = { evacuation("b", 26) };
-        directory.apply(inEpoch(2, again), start + 1s);
+        directory.apply(inEpoch(again, 2), start + 1s);
         CHECK(directory.processRemovals(start + 3s).evacuations.empty());
         CHECK(directory.evacuations().isEvacuated(zoneB));
     }
@@ -396,8 +377,8 @@
           "[directory][restore]")
 {
     Directory directory(ZoneId::ofName("a"));
-    directory.apply(inEpoch(1, whole(30, { record(1, "live", "a", 20) })), start);
-    auto copy = inEpoch(2, whole(25, { record(1, "live", "a", 20), record(2, "live", "a", 25) }));
+    directory.apply(inEpoch(whole(30, { record(1, "live", "a", 20) }), 1), start);
+    auto copy = inEpoch(whole(25, { record(1, "live", "a", 20), record(2, "live", "a", 25) }), 2);
     REQUIRE(directory.beginsEpoch(copy));
     CHECK(directory.apply(copy, start).advanced);
     CHECK(directory.revision() == Revision { 25, 2 });
@@ -406,11 +387,11 @@
     // Revisions that were given out before are given out again.
     auto draining = record(1, "live", "a", 28);
     draining.upstream.state = UpstreamState::Draining;
-    const auto next = inEpoch(2, delta(25, 28, { draining }));
+    const auto next = inEpoch(delta(25, 28, { draining }), 2);
     REQUIRE(directory.canApply(next));
     CHECK(directory.apply(next, start).leaving.size() == 1);
-    CHECK_FALSE(directory.apply(inEpoch(1, whole(31, {})), start).advanced);
-    CHECK_FALSE(directory.canApply(inEpoch(3, delta(28, 29, {}))));
+    CHECK_FALSE(directory.apply(inEpoch(whole(31, {}), 1), start).advanced);
+    CHECK_FALSE(directory.canApply(inEpoch(delta(28, 29, {}), 3)));
 }
 
 TEST_CASE("an older copy of the platform takes back no drain and no newer rows",
@@ -421,10 +402,10 @@
     draining.upstream.state = UpstreamState::Draining;
     auto before = whole(30, { draining, record(2, "live", "a", 3) });
     before.rows = bothRows(29);
-    directory.apply(inEpoch(1, before), start);
+    directory.apply(inEpoch(before, 1), start);
     auto copy = whole(25, { record(1, "live", "a", 2), record(2, "live", "a", 3) });
     copy.rows = bothRows(20);
-    const auto changes = directory.apply(inEpoch(2, copy), start);
+    const auto changes = directory.apply(inEpoch(copy, 2), start);
     CHECK_FALSE(changes.rowsChanged);
     CHECK(directory.rows()->version == 29);
     REQUIRE(directory.rowAt(feedAddress) != nullptr);
@@ -435,7 +416,7 @@
     {
         auto between = delta(25, 26, {});
         between.rows = packetRows(26, {});
-        CHECK_FALSE(directory.apply(inEpoch(2, between), start).rowsChanged);
+        CHECK_FALSE(directory.apply(inEpoch(between, 2), start).rowsChanged);
     }
     SECTION("other hosts of the epoch get the newer rows")
     {
@@ -447,7 +428,7 @@
     {
         auto restarted = record(1, "live", "a", 26);
         restarted.upstream.startedAt = WallTime(5s);
-        directory.apply(inEpoch(2, delta(25, 26, { restarted })), start);
+        directory.apply(inEpoch(delta(25, 26, { restarted }), 2), start);
         CHECK(directory.poolOf(ServiceId::ofName("live")).near.size() == 2);
     }
 }
@@ -457,15 +438,15 @@
 {
     Directory directory(ZoneId::ofName("a"));
     directory.apply(
-            inEpoch(1, whole(30, { record(1, "live", "a", 2), record(2, "live", "a", 28) })),
+            inEpoch(whole(30, { record(1, "live", "a", 2), record(2, "live", "a", 28) }), 1),
             start);
     auto copy = whole(25, { record(1, "live", "a", 2) });
     copy.removalsDeferredFor = 2s;
-    CHECK(directory.apply(inEpoch(2, copy), start).missing.size() == 1);
+    CHECK(directory.apply(inEpoch(copy, 2), start).missing.size() == 1);
     CHECK(directory.poolOf(ServiceId::ofName("live")).near.size() == 2);
     SECTION("it writes its record again")
     {
-        directory.apply(inEpoch(2, delta(25, 26, { record(2, "live", "a", 26) })), start + 1s);
+        directory.apply(inEpoch(delta(25, 26, { record(2, "live", "a", 26) }), 2), start + 1s);
         CHECK(directory.processRemovals(start + 3s).removed.empty());
     }
     SECTION("it does not")
@@ -477,9 +458,9 @@
 TEST_CASE("a host of an earlier epoch is sent the whole directory", "[directory][restore]")
 {
     Directory directory(ZoneId::ofName("a"));
-    directory.apply(inEpoch(1, whole(30, { record(1, "live", "a", 20) })), start);
+    directory.apply(inEpoch(whole(30, { record(1, "live", "a", 20) }), 1), start);
     CHECK(directory.hasChangesSince({ 29, 1 }));
-    directory.apply(inEpoch(2, whole(40, { record(1, "live", "a", 20) })), start);
+    directory.apply(inEpoch(whole(40, { record(1, "live", "a", 20) }), 2), start);
     CHECK_FALSE(directory.hasChangesSince({ 29, 1 }));
     CHECK(directory.updateSince({ 29, 1 }, start).isWhole());
     CHECK(directory.hasChangesSince({ 39, 2 }));
