Do not take the word of a host of an earlier epoch that the platform answers

Found while looking for the same cause elsewhere: hosts leave reading to others as long as they hear that the platform answers somebody. A host that has not followed a restore says so, too, and brings no changes to one that has: in a fleet of two versions whose elected readers are old, new hosts would not read at all.

Change: the age of the platform's last answer is taken only from hosts of the same or a later epoch, and from those that have no directory yet. In a fleet of one version hosts differ for as long as the directory takes to reach them.

--- a/src/core/directory/directorycontroller.cpp
+++ b/src/core/directory/directorycontroller.cpp
@@ -355,13 +355,16 @@
 
 auto DirectoryController::noteGossip(Blackboard &board, HostId from, const Gossip &gossip) -> void
 {
+    const auto has = this->withEpoch(board, gossip.directory);
     this->noteContactRegained(board);
-    notePlatformAge(board, gossip);
+    if (!has.isValid() || has.epoch >= board.directory.currentEpoch()) {
+        notePlatformAge(board, gossip); // One of an earlier epoch brings this host no changes.
+    }
     auto *record = board.membership.record(from);
     if (record == nullptr) {
         return;
     }
-    record->directory = this->withEpoch(board, gossip.directory);
+    record->directory = has;
     record->readsFail = gossip.readsFail;
     if (board.directory.revision() < record->directory) {
         this->requester.requestIfDue(board, *record, this->readPending);
--- a/tests/unit/directorycontrollertest.cpp
+++ b/tests/unit/directorycontrollertest.cpp
@@ -304,6 +304,23 @@
     CHECK_FALSE(host.requestsAfterRevision(older, { 20 }));
 }
 
+TEST_CASE("a host reads the platform although hosts of an earlier epoch hear from it",
+          "[directory][restore]")
+{
+    DirectoryTestHost host;
+    const auto earlier = host.addConnectedHost("earlier", "a");
+    host.completeRead(inEpoch(wholeAt(12), 1));
+    host.completeRead(inEpoch(wholeAt(9), 2));
+    Gossip gossip;
+    gossip.directory = { 12, 1 };
+    host.advanceTime(config::directoryStale);
+    host.requestsAfterGossip(earlier, gossip);
+    CHECK(host.board.config.platformAge(host.board.now.mono) == config::directoryStale);
+    gossip.directory = { 9, 2 };
+    host.requestsAfterGossip(earlier, gossip);
+    CHECK(host.board.config.platformAge(host.board.now.mono) == Duration(0));
+}
+
 TEST_CASE("a host that names no epoch is sent changes, not the whole directory",
           "[directory][restore]")
 {
