Test that a whole fleet follows a restored store in time

After a restore each host needs the whole directory, as there are no changes between epochs: 120 hosts before 1,200 upstreams, a store whose link carries a tenth of what all of them need in a second, an outage of 0.1 and of 3 s. All hosts are in the new epoch within the 3 s that a change may take, and the next version reaches all. No product code changed.

--- a/tests/unit/fleetreturntest.cpp
+++ b/tests/unit/fleetreturntest.cpp
@@ -96,6 +96,38 @@
     CHECK(milliseconds(*complete) <= 2500);
 }
 
+TEST_CASE("all hosts of a fleet follow a restored store in time, although its link carries a tenth "
+          "of "
+          "what they need in a second",
+          "[fleet-return][restore]")
+{
+    const auto outage = GENERATE(Duration(100ms), Duration(3s));
+    INFO("outage of " << milliseconds(outage) << " ms");
+    Emulation emulation(fleetDay());
+    emulation.begin();
+    narrowLink(emulation);
+    emulation.store().takeCopy();
+    emulation.publish();
+    emulation.run(1s);
+    emulation.store().mode = StoreMode::Silent;
+    emulation.run(outage);
+    emulation.restoreStore();
+    emulation.store().mode = StoreMode::Answers;
+    const auto hasFollowed = [&](const Balancer &balancer) {
+        return balancer.stats().directoryEpoch == emulation.store().revision().epoch;
+    };
+    const auto followed = emulation.clock().runUntil(
+            [&] { return countHosts(emulation, hasFollowed) == emulation.hostCount(); }, 20s);
+    REQUIRE(followed);
+    CHECK(milliseconds(*followed) < 3000);
+    emulation.publish();
+    emulation.run(3s);
+    const auto hasRows = [&](const Balancer &balancer) {
+        return balancer.stats().rowsVersion == emulation.store().rowsVersion();
+    };
+    CHECK(countHosts(emulation, hasRows) == emulation.hostCount());
+}
+
 TEST_CASE("callers of a fleet that lost power are served again within 2.5 s of its end",
           "[fleet-return]")
 {
