Move the packet rows in force out of Directory into RowTable

Which rows are newer, the index by address and the services that a row has had are one matter and used by Directory in five places. Behaviour as before: [restore], [directory], [codec], [overlay] 101 cases passed.

--- a/src/core/directory/directory.cpp
+++ b/src/core/directory/directory.cpp
@@ -62,27 +62,6 @@
            && now - entry.evidence.lastHeardAt < validity;
 }
 
-/// Returns whether rows are newer than others. The version decides: a platform that was restored
-/// from an older copy publishes older rows at a newer revision.
-auto isNewer(const PacketRows &rows, const PacketRows &others) -> bool
-{
-    if (rows.version != others.version) {
-        return others.version < rows.version;
-    }
-    return others.changed < rows.changed;
-}
-
-/// Adds the services of `row` to `servicesEverHad`, without duplicates.
-auto addServices(const PacketRow &row, std::vector<ServiceId> &servicesEverHad) -> void
-{
-    for (const auto &share : row.shares) {
-        if (std::find(servicesEverHad.begin(), servicesEverHad.end(), share.service)
-            == servicesEverHad.end()) {
-            servicesEverHad.push_back(share.service);
-        }
-    }
-}
-
 } // namespace
 
 auto Directory::canApply(const DirectoryUpdate &update) const -> bool
@@ -172,8 +151,10 @@
         this->removeAbsent(update, now, changes);
     }
     this->applyRows(update.rows, now, changes);
-    if (this->currentRows != nullptr && !this->currentRows->changed.isValid()) {
-        this->setRowsChanged(update.upTo); // Newer than the platform's: other hosts may lack them.
+    const auto *rows = this->packetRows.current();
+    if (rows != nullptr && !rows->changed.isValid()) {
+        this->packetRows.setChanged(
+                update.upTo); // Newer than the platform's: others may lack them.
     }
     this->applyEvacuations(update, now, changes);
     this->knownRevision = update.upTo;
@@ -192,23 +173,10 @@
         entry.record.changed = before;
         entry.record.created = before;
     }
-    if (this->currentRows != nullptr) {
-        this->setRowsChanged(before);
-    }
+    this->packetRows.setChanged(before);
     this->zoneEvacuations.beginEpoch(newEpoch);
 }
 
-/// Marks the rows in force as changed at `at`.
-auto Directory::setRowsChanged(Revision at) -> void
-{
-    auto marked = std::make_shared<PacketRows>(*this->currentRows);
-    marked->changed = at;
-    for (auto &[address, entry] : this->rowsByAddress) {
-        entry.row = marked->rows.data() + (entry.row - this->currentRows->rows.data());
-    }
-    this->currentRows = std::move(marked);
-}
-
 auto Directory::applyPage(const DirectoryUpdate &page, MonoTime now) -> DirectoryChanges
 {
     DirectoryChanges changes;
@@ -363,18 +331,9 @@
 auto Directory::applyRows(const std::shared_ptr<const PacketRows> &rows, MonoTime now,
                           DirectoryChanges &changes) -> void
 {
-    if (rows == nullptr || (this->currentRows != nullptr && !isNewer(*rows, *this->currentRows))) {
+    if (rows == nullptr || !this->packetRows.apply(rows, now)) {
         return;
     }
-    auto before = std::exchange(this->rowsByAddress, {});
-    this->firstRowsAt = this->currentRows == nullptr ? now : this->firstRowsAt;
-    this->currentRows = rows;
-    this->rowsByAddress.reserve(rows->rows.size());
-    for (const auto &row : rows->rows) {
-        RowEntry entry { &row, std::move(before[row.address].servicesEverHad) };
-        addServices(row, entry.servicesEverHad);
-        this->rowsByAddress.emplace(row.address, std::move(entry));
-    }
     this->coldLimits.clear();
     for (const auto &limit : rows->coldLimits) {
         if (this->enforcesColdLimits) {
@@ -533,19 +492,14 @@
                     std::max(update.removalsDeferredFor, Duration(entry.removalDue - now));
         }
     }
-    if (this->currentRows != nullptr && update.after < this->currentRows->changed) {
-        update.rows = this->currentRows;
+    const auto &rows = this->packetRows.shared();
+    if (rows != nullptr && update.after < rows->changed) {
+        update.rows = rows;
     }
     update.evacuations = this->zoneEvacuations.changedAfter(update.after);
     return update;
 }
 
-auto Directory::rowAt(Address address) const -> const RowEntry *
-{
-    const auto found = this->rowsByAddress.find(address);
-    return found == this->rowsByAddress.end() ? nullptr : &found->second;
-}
-
 auto Directory::byCookie(Cookie cookie) -> UpstreamEntry *
 {
     const auto found = this->cookies.find(cookie);
--- a/src/core/directory/directory.h
+++ b/src/core/directory/directory.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "core/directory/directorychanges.h"
-#include "core/directory/rowentry.h"
+#include "core/directory/rowtable.h"
 #include "core/directory/servicepool.h"
 #include "core/directory/upstreamentry.h"
 #include "core/directory/zoneevacuations.h"
@@ -120,24 +120,28 @@
     /// Precondition: none.
     [[nodiscard]] auto hasPart() const -> bool
     {
-        return !this->knownRevision.isValid() && this->currentRows != nullptr && this->listed > 0;
+        return !this->knownRevision.isValid() && this->packetRows.current() != nullptr
+               && this->listed > 0;
     }
 
     /// Returns the current rows, or null before the first update with rows.
-    [[nodiscard]] auto rows() const -> const PacketRows * { return this->currentRows.get(); }
+    [[nodiscard]] auto rows() const -> const PacketRows * { return this->packetRows.current(); }
 
     /// Returns the current rows for messages to other hosts; may be null. Precondition: none.
     [[nodiscard]] auto sharedRows() const -> const std::shared_ptr<const PacketRows> &
     {
-        return this->currentRows;
+        return this->packetRows.shared();
     }
 
     /// Returns when this host received its first rows; `RowEntry::servicesEverHad` covers the time
     /// since then.
-    [[nodiscard]] auto rowsSince() const -> MonoTime { return this->firstRowsAt; }
+    [[nodiscard]] auto rowsSince() const -> MonoTime { return this->packetRows.since(); }
 
     /// Returns the row that callers reach at `address`, or null. Precondition: none.
-    [[nodiscard]] auto rowAt(Address address) const -> const RowEntry *;
+    [[nodiscard]] auto rowAt(Address address) const -> const RowEntry *
+    {
+        return this->packetRows.at(address);
+    }
 
     /// Returns the entry that owns `cookie`, or null. Precondition: none.
     [[nodiscard]] auto byCookie(Cookie cookie) -> UpstreamEntry *;
@@ -219,7 +223,6 @@
             -> void;
     auto applyRows(const std::shared_ptr<const PacketRows> &rows, MonoTime now,
                    DirectoryChanges &changes) -> void;
-    auto setRowsChanged(Revision at) -> void;
     auto updateColdLimit(UpstreamEntry &entry, MonoTime now) -> void;
     auto assumeZoneCold(ZoneId zone, Revision at, MonoTime now) -> void;
     auto assumeZonesCold(const std::vector<ZoneEvacuation> &ended, MonoTime now) -> void;
@@ -246,9 +249,7 @@
     std::unordered_map<InstanceId, std::uint32_t> byInstance;
     std::unordered_map<Cookie, std::uint32_t> cookies;
     std::unordered_map<ServiceId, ServicePool> pools;
-    std::shared_ptr<const PacketRows> currentRows;
-    MonoTime firstRowsAt; ///< When the first rows were received.
-    std::unordered_map<Address, RowEntry> rowsByAddress;
+    RowTable packetRows;
     ZoneEvacuations zoneEvacuations;
     std::unordered_map<ServiceId, ColdLimit> coldLimits;
     std::size_t coldLimited = 0; ///< Entries with `isColdLimited` set.
