Known red: changes are late when half of a large fleet's hosts stand still

Others begin to read when the platform's last word is 2.2 s old, and draw a wait; most of the time goes there.

--- a/tests/unit/overlaytest.cpp
+++ b/tests/unit/overlaytest.cpp
@@ -11,7 +11,10 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <numeric>
+#include <random>
 #include <string>
+#include <vector>
 
 namespace flamingograde {
 
@@ -185,6 +188,29 @@
     }
 }
 
+TEST_CASE(
+        "changed rows reach the other hosts of a fleet in time when half of its hosts stand still",
+        "[overlay][paused]")
+{
+    constexpr Duration rowsBound = 3s; // As in the users' settings.
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        OverlayFleet fleet(4, 25, seed);
+        fleet.run(settleTime);
+        std::vector<std::size_t> order(fleet.size());
+        std::iota(order.begin(), order.end(), 0U);
+        std::shuffle(order.begin(), order.end(), std::mt19937_64(seed));
+        order.resize(fleet.size() / 2);
+        for (const auto index : order) {
+            fleet.host(index).freeze();
+        }
+        fleet.publish();
+        const auto took = fleet.clock.runUntil([&] { return fleet.isUpToDate(); }, 20s);
+        INFO("seed " << seed);
+        REQUIRE(took);
+        CHECK(took->count() <= rowsBound.count());
+    }
+}
+
 TEST_CASE("few hosts call a platform that is down", "[overlay]")
 {
     const auto mode = GENERATE(emulator::StoreMode::Silent, emulator::StoreMode::Refuses);
