Send changes, not the whole directory, to a host that is some changes behind

Found in reading the change again, before any landing. Pushes were grouped by the number of the receiver's revision alone and made from a revision without an epoch, since which no changes are known: in a platform that names an epoch a host that is a change behind would have been sent the whole directory each time, 420 KB with 6,000 upstreams. Test: a host that is some changes behind in the same epoch is sent these; it fails without this commit.

In the same reading, each without an effect on callers that was seen: - changes of a later epoch that cannot be applied were logged as a restore and prolonged the deferral of removals (test: changes of a later epoch that cannot be applied are no sign of a restore); - a transfer of pages that was overtaken by a whole update or an own read was asked for further; - a watch answered from another epoch ended the growing pause; - the emulated reader combined pages of two epochs, which the real one does not. The dump and explain name the epoch.

--- a/src/core/directory/directory.h
+++ b/src/core/directory/directory.h
@@ -107,10 +107,11 @@
         return update.upTo < this->knownRevision || update.upTo.epoch < this->epoch;
     }
 
-    /// Returns whether applying `update` would begin an epoch. Precondition: none.
+    /// Returns whether `update` can be applied and would begin an epoch. Precondition: none.
     [[nodiscard]] auto beginsEpoch(const DirectoryUpdate &update) const -> bool
     {
-        return this->knownRevision.isValid() && this->epoch < update.upTo.epoch;
+        return this->knownRevision.isValid() && this->epoch < update.upTo.epoch
+               && this->canApply(update);
     }
 
     /// Returns the revision up to which all changes are applied; invalid before the first update.
--- a/src/core/directory/directorycontroller.cpp
+++ b/src/core/directory/directorycontroller.cpp
@@ -123,11 +123,11 @@
         this->pauseReads(board);
         return;
     }
-    this->backoff = Duration(0);
     if (!read.update.isWhole() && read.update.upTo.epoch != read.update.after.epoch) {
         this->readWholeNext(board); // These are no changes since this host's revision.
         return;
     }
+    this->backoff = Duration(0);
     auto update = read.update;
     this->noteEpoch(board, update);
     update.removalsDeferredFor = this->removalDelay(board);
@@ -466,8 +466,10 @@
     if (isFirst) {
         this->loaded(board, from);
     }
-    if (beginsEpoch) {
+    if (update.isWhole() || from == board.membership.self) {
         this->requester.endTransfer();
+    }
+    if (beginsEpoch) {
         announceDirectory(board);
     }
     sendChanges(board, forwardTargets(board, from), update);
@@ -480,7 +482,6 @@
 {
     logLoaded(board, from);
     announceDirectory(board);
-    this->requester.endTransfer();
     this->readPending = false;
     board.addAction(StopReadingDirectory { false });
 }
--- a/src/core/directory/directoryspread.cpp
+++ b/src/core/directory/directoryspread.cpp
@@ -8,7 +8,6 @@
 #include <flamingograde/config.h>
 
 #include <algorithm>
-#include <cstdint>
 #include <map>
 #include <utility>
 
@@ -32,7 +31,7 @@
 auto sendChanges(Blackboard &board, const std::vector<HostId> &hosts, const DirectoryUpdate &update)
         -> void
 {
-    std::map<std::uint64_t, std::vector<HostId>> recipients; // By revision.
+    std::map<Revision, std::vector<HostId>> recipients; // By revision.
     for (const auto host : hosts) {
         auto *record = board.membership.record(host);
         if (record == nullptr || !record->connected || !(record->directory < update.upTo)) {
@@ -41,13 +40,13 @@
         if (!board.directory.hasChangesSince(record->directory)) {
             continue; // It requests the whole directory itself.
         }
-        recipients[changesNeededAfter(*record, update).number].push_back(host);
+        recipients[changesNeededAfter(*record, update)].push_back(host);
         record->directory = update.upTo;
     }
     for (auto &[after, group] : recipients) {
-        const auto isSame = !update.isWhole() && after == update.after.number;
+        const auto isSame = !update.isWhole() && after == update.after;
         sendPeers(board, std::move(group),
-                  isSame ? update : board.directory.updateSince({ after }, board.now.mono));
+                  isSame ? update : board.directory.updateSince(after, board.now.mono));
     }
 }
 
--- a/src/core/packets/packetdump.cpp
+++ b/src/core/packets/packetdump.cpp
@@ -196,6 +196,7 @@
         }
     }
     return { { "revision", board.directory.revision().number },
+             { "epoch", board.directory.currentEpoch() },
              { "rows_version", published == nullptr ? 0 : published->version },
              { "reads_fail", board.directoryReadsFail },
              { "evacuations", evacuationsJson(board) },
@@ -209,6 +210,7 @@
     const auto *rows = board.directory.rows();
     json answer { { "address", address.toString() },
                   { "revision", board.directory.revision().number },
+                  { "epoch", board.directory.currentEpoch() },
                   { "rows_version", rows == nullptr ? 0 : rows->version } };
     const auto *row = board.directory.rowAt(address);
     if (row == nullptr) {
--- a/src/emulator/emulatedreader.cpp
+++ b/src/emulator/emulatedreader.cpp
@@ -106,6 +106,14 @@
     *this->cancelled = true;
     const auto number = this->readNumber;
     auto &all = this->update;
+    if (all.upTo.isValid() && all.upTo.epoch != page.update.upTo.epoch) {
+        this->update = DirectoryUpdate();
+        this->lastInstance = InstanceId();
+        this->hasPages = false;
+        this->post(DirectoryReadFailed { DirectoryFailure::Forgotten,
+                                         "the store was restored between two pages" });
+        return;
+    }
     all.upTo = all.upTo.isValid() ? std::min(all.upTo, page.update.upTo) : page.update.upTo;
     all.present.insert(all.present.end(), page.update.present.begin(), page.update.present.end());
     if (page.update.rows != nullptr) {
--- a/tests/unit/directorycontrollertest.cpp
+++ b/tests/unit/directorycontrollertest.cpp
@@ -340,6 +340,42 @@
     CHECK(std::get<DirectoryUpdate>(sent->message).after.number == 12);
 }
 
+TEST_CASE("a host that is some changes behind in the same epoch is sent these, not the whole "
+          "directory",
+          "[directory][restore]")
+{
+    DirectoryTestHost host;
+    const auto behind = host.addConnectedHost("behind", "b");
+    host.completeRead(inEpoch(wholeAt(12), 1));
+    DirectoryUpdate change;
+    change.after = { 12 };
+    change.upTo = { 13 };
+    host.completeRead(inEpoch(change, 1));
+    host.requestsAfterRevision(behind, { 12, 1 });
+    change.after = { 13 };
+    change.upTo = { 14 };
+    host.completeRead(inEpoch(change, 1));
+    REQUIRE(host.updatesSentTo(behind) == 1);
+    const auto sent = std::find_if(host.sent.begin(), host.sent.end(), [](const SendPeer &it) {
+        return std::holds_alternative<DirectoryUpdate>(it.message);
+    });
+    CHECK(std::get<DirectoryUpdate>(sent->message).after == Revision { 12, 1 });
+}
+
+TEST_CASE("changes of a later epoch that cannot be applied are no sign of a restore",
+          "[directory][restore]")
+{
+    DirectoryTestHost host;
+    host.completeRead(inEpoch(wholeAt(12), 1));
+    DirectoryUpdate later;
+    later.after = { 8 };
+    later.upTo = { 9 };
+    host.receiveUpdate(host.addConnectedHost("other", "a"), inEpoch(later, 2));
+    CHECK(host.board.directory.revision() == Revision { 12, 1 });
+    const auto isRestored = [](const Log &log) { return log.event == LogEvent::PlatformRestored; };
+    CHECK(std::none_of(host.logs.begin(), host.logs.end(), isRestored));
+}
+
 TEST_CASE("removals are deferred when the platform was restored from an older copy",
           "[directory][restore]")
 {
