--- a/tests/unit/emulationtest.cpp
+++ b/tests/unit/emulationtest.cpp
@@ -247,6 +247,16 @@
     }
 }
 
+TEST_CASE(
+        "hosts that were just cut off reset no open flow of an upstream that the platform removed",
+        "[emulation][gone]")
+{
+    for (const std::uint64_t seed : { 50, 2053, 2054 }) {
+        INFO("seed " << seed);
+        checkInvariants(Emulation(evacuatedDay(loadDay("calm"), seed)).play());
+    }
+}
+
 TEST_CASE("hosts that restart while their zone is cut off reset no open flow", "[emulation]")
 {
     // With this seed, restarted hosts without rows reset flows that upstreams still served.
