Say more plainly what a restore does to what a host knows

Read as a newcomer would: isOlder told the directory's side of the comparison and is isNewerThan now, noteEpoch is noteRestore; revision number 0 as the mark of an earlier epoch stands beside the two fields that carry it; why kept rows count as changed has a function of its own.

--- a/src/core/directory/directory.cpp
+++ b/src/core/directory/directory.cpp
@@ -151,11 +151,7 @@
         this->removeAbsent(update, now, changes);
     }
     this->applyRows(update.rows, now, changes);
-    const auto *rows = this->packetRows.current();
-    if (rows != nullptr && !rows->changed.isValid()) {
-        this->packetRows.setChanged(
-                update.upTo); // Newer than the platform's: others may lack them.
-    }
+    this->sendKeptRowsOn(update.upTo);
     this->applyEvacuations(update, now, changes);
     this->knownRevision = update.upTo;
     changes.advanced = true;
@@ -163,6 +159,16 @@
     return changes;
 }
 
+/// Makes rows of an earlier epoch that are newer than the platform's count as changed at `at`, so
+/// that hosts that lack them are sent them.
+auto Directory::sendKeptRowsOn(Revision at) -> void
+{
+    const auto *rows = this->packetRows.current();
+    if (rows != nullptr && !rows->changed.isValid()) {
+        this->packetRows.setChanged(at);
+    }
+}
+
 auto Directory::beginEpoch(std::uint32_t newEpoch) -> void
 {
     const Revision before { 0, newEpoch };
--- a/src/core/directory/directory.h
+++ b/src/core/directory/directory.h
@@ -102,7 +102,7 @@
     [[nodiscard]] auto currentEpoch() const -> std::uint32_t { return this->epoch; }
 
     /// Returns whether the directory is newer than `update`. Precondition: none.
-    [[nodiscard]] auto isOlder(const DirectoryUpdate &update) const -> bool
+    [[nodiscard]] auto isNewerThan(const DirectoryUpdate &update) const -> bool
     {
         return update.upTo < this->knownRevision || update.upTo.epoch < this->epoch;
     }
@@ -226,6 +226,7 @@
                    DirectoryChanges &changes) -> void;
     auto updateColdLimit(UpstreamEntry &entry, MonoTime now) -> void;
     auto assumeZoneCold(ZoneId zone, Revision at, MonoTime now) -> void;
+    auto sendKeptRowsOn(Revision at) -> void;
     auto assumeZonesCold(const std::vector<ZoneEvacuation> &ended, MonoTime now) -> void;
     auto applyEvacuations(const DirectoryUpdate &update, MonoTime now, DirectoryChanges &changes)
             -> void;
--- a/src/core/directory/directorycontroller.cpp
+++ b/src/core/directory/directorycontroller.cpp
@@ -118,7 +118,7 @@
     this->needsFullRead = false;
     this->fallbackReader.noteRead(true);
     this->platformAnswered(board);
-    if (read.update.isWhole() && board.directory.isOlder(read.update)) {
+    if (read.update.isWhole() && board.directory.isNewerThan(read.update)) {
         this->noteOldRead(board, read.update);
         this->pauseReads(board);
         return;
@@ -129,7 +129,7 @@
     }
     this->backoff = Duration(0);
     auto update = read.update;
-    this->noteEpoch(board, update);
+    this->noteRestore(board, update);
     update.removalsDeferredFor = this->removalDelay(board);
     const auto hasChanges = board.directory.revision() < update.upTo;
     this->applyUpdate(board, update, board.init.self.id);
@@ -205,7 +205,7 @@
     this->nextRead = board.now.mono;
 }
 
-auto DirectoryController::noteEpoch(Blackboard &board, const DirectoryUpdate &update) -> void
+auto DirectoryController::noteRestore(Blackboard &board, const DirectoryUpdate &update) -> void
 {
     if (!board.directory.beginsEpoch(update)) {
         return;
@@ -275,7 +275,7 @@
         record->directory = std::max(record->directory, update.upTo);
     }
     this->noteContactRegained(board);
-    this->noteEpoch(board, update);
+    this->noteRestore(board, update);
     update.removalsDeferredFor = std::max(update.removalsDeferredFor, this->removalDelay(board));
     this->applyUpdate(board, update, from);
 }
@@ -324,7 +324,7 @@
         this->applyPart(board, page.update);
         return;
     }
-    this->noteEpoch(board, *whole);
+    this->noteRestore(board, *whole);
     whole->removalsDeferredFor = this->removalDelay(board);
     if (auto *record = board.membership.record(from)) {
         record->directory = std::max(record->directory, whole->upTo);
--- a/src/core/directory/directorycontroller.h
+++ b/src/core/directory/directorycontroller.h
@@ -79,9 +79,9 @@
     /// Makes the next read one of the whole directory, as the changes that were asked for cannot be
     /// had.
     auto readWholeNext(Blackboard &board) -> void;
-    /// Defers removals if `update` is of a later epoch than this host's directory: what the
-    /// platform lost by being restored is written again.
-    auto noteEpoch(Blackboard &board, const DirectoryUpdate &update) -> void;
+    /// Defers removals if `update` is of a later epoch than this host's directory: the platform was
+    /// restored, and what it lost is written again.
+    auto noteRestore(Blackboard &board, const DirectoryUpdate &update) -> void;
     /// Begins a pause before the next read, longer than the last one if that read did not succeed.
     auto pauseReads(Blackboard &board) -> void;
     /// Counts and logs a read that is older than the directory.
--- a/src/core/directory/upstreamentry.h
+++ b/src/core/directory/upstreamentry.h
@@ -23,7 +23,8 @@
 struct UpstreamEntry
 {
     DirectoryRecord record;
-    Revision newest; ///< Revision of the last change or removal.
+    Revision newest; ///< Revision of the last change or removal. Number 0: known only from an
+                     ///< earlier epoch, so that everything of the present one is newer.
     Presence presence = Presence::Listed;
     MonoTime since;                  ///< When the presence last changed.
     MonoTime removalDue;             ///< When a missing upstream is to be removed.
--- a/src/core/directory/zoneevacuations.h
+++ b/src/core/directory/zoneevacuations.h
@@ -25,7 +25,7 @@
     /// An order, with the time at which it changed the zone's state on this host.
     struct StoredOrder
     {
-        ZoneEvacuation order;
+        ZoneEvacuation order; ///< Revision 0: known only from an earlier epoch.
         MonoTime since;
         std::optional<MonoTime> endsAt; ///< Set while the order is known only from an earlier
                                         ///< epoch: it ends then unless it is given again.
