--- a/tests/unit/directorycontrollertest.cpp
+++ b/tests/unit/directorycontrollertest.cpp
@@ -66,6 +66,23 @@
         this->handle(DirectoryReadFailed { DirectoryFailure::Forgotten, "status 410" });
     }
 
+    /// Returns the number of lines of `event` logged so far.
+    [[nodiscard]] auto logCount(LogEvent event) const -> std::ptrdiff_t
+    {
+        return std::count_if(this->logs.begin(), this->logs.end(),
+                             [event](const Log &log) { return log.event == event; });
+    }
+
+    /// Returns the directory update that the last event sent. Precondition: it sent one.
+    [[nodiscard]] auto sentUpdate() const -> DirectoryUpdate
+    {
+        const auto found =
+                std::find_if(this->sent.begin(), this->sent.end(), [](const SendPeer &it) {
+                    return std::holds_alternative<DirectoryUpdate>(it.message);
+                });
+        return std::get<DirectoryUpdate>(found->message);
+    }
+
     /// Returns the number of directory updates sent to a host by the last event.
     [[nodiscard]] auto updatesSentTo(HostId to) const -> std::ptrdiff_t
     {
@@ -259,10 +276,8 @@
     host.completeRead(older);
     host.completeRead(older);
     CHECK(host.board.stats.directoryReadsOld == 2);
-    const auto isOldRead = [](const Log &log) { return log.event == LogEvent::DirectoryReadOld; };
-    REQUIRE(std::count_if(host.logs.begin(), host.logs.end(), isOldRead) == 1);
-    const auto line = std::find_if(host.logs.begin(), host.logs.end(), isOldRead)->text;
-    CHECK(line == "read=8 epoch=0 directory=10");
+    REQUIRE(host.logCount(LogEvent::DirectoryReadOld) == 1);
+    CHECK(host.logs.back().text == "read=8 epoch=0 directory=10");
 }
 
 TEST_CASE(
@@ -334,10 +349,7 @@
     change.present = { record(3, "live", "a", 13) };
     host.completeRead(inEpoch(change, 1));
     REQUIRE(host.updatesSentTo(older) == 1);
-    const auto sent = std::find_if(host.sent.begin(), host.sent.end(), [](const SendPeer &it) {
-        return std::holds_alternative<DirectoryUpdate>(it.message);
-    });
-    CHECK(std::get<DirectoryUpdate>(sent->message).after.number == 12);
+    CHECK(host.sentUpdate().after.number == 12);
 }
 
 TEST_CASE("a host that is some changes behind in the same epoch is sent these, not the whole "
@@ -356,10 +368,7 @@
     change.upTo = { 14 };
     host.completeRead(inEpoch(change, 1));
     REQUIRE(host.updatesSentTo(behind) == 1);
-    const auto sent = std::find_if(host.sent.begin(), host.sent.end(), [](const SendPeer &it) {
-        return std::holds_alternative<DirectoryUpdate>(it.message);
-    });
-    CHECK(std::get<DirectoryUpdate>(sent->message).after == Revision { 12, 1 });
+    CHECK(host.sentUpdate().after == Revision { 12, 1 });
 }
 
 TEST_CASE("changes of a later epoch that cannot be applied are no sign of a restore",
@@ -372,8 +381,7 @@
     later.upTo = { 9 };
     host.receiveUpdate(host.addConnectedHost("other", "a"), inEpoch(later, 2));
     CHECK(host.board.directory.revision() == Revision { 12, 1 });
-    const auto isRestored = [](const Log &log) { return log.event == LogEvent::PlatformRestored; };
-    CHECK(std::none_of(host.logs.begin(), host.logs.end(), isRestored));
+    CHECK(host.logCount(LogEvent::PlatformRestored) == 0);
 }
 
 TEST_CASE("removals are deferred when the platform was restored from an older copy",
@@ -396,8 +404,7 @@
     }
     CHECK(host.board.directory.revision() == copy.upTo);
     CHECK(host.upstream2().presence == Presence::Missing);
-    const auto isRestored = [](const Log &log) { return log.event == LogEvent::PlatformRestored; };
-    CHECK(std::count_if(host.logs.begin(), host.logs.end(), isRestored) == 1);
+    CHECK(host.logCount(LogEvent::PlatformRestored) == 1);
 }
 
 TEST_CASE("a host that took a restored platform's directory tells hosts of earlier epochs at once",
