--- a/tests/unit/emulationtest.cpp
+++ b/tests/unit/emulationtest.cpp
@@ -248,7 +248,7 @@
 }
 
 TEST_CASE(
-        "hosts that were just cut off reset no open flow of an upstream that the platform removed",
+        "drawn days on which an open flow was reset as its upstream was gone violate no invariant",
         "[emulation][gone]")
 {
     for (const std::uint64_t seed : { 50, 2053, 2054 }) {
