Ask in one place whether a revision is of an earlier epoch

Found in reading the whole change again: directory.cpp and zoneevacuations.cpp each told the mark of an earlier epoch (number 0 of a named epoch) by the same expression. Now both call isOfEarlierEpoch, beside the function that puts an update into an epoch.

--- a/src/core/directory/directory.cpp
+++ b/src/core/directory/directory.cpp
@@ -1,6 +1,8 @@
 /// Applies updates, keeps tombstones and maintains the indexes and pools.
 #include "core/directory/directory.h"
 
+#include "core/directory/directoryepoch.h"
+
 #include <flamingograde/config.h>
 
 #include <algorithm>
@@ -30,12 +32,6 @@
            && before.upstream.startedAt != record.upstream.startedAt;
 }
 
-/// Returns whether an entry is known only from before the platform was restored.
-auto isOfEarlierEpoch(const UpstreamEntry &entry) -> bool
-{
-    return entry.newest.epoch != 0 && !entry.newest.isValid();
-}
-
 /// Returns whether a record cannot belong to the upstream known under its instance: two upstream
 /// ids map to the same instance number, or another writer overwrote the platform's entry. An
 /// upstream never changes its name, and changes its service only by a restart.
@@ -232,8 +228,8 @@
         this->resetAfterRestart(entry, changes);
     }
     const auto wasActive = entry.record.upstream.state == UpstreamState::Active;
-    const auto staysDraining =
-            !isNew && !wasActive && isOfEarlierEpoch(entry) && !isRestart(entry.record, record);
+    const auto staysDraining = !isNew && !wasActive && isOfEarlierEpoch(entry.newest)
+                               && !isRestart(entry.record, record);
     const auto wasListed = !isNew && entry.presence == Presence::Listed;
     this->unlistedEntries -= !isNew && !wasListed ? 1 : 0;
     this->listed += wasListed ? 0 : 1;
--- a/src/core/directory/directoryepoch.cpp
+++ b/src/core/directory/directoryepoch.cpp
@@ -1,4 +1,4 @@
-/// Change of the epoch that the revisions of an update name.
+/// Revisions from before the epoch of a directory, and change of the epoch that an update names.
 #include "core/directory/directoryepoch.h"
 
 #include <flamingograde/directoryupdate.h>
@@ -8,6 +8,11 @@
 
 namespace flamingograde {
 
+auto isOfEarlierEpoch(Revision revision) -> bool
+{
+    return revision.epoch != 0 && !revision.isValid();
+}
+
 auto inEpoch(DirectoryUpdate update, std::uint32_t epoch) -> DirectoryUpdate
 {
     update.after.epoch = update.isWhole() ? 0 : epoch;
--- a/src/core/directory/zoneevacuations.cpp
+++ b/src/core/directory/zoneevacuations.cpp
@@ -1,17 +1,9 @@
 /// Applies evacuation orders by revision.
 #include "core/directory/zoneevacuations.h"
 
-namespace flamingograde {
-
-namespace {
-
-/// Returns whether an order is known only from before the platform was restored.
-auto isOfEarlierEpoch(const ZoneEvacuation &order) -> bool
-{
-    return order.at.epoch != 0 && !order.at.isValid();
-}
+#include "core/directory/directoryepoch.h"
 
-} // namespace
+namespace flamingograde {
 
 auto ZoneEvacuations::apply(const DirectoryUpdate &update, const ZoneSet &zones, MonoTime now)
         -> std::vector<ZoneEvacuation>
@@ -42,7 +34,7 @@
 auto ZoneEvacuations::setEnds(MonoTime end) -> void
 {
     for (auto &[zone, stored] : this->orders) {
-        if (stored.order.inForce && isOfEarlierEpoch(stored.order)) {
+        if (stored.order.inForce && isOfEarlierEpoch(stored.order.at)) {
             stored.endsAt = stored.endsAt.value_or(end);
         }
     }
@@ -103,7 +95,7 @@
         present.insert(order.zone);
     }
     for (const auto &[zone, entry] : this->orders) {
-        if (present.count(zone) != 0 || !entry.order.inForce || isOfEarlierEpoch(entry.order)) {
+        if (present.count(zone) != 0 || !entry.order.inForce || isOfEarlierEpoch(entry.order.at)) {
             continue;
         }
         auto ended = entry.order;
