--- a/include/flamingograde/config.h
+++ b/include/flamingograde/config.h
@@ -97,13 +97,36 @@
 inline constexpr auto trialPause            = 1000ms; ///< First pause before a new flow is also sent to a silent upstream as a trial; doubles with each trial.
 inline constexpr auto trialPauseMax         = 4000ms; ///< Longest pause between two trials of a silent upstream.
 inline constexpr auto requestExpiry         = 3000ms; ///< A request whose flow had no packet for this long counts as finished.
+inline constexpr double zoneSlotsBusy       = 0.8;    ///< Part of a zone's slots that its own callers may keep busy before some of their flows go to other zones: with more, requests wait although other zones have free slots.
 inline constexpr double crowdedRequests     = 3.0;    ///< Requests per slot of the own zone from which new flows are sent to other zones: a request in the own zone would wait for two others, and upstreams shed requests from 5.0 on. At 1.0, traffic between zones and flows lost when a zone is cut off cost more than the wait.
 inline constexpr double crowdedUploads      = 4.0;    ///< The same threshold for uploads, whose traffic between zones costs more.
 inline constexpr double coldExcess          = 1.0;    ///< Limit of the requests of all hosts to a cold upstream in any second: this multiple of its cold limit,
 inline constexpr double coldSlack           = 0.0;    ///< plus this many requests.
+inline constexpr double subsetHosts         = 3.0;    ///< Hosts that prefer the same upstream of their zone: so many that an upstream keeps its callers when one of them stops.
+inline constexpr double subsetUpstreamsMin  = 4.0;    ///< Fewest upstreams that a host prefers.
+inline constexpr int slowRatio              = 2;      ///< An upstream counts as slow from this many times the usual response time of its service, more than chance makes of ten samples.
+inline constexpr auto slowMemory            = 5000ms; ///< Age at which the measured response time of an upstream counts half: the time after which a slow one is tried again.
 inline constexpr std::size_t placementScan  = 8;      ///< Largest number of upstreams of which all are compared for a new flow.
 inline constexpr std::size_t placementDraws = 4;      ///< Upstreams that are drawn at random and compared if there are more than `placementScan`.
 
+// Admission of packet flows.
+inline constexpr double roomPerSlot         = 1.5;    ///< Requests per slot up to which no flow is refused: with fewer, some slots run idle, as placement cannot fill all of them evenly.
+inline constexpr double unmeasuredPerSlot   = 3.0;    ///< Limit of requests per slot before the slot time is measured: a request waits for two others.
+inline constexpr auto demandMemory          = 1000ms; ///< Memory of the demand for a service: several requests of each host at any size, and shorter than a burst that callers notice.
+inline constexpr auto callerShareMemory     = 2000ms; ///< Memory of the flows admitted for each caller; longer than a caller's retries.
+inline constexpr double urgencyFloor        = 0.02;   ///< Share of the admitted flows that the rows of each urgency keep, however many more urgent flows there are.
+inline constexpr double urgencyActive       = 0.5;    ///< Recent openings from which on room is kept free for rows of an urgency.
+inline constexpr int shedFraction           = 8;      ///< An answer within this fraction of the mean slot time, while slots are scarce, is taken for a refusal by the upstream.
+inline constexpr double shedStep            = 0.95;   ///< Factor of the limit of requests per slot for each request that an upstream refused.
+inline constexpr double shedRecoveryPerSecond = 0.05; ///< Growth of this limit: with the factor, it settles where a host sees a refusal each second.
+inline constexpr double shedLimitMin        = 2.0;    ///< Least value of this limit, so that a few refusals by chance leave no slots idle.
+inline constexpr auto overloadEnd           = 2000ms; ///< An overload has ended if no flow was refused for this long.
+inline constexpr auto demandReportPeriod    = 200ms;  ///< Period of demand reports while slots are scarce; otherwise they go with the pings between hosts.
+inline constexpr double demandPressed       = 0.75;   ///< Requests per slot from which on slots count as scarce: each report then arrives before they are full.
+inline constexpr std::size_t demandServicesMax = 16;  ///< Services in one demand report, those with most demand.
+inline constexpr std::size_t demandZonesMax = 64;     ///< Zones in one demand report.
+inline constexpr auto abandonedAfter        = 300ms;  ///< A request whose caller has sent nothing for this long is no longer counted as work: callers resend after 200 ms, unless their upstream acknowledged the request.
+
 // Exchanges.
 inline constexpr auto defaultDeadline       = 5000ms; ///< Deadline of a row that sets none.
 inline constexpr double placedLagMax        = 50.0;   ///< Placements per slot by which the count of a cell may lag behind the lowest count of the service's cells, so that a cell that was unavailable for a long time does not get all requests until it has caught up.
--- a/include/flamingograde/init.h
+++ b/include/flamingograde/init.h
@@ -25,10 +25,11 @@
     Duration upstreamHeartbeat = config::upstreamHeartbeat; ///< Period in which upstreams renew
                                                             ///< their leases with the platform.
     PacketPolicy packetPolicy = PacketPolicy::LeastBusy;    ///< How new flows are placed.
-    ColdPolicy coldPolicy = ColdPolicy::Owner;              ///< How hosts divide cold limits.
-    double coldExcess = config::coldExcess; ///< Limit of all requests to a cold upstream in any
-                                            ///< second: this multiple of its cold limit,
-    double coldSlack = config::coldSlack;   ///< plus this many requests.
+    bool admitsByLoad = true;                  ///< Refuse new flows that a service has no room for.
+    ColdPolicy coldPolicy = ColdPolicy::Owner; ///< How hosts divide cold limits.
+    double coldExcess = config::coldExcess;    ///< Limit of all requests to a cold upstream in any
+                                               ///< second: this multiple of its cold limit,
+    double coldSlack = config::coldSlack;      ///< plus this many requests.
     std::size_t flowsTracked = 0;     ///< Packet flows that are tracked; 0: no packets are carried.
     std::uint64_t seed = 1;           ///< Seed of all random choices.
     Policy policy = Policy::CellHome; ///< How requests are placed on upstreams.
--- a/include/flamingograde/logevent.h
+++ b/include/flamingograde/logevent.h
@@ -73,6 +73,8 @@
     ZoneEvacuated       = 616, ///< A zone was evacuated: its upstreams get no new flows.
     ZoneTakenBack       = 617, ///< A zone's evacuation ended: its upstreams get new flows.
     CookieShared        = 612, ///< Two upstreams have the same cookie; the younger gets no flows.
+    OverloadBegan       = 618, ///< A service has no room for some of its new flows.
+    OverloadEnded       = 619, ///< A service has room for all of its new flows again.
     // 7xx: packets.
     FlowPlaced          = 700, ///< A new flow was assigned to an upstream.
     FlowReset           = 701, ///< A flow was reset.
--- a/include/flamingograde/message.h
+++ b/include/flamingograde/message.h
@@ -6,6 +6,7 @@
 #include <flamingograde/ids.h>
 #include <flamingograde/member.h>
 #include <flamingograde/revision.h>
+#include <flamingograde/servicedemand.h>
 #include <flamingograde/tableplacement.h>
 
 #include <cstdint>
@@ -47,6 +48,7 @@
     LinkUse linkUse = LinkUse::None; ///< Purpose for which the sender keeps the connection.
     bool readsFail = false;          ///< The sender's own reads of the directory fail.
     bool hasPart = false;            ///< The sender has a part of the directory, but no revision.
+    DemandReports demand;            ///< Demand for services; empty from hosts of older versions.
 };
 
 /// The first message that each side sends on a connection.
--- a/include/flamingograde/packetdecision.h
+++ b/include/flamingograde/packetdecision.h
@@ -27,6 +27,7 @@
     PlacedOnTrial,   ///< Opens a new flow; also sent to a silent upstream as a test of it.
     NoRow,           ///< No row has the destination address.
     NoUpstream,      ///< No upstream of the row's services accepts new flows.
+    Overloaded,      ///< The row's services have no room for another flow of it.
     UpstreamGone,    ///< The flow's upstream has left the directory.
     UpstreamSilent,  ///< An idempotent request whose upstream does not answer any caller.
     CookieUnknown,   ///< No upstream known to this host has the cookie.
--- a/include/flamingograde/packethead.h
+++ b/include/flamingograde/packethead.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <flamingograde/address.h>
+#include <flamingograde/clock.h>
 #include <flamingograde/cookie.h>
 
 #include <cstdint>
@@ -28,6 +29,7 @@
     std::uint32_t acknowledged = 0; ///< Sequence number of the next byte that the caller expects.
     std::uint32_t retransmissions = 0; ///< For an opening packet: how often it was sent before.
     std::uint16_t dataBytes = 0;       ///< Length of its data.
+    Duration waited { 0 };             ///< It may have waited this long to be read.
     PacketFlags flags;
 };
 
--- a/include/flamingograde/stats.h
+++ b/include/flamingograde/stats.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include <flamingograde/latencyhistogram.h>
+#include <flamingograde/servicestats.h>
 
 #include <array>
 #include <cstdint>
+#include <vector>
 
 namespace flamingograde {
 
@@ -12,7 +14,7 @@
 struct Stats
 {
     static constexpr std::size_t reasons = 17;       ///< Number of `RefusalReason`s.
-    static constexpr std::size_t packetReasons = 13; ///< Number of `PacketReason`s.
+    static constexpr std::size_t packetReasons = 14; ///< Number of `PacketReason`s.
 
     std::uint64_t callersArrived = 0; ///< Requests, feeds and uploads from callers.
     std::uint64_t relaysArrived = 0;  ///< Requests relayed to this host.
@@ -60,6 +62,7 @@
     std::uint64_t upstreamsSilent = 0;   ///< Gauge: silent upstreams.
     std::uint64_t flows = 0;             ///< Gauge: tracked packet flows.
     std::uint64_t upstreamsLimited = 0;  ///< Gauge: upstreams with a cold limit in effect.
+    std::vector<ServiceStats> services;  ///< Services that callers' packets asked for.
     std::uint64_t zonesEvacuated = 0;    ///< Gauge: evacuated availability zones.
 };
 
--- a/src/core/admission/servicetime.cpp
+++ b/src/core/admission/servicetime.cpp
@@ -32,6 +32,19 @@
     this->lastSample = now;
 }
 
+auto ServiceTime::sampleMean(Duration time, MonoTime now) -> void
+{
+    if (!this->upperEstimate(now).has_value() || this->meanSeconds <= 0) {
+        this->sample(time, now);
+        return;
+    }
+    const auto value = std::chrono::duration<double>(time).count();
+    const auto proportion = this->deviationSeconds / this->meanSeconds;
+    this->meanSeconds += config::serviceTimeGain * (value - this->meanSeconds);
+    this->deviationSeconds = proportion * this->meanSeconds;
+    this->lastSample = now;
+}
+
 auto ServiceTime::upperEstimate(MonoTime now) const -> std::optional<Duration>
 {
     if (!this->hasSample || now - this->lastSample > config::serviceTimeFresh) {
--- a/src/core/admission/servicetime.h
+++ b/src/core/admission/servicetime.h
@@ -17,6 +17,10 @@
     /// Adds a sample. Precondition: `time` is not negative.
     auto sample(Duration time, MonoTime now) -> void;
 
+    /// Adds a sample that was derived from a longer time, so that its deviation tells nothing: the
+    /// deviation keeps its proportion to the mean. Precondition: as `sample`.
+    auto sampleMean(Duration time, MonoTime now) -> void;
+
     /// Returns the time within which most requests are answered: the mean plus
     /// `config::serviceTimeDeviations` deviations. Nothing before the first sample, or if the last
     /// one is older than `config::serviceTimeFresh` and therefore no ground to refuse requests.
--- a/src/core/blackboard.h
+++ b/src/core/blackboard.h
@@ -4,9 +4,11 @@
 #include "core/configuration/configstate.h"
 #include "core/directory/directory.h"
 #include "core/feeds/feedstore.h"
+#include "core/flowadmission/flowadmissionstate.h"
 #include "core/homes/cellstore.h"
 #include "core/homes/tenurestate.h"
 #include "core/keys/keyregistry.h"
+#include "core/loadreports/demandledger.h"
 #include "core/membership/membershipstate.h"
 #include "core/overlay/linkstate.h"
 #include "core/packets/packetstate.h"
@@ -53,12 +55,14 @@
     Directory directory;             ///< Packet rows and upstreams, as the platform publishes them.
     bool directoryReadsFail = false; ///< This host's last read of the directory failed.
     PacketState packets;             ///< Tracked packet flows.
-    std::vector<Log> pendingLogs;    ///< Log lines caused by packets; written with the next tick.
-    MembershipState membership;      ///< The other hosts.
-    LinkState links;                 ///< Connections that this host keeps with other hosts.
-    TenureState tenure;              ///< The cells of which this host is the home.
-    ExchangeStore exchanges;         ///< Requests in progress.
-    FeedStore feeds;                 ///< Open feeds.
+    FlowAdmissionState flowAdmission; ///< Loads of the services that packets ask for.
+    DemandLedger demand;              ///< Demand for services as other hosts reported it.
+    std::vector<Log> pendingLogs;     ///< Log lines caused by packets; written with the next tick.
+    MembershipState membership;       ///< The other hosts.
+    LinkState links;                  ///< Connections that this host keeps with other hosts.
+    TenureState tenure;               ///< The cells of which this host is the home.
+    ExchangeStore exchanges;          ///< Requests in progress.
+    FeedStore feeds;                  ///< Open feeds.
     CellStore cells;         ///< Queues and slots of the cells of which this host is the home.
     KeyRegistry keys;        ///< Idempotency keys whose requests this host has run.
     PlacedShares placed;     ///< Placements that this host has made in each cell.
--- a/src/core/directory/directory.cpp
+++ b/src/core/directory/directory.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-const ServicePool emptyPool;
-
 /// Returns whether `a` takes precedence over `b` for a cookie that both map to: the record that
 /// was created first, then the lower instance id.
 auto takesPrecedence(const DirectoryRecord &a, const DirectoryRecord &b) -> bool
@@ -514,75 +512,24 @@
     return found == this->cookies.end() ? nullptr : &this->entrySlots[found->second];
 }
 
-auto Directory::poolOf(ServiceId service) -> const ServicePool &
+auto Directory::freshPools() -> const ServicePools &
 {
     if (this->poolsStale) {
         this->rebuildPools();
     }
-    const auto found = this->pools.find(service);
-    return found == this->pools.end() ? emptyPool : found->second;
-}
-
-auto Directory::beginRequest(UpstreamEntry &entry) -> void
-{
-    ++entry.evidence.pending;
-    if (entry.isPooled) {
-        ++this->pools[entry.record.upstream.service].nearBusy;
-    }
-}
-
-auto Directory::endRequest(UpstreamEntry &entry) -> void
-{
-    if (entry.evidence.pending == 0) {
-        return;
-    }
-    --entry.evidence.pending;
-    if (entry.isPooled) {
-        --this->pools[entry.record.upstream.service].nearBusy;
-    }
+    return this->servicePools;
 }
 
 auto Directory::rebuildPools() -> void
 {
     this->poolsStale = false;
-    for (auto &[service, pool] : this->pools) {
-        pool.near.clear();
-        pool.far.clear();
-        pool.cold.clear();
-        pool.silent.clear();
-        pool.nearSlots = 0;
-        pool.nearBusy = 0;
-    }
+    this->servicePools.clear();
     for (auto &entry : this->entrySlots) {
         entry.isPooled = false;
         if (entry.record.upstream.instance.isValid() && this->acceptsNewFlows(entry)) {
-            this->addToPool(entry);
-        }
-    }
-}
-
-auto Directory::addToPool(UpstreamEntry &entry) -> void
-{
-    auto &pool = this->pools[entry.record.upstream.service];
-    const auto index = this->indexOf(entry);
-    if (entry.isColdLimited) {
-        if (entry.allowance.hasRate() && !entry.evidence.isSilent()) {
-            pool.cold.push_back(index);
+            this->servicePools.add(entry, this->indexOf(entry));
         }
-        return;
-    }
-    // A missing upstream stays in the pool until its removal is confirmed. When the platform
-    // recovers from an outage, most upstreams of a service are unregistered for some 100 ms;
-    // sending all new flows to the few that registered first filled their queues (after a store
-    // outage of 9 s, 12 of 12,600 requests were refused).
-    if (!entry.evidence.isSilent()) {
-        (entry.isNear ? pool.near : pool.far).push_back(index);
-        entry.isPooled = entry.isNear;
-        pool.nearSlots += entry.isNear ? entry.record.upstream.slots : 0;
-        pool.nearBusy += entry.isNear ? entry.evidence.pending : 0;
-        return;
     }
-    pool.silent.push_back(index);
 }
 
 } // namespace flamingograde
--- a/src/core/directory/directory.h
+++ b/src/core/directory/directory.h
@@ -3,7 +3,7 @@
 
 #include "core/directory/directorychanges.h"
 #include "core/directory/rowtable.h"
-#include "core/directory/servicepool.h"
+#include "core/directory/servicepools.h"
 #include "core/directory/upstreamentry.h"
 #include "core/directory/zoneevacuations.h"
 
@@ -164,13 +164,23 @@
         return this->entrySlots[index];
     }
 
-    /// Counts a request of one of this host's flows as started or ended at an entry.
-    /// Precondition: `entry` is of this directory.
-    auto beginRequest(UpstreamEntry &entry) -> void;
-    auto endRequest(UpstreamEntry &entry) -> void;
+    /// Returns the counts of this host's requests at the upstreams. Precondition: none.
+    [[nodiscard]] auto requests() -> ServicePools & { return this->servicePools; }
+
+    /// Returns the pools of all services, up to date. Precondition: none.
+    [[nodiscard]] auto freshPools() -> const ServicePools &;
 
     /// Returns the upstreams of `service` that accept new flows; empty for an unknown service.
-    [[nodiscard]] auto poolOf(ServiceId service) -> const ServicePool &;
+    [[nodiscard]] auto poolOf(ServiceId service) -> const ServicePool &
+    {
+        return this->freshPools().find(service);
+    }
+
+    /// Returns the pool of `service` as of the last `poolOf()`. Precondition: none.
+    [[nodiscard]] auto findPool(ServiceId service) const -> const ServicePool &
+    {
+        return this->servicePools.find(service);
+    }
 
     /// Invalidates the pools after a change of an entry's evidence or presence; the next
     /// `poolOf()` rebuilds them. Precondition: none.
@@ -237,7 +247,6 @@
     auto resolveMissing(UpstreamEntry &entry, MonoTime now, DirectoryChanges &changes) -> void;
     auto forget(UpstreamEntry &entry) -> void;
     auto rebuildPools() -> void;
-    auto addToPool(UpstreamEntry &entry) -> void;
 
     ZoneId ownZone;
     bool enforcesColdLimits = true;
@@ -250,7 +259,7 @@
     std::vector<std::uint32_t> freeSlots;
     std::unordered_map<InstanceId, std::uint32_t> byInstance;
     std::unordered_map<Cookie, std::uint32_t> cookies;
-    std::unordered_map<ServiceId, ServicePool> pools;
+    ServicePools servicePools;
     RowTable packetRows;
     ZoneEvacuations zoneEvacuations;
     std::unordered_map<ServiceId, ColdLimit> coldLimits;
--- a/src/core/directory/upstreamentry.h
+++ b/src/core/directory/upstreamentry.h
@@ -36,7 +36,7 @@
     bool isFaulty = false;           ///< The platform's entry is unusable; open flows continue.
     std::uint16_t restarts = 0; ///< Number of restarts of its instance that this host has seen.
     bool isNear = false;        ///< In this host's availability zone.
-    bool isPooled = false;      ///< Listed in `ServicePool::near` of its service.
+    bool isPooled = false;      ///< Listed in `near` or `far` of its service's pool.
     bool isColdLimited = false; ///< Cold, and its service has a cold limit.
     ColdAllowance allowance;    ///< This host's share of the cold limit, if any.
     UpstreamEvidence evidence;
--- a/src/core/directory/upstreamevidence.h
+++ b/src/core/directory/upstreamevidence.h
@@ -14,6 +14,7 @@
 struct UpstreamEvidence
 {
     std::uint32_t pending = 0;    ///< Pending requests and openings of this host's flows.
+    std::uint32_t underWay = 0;   ///< Those of them that wait for, or occupy, a slot.
     std::uint32_t unanswered = 0; ///< Requests and openings unanswered since the last sign of life.
     /// Unanswered requests sent three times while other upstreams answered.
     LostRequests lostRequests;
@@ -23,6 +24,7 @@
     Duration trialPause { 0 };           ///< If silent: pause after the next trial.
     Duration handshake { 0 };            ///< Mean time from an opening to the caller's next packet.
     Duration response { 0 }; ///< Mean time from a request to the caller's acknowledgement.
+    MonoTime respondedAt;    ///< When `response` was last measured.
 
     [[nodiscard]] auto isSilent() const -> bool { return this->silentSince.has_value(); }
 
--- a/src/core/dump.cpp
+++ b/src/core/dump.cpp
@@ -2,6 +2,7 @@
 #include "core/dump.h"
 
 #include "core/blackboard.h"
+#include "core/flowadmission/admitflow.h"
 #include "core/hexid.h"
 #include "core/homes/celldump.h"
 #include "core/milliseconds.h"
@@ -210,6 +211,7 @@
     stats.rowsVersion = rows == nullptr ? 0 : rows->version;
     stats.upstreams = board.directory.listedCount();
     stats.flows = board.packets.flows.used;
+    stats.services = serviceStatsOf(board);
     stats.upstreamsLimited = board.directory.coldLimitedCount();
     stats.zonesEvacuated = board.directory.evacuations().evacuatedCount();
     for (const auto &entry : board.directory.entries()) {
--- a/src/core/logevent.cpp
+++ b/src/core/logevent.cpp
@@ -11,7 +11,7 @@
 
 using Name = std::pair<LogEvent, std::string_view>;
 
-constexpr std::array<Name, 63> names { {
+constexpr std::array<Name, 65> names { {
         { LogEvent::Started, "Started" },
         { LogEvent::StopBegan, "StopBegan" },
         { LogEvent::StopWaits, "StopWaits" },
@@ -67,6 +67,8 @@
         { LogEvent::UpstreamUnusable, "UpstreamUnusable" },
         { LogEvent::ZoneEvacuated, "ZoneEvacuated" },
         { LogEvent::ZoneTakenBack, "ZoneTakenBack" },
+        { LogEvent::OverloadBegan, "OverloadBegan" },
+        { LogEvent::OverloadEnded, "OverloadEnded" },
         { LogEvent::CookieShared, "CookieShared" },
         { LogEvent::DirectoryLoaded, "DirectoryLoaded" },
         { LogEvent::FlowPlaced, "FlowPlaced" },
--- a/src/core/membership/gossip.cpp
+++ b/src/core/membership/gossip.cpp
@@ -2,6 +2,7 @@
 #include "core/membership/gossip.h"
 
 #include "core/blackboard.h"
+#include "core/loadreports/demandreports.h"
 #include "core/milliseconds.h"
 
 #include <algorithm>
@@ -43,6 +44,7 @@
     gossip.hasPart = board.directory.hasPart();
     gossip.linkUse = board.links.useOf(host);
     gossip.members = board.membership.digest();
+    gossip.demand = demandReportsFor(board, host);
     return gossip;
 }
 
--- a/src/core/overlay/overlaycontroller.cpp
+++ b/src/core/overlay/overlaycontroller.cpp
@@ -2,6 +2,7 @@
 #include "core/overlay/overlaycontroller.h"
 
 #include "core/blackboard.h"
+#include "core/loadreports/demandreports.h"
 #include "core/membership/gossip.h"
 #include "core/membership/membershipstart.h"
 #include "core/membership/ownzone.h"
@@ -100,6 +101,7 @@
     LinkManager::heard(board, *record);
     if (const auto *gossip = gossipOf(received.message)) {
         record->link.use = gossip->linkUse;
+        takeDemandReports(board, received.from, gossip->demand);
         for (const auto &reported : gossip->updates) {
             learnMember(board, reported, changes);
         }
@@ -132,6 +134,7 @@
     this->seeds.tick(board);
     this->deadHosts.tick(board, changes);
     this->changeBroadcaster.tick(board);
+    this->demandReporter.tick(board);
     if (board.now.mono >= this->nextTrim) {
         this->nextTrim = board.now.mono + trimPeriod;
         trimView(board);
--- a/src/core/overlay/overlaycontroller.h
+++ b/src/core/overlay/overlaycontroller.h
@@ -2,6 +2,7 @@
 /// each other zone.
 #pragma once
 
+#include "core/loadreports/demandreporter.h"
 #include "core/membership/listexchange.h"
 #include "core/membership/pausedetector.h"
 #include "core/membership/seeddialer.h"
@@ -43,6 +44,7 @@
     LinkManager links;
     DeadHostDetector deadHosts;
     ChangeBroadcaster changeBroadcaster;
+    DemandReporter demandReporter;
     SeedDialer seeds { SeedDialMode::OneAtATime };
     ListExchange lists;
     PauseDetector pauses;
--- a/src/core/packets/flowchoice.cpp
+++ b/src/core/packets/flowchoice.cpp
@@ -3,9 +3,12 @@
 
 #include "core/blackboard.h"
 #include "core/packets/flowplacement.h"
+#include "core/packets/placementsubset.h"
 
 #include <flamingograde/config.h>
 
+#include <algorithm>
+
 namespace flamingograde {
 
 namespace {
@@ -22,6 +25,20 @@
     return (entry.evidence.pending + 1) / slots;
 }
 
+/// Returns how many times as long as usual an upstream takes to answer; 1 unless it is clearly
+/// slower than the service's other upstreams. What was measured counts less with its age, so that
+/// an upstream that was slow is tried again.
+auto slownessOf(const Blackboard &board, const UpstreamEvidence &evidence, Duration usual) -> double
+{
+    using Seconds = std::chrono::duration<double>;
+    if (usual <= Duration(0) || evidence.response < usual * config::slowRatio) {
+        return 1;
+    }
+    const auto ratio = Seconds(evidence.response) / Seconds(usual);
+    const auto age = Seconds(board.now.mono - evidence.respondedAt) / Seconds(config::slowMemory);
+    return 1 + (ratio - 1) / (1 + age);
+}
+
 /// Returns whether the flow need not avoid a candidate and its cold limit, if any, allows a flow.
 auto isEligible(const Blackboard &board, std::uint32_t index, const NewFlow &flow) -> bool
 {
@@ -36,12 +53,15 @@
         : board(blackboard), flow(newFlow)
     {}
 
-    auto consider(std::uint32_t index) -> void
+    /// @param part the part of the upstream that falls to this host.
+    auto consider(std::uint32_t index, double part = 1) -> void
     {
         if (!isEligible(this->board, index, this->flow)) {
             return;
         }
-        const auto load = loadOf(this->board, index);
+        const auto &evidence = this->board.directory.at(index).evidence;
+        const auto slowness = slownessOf(this->board, evidence, this->flow.usualResponse);
+        const auto load = loadOf(this->board, index) * slowness / part;
         if (this->best && load > this->bestLoad) {
             return;
         }
@@ -77,6 +97,26 @@
 
 } // namespace
 
+auto chooseFromSubset(Blackboard &board, const std::vector<SubsetMember> &subset,
+                      const NewFlow &flow) -> std::optional<std::uint32_t>
+{
+    LeastBusySearch search(board, flow);
+    const auto considerMember = [&](const SubsetMember &member) {
+        const auto &entry = board.directory.at(member.upstream);
+        if (entry.isPooled && entry.record.upstream.instance == member.instance) {
+            search.consider(member.upstream, member.part);
+        }
+    };
+    if (subset.size() <= config::placementScan) {
+        std::for_each(subset.begin(), subset.end(), considerMember);
+        return search.result();
+    }
+    for (std::size_t draw = 0; draw < config::placementDraws; ++draw) {
+        considerMember(subset[board.random() % subset.size()]);
+    }
+    return search.result();
+}
+
 auto ChooseLeastBusy::choose(Blackboard &board, const FlowCandidates &candidates,
                              const NewFlow &flow) const -> std::optional<std::uint32_t>
 {
@@ -109,6 +149,7 @@
 {
     switch (policy) {
     case PacketPolicy::LeastBusy:
+    case PacketPolicy::LeastBusyOfAll:
         break;
     case PacketPolicy::Random:
         return ChooseRandom();
--- a/src/core/packets/flowchoice.h
+++ b/src/core/packets/flowchoice.h
@@ -12,9 +12,15 @@
 
 class Blackboard;
 struct NewFlow;
+struct SubsetMember;
 
 using FlowCandidates = std::vector<std::uint32_t>; ///< Indices of entries in the directory.
 
+/// Returns the member of this host's subset with the shortest expected wait, or nothing if the
+/// subset has none that may take the flow. Precondition: the subset is of one service.
+[[nodiscard]] auto chooseFromSubset(Blackboard &board, const std::vector<SubsetMember> &subset,
+                                    const NewFlow &flow) -> std::optional<std::uint32_t>;
+
 /// Chooses the upstream with the fewest requests per slot, and among equals one at random.
 ///
 /// Up to `config::placementScan` candidates are all compared; of more, `config::placementDraws` are
--- a/src/core/packets/flowentry.h
+++ b/src/core/packets/flowentry.h
@@ -31,7 +31,9 @@
     std::uint32_t acknowledged = 0; ///< The caller's newest acknowledgement number.
     std::uint32_t sequence = 0;     ///< Sequence number of the caller's newest data.
     FlowStage stage = FlowStage::Free;
+    bool isUnderWay = false;         ///< Its opening or request counts as work of its upstream.
     bool awaitsFirstRequest = false; ///< This host placed it and no request has arrived on it.
+    float loadAtStart = 0;      ///< Requests per slot of the service when the request was sent.
     std::uint16_t restarts = 0; ///< The upstream's `UpstreamEntry::restarts`, to detect a restart.
 };
 
--- a/src/core/packets/flowplacement.cpp
+++ b/src/core/packets/flowplacement.cpp
@@ -2,6 +2,7 @@
 #include "core/packets/flowplacement.h"
 
 #include "core/blackboard.h"
+#include "core/flowadmission/admitflow.h"
 #include "core/packets/zonespill.h"
 
 #include <variant>
@@ -18,14 +19,19 @@
                       board.packets.choice);
 }
 
-auto placeInService(Blackboard &board, const PacketRow &row, ServiceId service, const NewFlow &flow)
-        -> std::optional<std::uint32_t>
+auto placeInPool(Blackboard &board, const PacketRow &row, ServiceId service,
+                 const ServicePool &pool, const NewFlow &flow) -> std::optional<std::uint32_t>
 {
-    const auto &pool = board.directory.poolOf(service);
-    const auto prefersOtherZones = isZoneCrowded(board, row, pool);
+    const auto usesSubset = board.init.packetPolicy == PacketPolicy::LeastBusy;
+    const auto prefersOtherZones = leavesZone(board, row, service, pool);
     const auto &first = prefersOtherZones ? pool.cold : pool.near;
     const auto &second = prefersOtherZones ? pool.far : pool.cold;
     const auto &third = prefersOtherZones ? pool.near : pool.far;
+    if (usesSubset && !prefersOtherZones) {
+        if (const auto chosen = chooseFromSubset(board, board.packets.subsets.of(service), flow)) {
+            return chosen;
+        }
+    }
     for (const auto *candidates : { &first, &second, &third, &pool.silent }) {
         if (const auto chosen = choose(board, *candidates, flow)) {
             return chosen;
@@ -34,6 +40,13 @@
     return std::nullopt;
 }
 
+/// Returns whether a service has room for the flow.
+auto hasRoom(Blackboard &board, const PacketRow &row, ServiceId service, const ServicePool &pool,
+             const NewFlow &flow) -> bool
+{
+    return flow.mayBeOpen || isAdmitted(admitFlow(board, row, service, pool, flow.callerIp));
+}
+
 /// Returns the index of the service share that a flow's hash selects, in proportion to the weights.
 auto drawShare(const std::vector<ServiceShare> &shares, std::uint64_t hash) -> std::size_t
 {
@@ -56,9 +69,9 @@
 
 } // namespace
 
-auto placeFlow(Blackboard &board, const RowEntry &row, const NewFlow &flow)
-        -> std::optional<std::uint32_t>
+auto placeFlow(Blackboard &board, const RowEntry &row, const NewFlow &flow) -> FlowPlacement
 {
+    FlowPlacement placement;
     const auto &shares = row.row->shares;
     const auto first = drawShare(shares, flow.hash);
     for (std::size_t i = 0; i < shares.size(); ++i) {
@@ -66,11 +79,19 @@
         if (share.weight == 0) {
             continue;
         }
-        if (const auto chosen = placeInService(board, *row.row, share.service, flow)) {
-            return chosen;
+        const auto &pool = board.directory.poolOf(share.service);
+        if (!hasRoom(board, *row.row, share.service, pool, flow)) {
+            placement.isOverloaded = true;
+            continue;
+        }
+        auto request = flow;
+        request.usualResponse = usualResponseOf(board, share.service);
+        placement.upstream = placeInPool(board, *row.row, share.service, pool, request);
+        if (placement.upstream) {
+            return placement;
         }
     }
-    return std::nullopt;
+    return placement;
 }
 
 } // namespace flamingograde
--- a/src/core/packets/flowwatch.cpp
+++ b/src/core/packets/flowwatch.cpp
@@ -2,6 +2,7 @@
 #include "core/packets/flowwatch.h"
 
 #include "core/blackboard.h"
+#include "core/flowadmission/admitflow.h"
 #include "core/packets/silence.h"
 
 #include <flamingograde/config.h>
@@ -32,17 +33,35 @@
     return entry.cookie == flow.cookie && entry.restarts == flow.restarts ? &entry : nullptr;
 }
 
+/// Counts a flow's opening or request as work of its upstream, or no longer.
+auto setUnderWay(Blackboard &board, FlowEntry &flow, bool isUnderWay) -> void
+{
+    if (std::exchange(flow.isUnderWay, isUnderWay) == isUnderWay) {
+        return;
+    }
+    auto *entry = upstreamOf(board, flow);
+    if (entry == nullptr) {
+        return;
+    }
+    if (isUnderWay) {
+        board.directory.requests().beginWork(*entry);
+    } else {
+        board.directory.requests().endWork(*entry);
+    }
+}
+
 /// Moves a flow to another stage, and updates the counts of pending requests and of used entries.
 auto setStage(Blackboard &board, FlowEntry &flow, FlowStage stage) -> void
 {
     auto *entry = upstreamOf(board, flow);
     if (entry != nullptr && hasPendingRequest(flow.stage) != hasPendingRequest(stage)) {
         if (hasPendingRequest(stage)) {
-            board.directory.beginRequest(*entry);
+            board.directory.requests().beginRequest(*entry);
         } else {
-            board.directory.endRequest(*entry);
+            board.directory.requests().endRequest(*entry);
         }
     }
+    setUnderWay(board, flow, hasPendingRequest(stage));
     auto &used = board.packets.flows.used;
     used += (stage != FlowStage::Free ? 1 : 0) - (flow.stage != FlowStage::Free ? 1 : 0);
     flow.stage = stage;
@@ -87,6 +106,7 @@
     }
     if (!isStale(board, flow)) {
         addToMean(board.directory.at(upstream).evidence.handshake, elapsed);
+        noteHandshake(board, board.directory.at(upstream), elapsed);
         board.stats.handshakes.add(elapsed);
         recordHeard(board, upstream);
         recordAnswered(board, flow.sentAt);
@@ -114,13 +134,25 @@
     recordHeard(board, flow.upstream);
     if (flow.stage != FlowStage::Idle) {
         const auto elapsed = FlowTable::clock(board.now.mono) - flow.sentAt;
-        addToMean(board.directory.at(flow.upstream).evidence.response, elapsed);
+        auto &entry = board.directory.at(flow.upstream);
+        addToMean(entry.evidence.response, elapsed);
+        entry.evidence.respondedAt = board.now.mono;
+        noteResponse(board, entry, elapsed, flow.loadAtStart);
         recordAnswered(board, flow.sentAt);
         board.stats.responses.add(elapsed);
         setStage(board, flow, FlowStage::Idle);
     }
 }
 
+/// Counts a request that has just been forwarded as work until it is found abandoned.
+auto watchForAnswer(Blackboard &board, FlowEntry &flow) -> void
+{
+    const auto isChecked =
+            board.packets.requests.push({ board.packets.flows.indexOf(flow), flow.upstream,
+                                          flow.sentAt, FlowTable::clock(board.now.mono) });
+    setUnderWay(board, flow, isChecked);
+}
+
 /// Handles a retransmitted request: the caller got no acknowledgement within its resend time.
 /// @returns whether this is the first retransmission of the request.
 auto handleResend(Blackboard &board, FlowEntry &flow) -> bool
@@ -133,6 +165,7 @@
     }
     if (flow.stage == FlowStage::Waiting && sentFor >= config::resendTime.count()) {
         setStage(board, flow, FlowStage::Overdue);
+        watchForAnswer(board, flow);
         recordUnanswered(board, flow.upstream, flow.sentAt);
         return true;
     }
@@ -170,6 +203,9 @@
         }
         flow.sentAt = FlowTable::clock(board.now.mono);
         setStage(board, flow, FlowStage::Waiting);
+        const auto &upstream = board.directory.at(flow.upstream).record.upstream;
+        flow.loadAtStart = static_cast<float>(beginServiceRequest(board, upstream.service));
+        watchForAnswer(board, flow);
     }
     return RequestEvidence::Pending;
 }
@@ -191,13 +227,35 @@
 }
 
 /// Records an opening whose time is up if no second packet of its flow has arrived.
-auto recordIfUnanswered(Blackboard &board, const PendingOpening &opening) -> void
+auto recordIfUnanswered(Blackboard &board, const PendingCheck &opening) -> void
 {
-    const auto &flow = board.packets.flows.at(opening.flow);
+    auto &flow = board.packets.flows.at(opening.flow);
     const auto isUnanswered = flow.stage == FlowStage::Opening && flow.sentAt == opening.sentAt
                               && flow.upstream == opening.upstream;
     if (isUnanswered) {
         recordUnanswered(board, opening.upstream, opening.sentAt);
+        setUnderWay(board, flow, false);
+    }
+}
+
+/// Stops counting requests as work whose callers neither got an answer nor sent them again: their
+/// callers have given up, for example as an upstream that crashed reset them.
+auto checkAbandonedRequests(Blackboard &board) -> void
+{
+    constexpr auto timeout = static_cast<std::uint32_t>(config::abandonedAfter.count());
+    auto &requests = board.packets.requests;
+    const auto now = FlowTable::clock(board.now.mono);
+    while (const auto *request = requests.oldest()) {
+        if (now - request->since < timeout) {
+            return;
+        }
+        auto &flow = board.packets.flows.at(request->flow);
+        const auto isSilent = now - flow.lastPacketAt >= timeout;
+        const auto isOpen = flow.stage != FlowStage::Opening;
+        if (isOpen && isSilent && flow.sentAt == request->sentAt) {
+            setUnderWay(board, flow, false);
+        }
+        requests.pop();
     }
 }
 
@@ -243,9 +301,13 @@
     flow.sentAt = FlowTable::clock(board.now.mono);
     flow.lastPacketAt = flow.sentAt;
     setStage(board, flow, FlowStage::Opening);
-    if (board.now.mono >= board.packets.evidenceValidFrom) {
-        board.packets.openings.push({ board.packets.flows.indexOf(flow), upstream, flow.sentAt });
-    }
+    // An opening whose time-out is not noticed must not count as work: after a pause a host places
+    // many openings whose callers have given up.
+    const auto isEvidenceValid = board.now.mono >= board.packets.evidenceValidFrom;
+    const auto isChecked = isEvidenceValid
+                           && board.packets.openings.push({ board.packets.flows.indexOf(flow),
+                                                            upstream, flow.sentAt, flow.sentAt });
+    setUnderWay(board, flow, isChecked);
 }
 
 auto trackPacket(Blackboard &board, const PacketHead &head, std::uint32_t upstream)
@@ -282,12 +344,20 @@
 auto checkFlowTimeouts(Blackboard &board) -> void
 {
     checkOpeningTimeouts(board);
+    checkAbandonedRequests(board);
     expireRequests(board);
 }
 
 auto suspendEvidence(Blackboard &board) -> void
 {
-    board.packets.openings.clear();
+    auto &openings = board.packets.openings;
+    for (const auto *opening = openings.oldest(); opening != nullptr; opening = openings.oldest()) {
+        auto &flow = board.packets.flows.at(opening->flow);
+        if (flow.stage == FlowStage::Opening && flow.sentAt == opening->sentAt) {
+            setUnderWay(board, flow, false);
+        }
+        openings.pop();
+    }
     board.packets.evidenceValidFrom = board.now.mono + config::evidenceHoldOff;
 }
 
--- a/src/core/packets/packetcontroller.cpp
+++ b/src/core/packets/packetcontroller.cpp
@@ -2,6 +2,7 @@
 #include "core/packets/packetcontroller.h"
 
 #include "core/blackboard.h"
+#include "core/flowadmission/admitflow.h"
 #include "core/packets/coldsharing.h"
 #include "core/packets/flowwatch.h"
 
@@ -29,6 +30,8 @@
     }
     checkFlowTimeouts(board);
     updateColdLimits(board);
+    updateSubsets(board);
+    updateServiceLoads(board);
     for (auto &note : board.pendingLogs) {
         board.addAction(std::move(note));
     }
--- a/src/core/packets/packetdump.cpp
+++ b/src/core/packets/packetdump.cpp
@@ -2,6 +2,7 @@
 #include "core/packets/packetdump.h"
 
 #include "core/blackboard.h"
+#include "core/flowadmission/admitflow.h"
 #include "core/hexid.h"
 #include "core/milliseconds.h"
 #include "core/packets/flowowner.h"
@@ -30,6 +31,27 @@
     return "removed";
 }
 
+/// Returns the load of each service, and how many of its new flows were admitted and refused.
+auto servicesJson(const Blackboard &board) -> json
+{
+    auto list = json::array();
+    for (const auto &service : serviceStatsOf(board)) {
+        auto flows = json::object();
+        for (std::size_t i = 0; i < service.flows.size(); ++i) {
+            flows[std::string(toString(static_cast<Admission>(i)))] = service.flows.at(i);
+        }
+        list.push_back({ { "name", service.name },
+                         { "slots", service.slots },
+                         { "under_way_here", service.underWay },
+                         { "share", service.share },
+                         { "load", service.hostLoad },
+                         { "fleet_load", service.fleetLoad },
+                         { "slot_ms", service.slotTimeMs },
+                         { "flows", flows } });
+    }
+    return list;
+}
+
 /// Returns the milliseconds since `time`, or null if it was never set.
 auto ageJson(const Blackboard &board, MonoTime time) -> json
 {
@@ -42,9 +64,13 @@
     for (const auto &share : row.shares) {
         shares[share.serviceName] = share.weight;
     }
-    return { { "name", row.name },       { "address", row.address.toString() },
-             { "services", shares },     { "idempotent", row.idempotent },
-             { "urgency", row.urgency }, { "deadline_ms", milliseconds(row.deadline) } };
+    return { { "name", row.name },
+             { "address", row.address.toString() },
+             { "services", shares },
+             { "idempotent", row.idempotent },
+             { "urgency", row.urgency },
+             { "deadline_ms", milliseconds(row.deadline) },
+             { "target_ms", milliseconds(row.target) } };
 }
 
 auto upstreamJson(const Blackboard &board, const UpstreamEntry &entry) -> json
@@ -145,7 +171,9 @@
 auto explainNewFlow(const Blackboard &board, const RowEntry &row) -> json
 {
     auto candidates = json::array();
+    auto admission = json::array();
     for (const auto &share : row.row->shares) {
+        admission.push_back(describeAdmission(board, *row.row, share.service, 0));
         for (const auto &entry : board.directory.entries()) {
             const auto &upstream = entry.record.upstream;
             if (!upstream.instance.isValid() || upstream.service != share.service) {
@@ -163,6 +191,7 @@
                "the service is drawn by weight; of its upstreams open to new flows the one least "
                "busy for its slots is chosen, in this zone unless that is crowded" },
              { "verdict", "forward" },
+             { "admission", admission },
              { "candidates", candidates } };
 }
 
@@ -202,6 +231,7 @@
              { "evacuations", evacuationsJson(board) },
              { "flows_watched", board.packets.flows.used },
              { "rows", rows },
+             { "services", servicesJson(board) },
              { "upstreams", upstreams } };
 }
 
--- a/src/core/packets/packetnote.cpp
+++ b/src/core/packets/packetnote.cpp
@@ -2,6 +2,7 @@
 #include "core/packets/packetnote.h"
 
 #include "core/blackboard.h"
+#include "core/flowadmission/admitflow.h"
 #include "core/hexid.h"
 #include "core/milliseconds.h"
 #include "core/packets/flowowner.h"
@@ -70,6 +71,11 @@
     if (decision.reason == PacketReason::UpstreamSilent && row != nullptr) {
         text += describeSilentUpstream(board, *row, head);
     }
+    if (decision.reason == PacketReason::Overloaded && row != nullptr) {
+        for (const auto &share : row->row->shares) {
+            text += " " + describeAdmission(board, *row->row, share.service, head.caller.ip);
+        }
+    }
     if (decision.reason == PacketReason::SteeredOverdue) {
         text += describeRequest(board, head);
     }
--- a/src/core/packets/packetreason.cpp
+++ b/src/core/packets/packetreason.cpp
@@ -8,12 +8,10 @@
 namespace {
 
 /// Names in the order of the values of `PacketReason`.
-constexpr std::array<std::string_view, 13> names {
-    "steered",          "steered-overdue",   "placed",
-    "placed-elsewhere", "placed-on-trial",   "no-row",
-    "no-upstream",      "upstream-gone",     "upstream-silent",
-    "cookie-unknown",   "cookie-of-another", "already-open",
-    "malformed"
+constexpr std::array<std::string_view, 14> names {
+    "steered",        "steered-overdue",   "placed",       "placed-elsewhere", "placed-on-trial",
+    "no-row",         "no-upstream",       "overloaded",   "upstream-gone",    "upstream-silent",
+    "cookie-unknown", "cookie-of-another", "already-open", "malformed"
 };
 
 } // namespace
--- a/src/core/packets/packetstate.h
+++ b/src/core/packets/packetstate.h
@@ -1,9 +1,10 @@
 /// State of the packet path outside the directory.
 #pragma once
 
+#include "core/packets/checkqueue.h"
 #include "core/packets/flowchoice.h"
 #include "core/packets/flowtable.h"
-#include "core/packets/openingqueue.h"
+#include "core/packets/placementsubset.h"
 
 #include <flamingograde/clock.h>
 
@@ -24,7 +25,9 @@
 
     FlowChoice choice; ///< How new flows are placed.
     FlowTable flows;
-    OpeningQueue openings;
+    PlacementSubsets subsets;      ///< Upstreams that this host prefers.
+    CheckQueue openings;           ///< Openings without a second packet of their flow.
+    CheckQueue requests;           ///< Requests without an answer or a resend.
     MonoTime lastPacket;           ///< When the last packet arrived.
     MonoTime evidenceValidFrom;    ///< Until then, packets may have waited unread: no evidence.
     MonoTime lastHeard;            ///< When any upstream was last heard.
--- a/src/core/packets/packetsteering.cpp
+++ b/src/core/packets/packetsteering.cpp
@@ -79,6 +79,13 @@
     return entry.cookie == flow.cookie && board.directory.acceptsOpening(entry);
 }
 
+/// Returns whether the flow of an opening packet may be open through another host, which got a copy
+/// of the packet: its caller resends it after 200 ms.
+auto mayBeOpen(const PacketHead &head) -> bool
+{
+    return head.retransmissions > 0 || head.waited >= config::resendTime;
+}
+
 auto placeNewFlow(Blackboard &board, const RowEntry &row, const PacketHead &head) -> PacketDecision
 {
     const auto key = FlowKey::of(head);
@@ -87,17 +94,19 @@
     if (isCopy && known->stage != FlowStage::Opening) {
         return drop(PacketReason::AlreadyOpen);
     }
-    NewFlow flow { key.hash(), std::nullopt };
+    NewFlow flow { key.hash(), std::nullopt, mayBeOpen(head), head.caller.ip, Duration(0) };
     if (isCopy) {
         recordUnansweredCopy(board, *known);
         flow.avoid = known->upstream;
     }
-    auto chosen = placeFlow(board, row, flow);
+    const auto placement = placeFlow(board, row, flow);
+    auto chosen = placement.upstream;
     if (!chosen && isCopy && mayTakeCopy(board, *known)) {
         chosen = known->upstream;
     }
     if (!chosen) {
-        return reset(head, PacketReason::NoUpstream);
+        return reset(head,
+                     placement.isOverloaded ? PacketReason::Overloaded : PacketReason::NoUpstream);
     }
     trackOpening(board, entryFor(board, known, key), head, *chosen);
     auto &entry = board.directory.at(*chosen);
--- a/src/emulator/dayfile.cpp
+++ b/src/emulator/dayfile.cpp
@@ -25,19 +25,19 @@
 constexpr double percent = 100;
 
 const Names sections { "day", "host", "zone", "upstreams", "row", "share", "trouble" };
-const Names dayFields { "name",   "seed",           "lead_ms",      "length_ms",
-                        "policy", "drain_bound_ms", "loss_percent", "cold_policy" };
+const Names dayFields { "name",           "seed",         "lead_ms",     "length_ms", "policy",
+                        "drain_bound_ms", "loss_percent", "cold_policy", "admission" };
 const Names hostFields { "start_ms", "restart_ms", "packet_us", "message_us" };
 const Names zoneFields { "name", "hosts", "requests_per_second" };
 const Names upstreamFields { "service", "zone",    "count",          "slots",
                              "queue",   "cold_ms", "cold_per_second" };
 const Names rowFields { "name",        "address",       "service",      "idempotent", "long_flows",
                         "share",       "request_bytes", "answer_bytes", "work_us",    "target_ms",
-                        "deadline_ms", "worth_percent", "late_percent", "retries" };
+                        "deadline_ms", "worth_percent", "late_percent", "retries",    "urgency" };
 const Names shareFields { "row", "service", "weight" };
 const Names troubleFields { "kind",          "at_ms",          "for_ms", "gap_ms",  "count",
                             "share_percent", "factor_percent", "zone",   "service", "how" };
-const Names policyNames { "least-busy", "random", "hash" };
+const Names policyNames { "least-busy", "random", "hash", "least-busy-of-all" };
 const Names coldPolicyNames { "owner", "split", "unlimited" };
 
 /// Parses the sections of one day file.
@@ -108,6 +108,7 @@
     day.drainBound = time(fields, "drain_bound_ms", day.drainBound);
     day.policy = static_cast<PacketPolicy>(fields.enumValue("policy", policyNames, 0));
     day.coldPolicy = static_cast<ColdPolicy>(fields.enumValue("cold_policy", coldPolicyNames, 0));
+    day.admitsByLoad = fields.flag("admission", day.admitsByLoad);
     const auto lost = fields.number("loss_percent", { 0, 100, 0 });
     day.packetLoss = static_cast<double>(lost) / percent;
 }
@@ -164,6 +165,8 @@
     fields.reportUnknownFields(rowFields);
     row.load.name = fields.name("name");
     row.load.address = fields.address("address");
+    row.load.urgency =
+            static_cast<std::uint32_t>(fields.number("urgency", { 0, config::urgencyMax, 0 }));
     row.shares.emplace_back(fields.name("service"), 1);
     readLoad(fields, row.load);
     this->plan.rows.push_back(std::move(row));
--- a/src/emulator/emulatedhost.cpp
+++ b/src/emulator/emulatedhost.cpp
@@ -154,8 +154,8 @@
     if (this->state != HostLife::Running || this->holdsPackets()) {
         return;
     }
-    for (const auto &packet : std::exchange(this->heldPackets, {})) {
-        this->steer(packet);
+    for (const auto &held : std::exchange(this->heldPackets, {})) {
+        this->steer(held.packet, held.arrived);
     }
 }
 
@@ -235,11 +235,11 @@
     if (this->state != HostLife::Running && this->state != HostLife::Frozen) {
         return;
     }
-    this->scheduleWork(this->times.packet, [this, packet] {
+    this->scheduleWork(this->times.packet, [this, packet, arrived = this->clock.now()] {
         if (!this->holdsPackets()) {
-            this->steer(packet);
+            this->steer(packet, arrived);
         } else if (this->heldPackets.size() < heldPacketsMax) {
-            this->heldPackets.push_back(packet);
+            this->heldPackets.push_back({ packet, arrived });
         }
     });
 }
@@ -255,10 +255,11 @@
                       });
 }
 
-auto EmulatedHost::steer(const FlowPacket &packet) -> void
+auto EmulatedHost::steer(const FlowPacket &packet, MonoTime arrived) -> void
 {
     ++this->packetCount;
     this->heads.assign(1, packet.head);
+    this->heads.front().waited = this->clock.now() - arrived;
     this->library->steer(this->clockNow(), this->heads, this->decisions);
     const auto &decision = this->decisions.front();
     if (decision.verdict == PacketVerdict::Reset) {
--- a/src/emulator/emulatedhost.h
+++ b/src/emulator/emulatedhost.h
@@ -95,13 +95,20 @@
     MonoTime disturbedAt;
 
 private:
+    /// A packet that waits until this host reads packets.
+    struct HeldPacket
+    {
+        FlowPacket packet;
+        MonoTime arrived;
+    };
+
     auto begin(std::uint64_t generation) -> void;
     auto tick(std::uint64_t generation) -> void;
     auto handle(Event event) -> void;
     auto perform(const Action &action) -> void;
     /// Runs `task` after all earlier work of the process plus `cost` of processing time.
     auto scheduleWork(Duration cost, std::function<void()> task) -> void;
-    auto steer(const FlowPacket &packet) -> void;
+    auto steer(const FlowPacket &packet, MonoTime arrived) -> void;
     auto steerHeldPackets() -> void;
     [[nodiscard]] auto holdsPackets() const -> bool;
     auto reset(const FlowPacket &packet, PacketReason reason) -> void;
@@ -123,7 +130,7 @@
     MonoTime busyUntil;
     MonoTime processStartedAt;
     std::deque<Event> heldEvents;
-    std::deque<FlowPacket> heldPackets;
+    std::deque<HeldPacket> heldPackets;
     std::vector<PacketHead> heads;
     std::vector<PacketDecision> decisions;
 };
--- a/src/emulator/emulation.cpp
+++ b/src/emulator/emulation.cpp
@@ -49,6 +49,7 @@
     auto init = hostSettings(zone, number);
     init.flowsTracked = config::flowsTracked;
     init.packetPolicy = this->plan.policy;
+    init.admitsByLoad = this->plan.admitsByLoad;
     init.coldPolicy = this->plan.coldPolicy;
     init.coldExcess = this->plan.coldExcess;
     init.coldSlack = this->plan.coldSlack;
@@ -131,6 +132,7 @@
         row.idempotent = planned.load.idempotent;
         row.deadline = planned.load.deadline;
         row.target = planned.load.target;
+        row.urgency = planned.load.urgency;
         for (const auto &[service, weight] : planned.shares) {
             row.shares.push_back({ ServiceId::ofName(service), service, weight });
         }
--- a/src/emulator/loadkind.h
+++ b/src/emulator/loadkind.h
@@ -13,10 +13,11 @@
 struct LoadKind
 {
     std::string name;
-    Address address;        ///< Address of the row that receives the requests.
-    bool idempotent = true; ///< May be retried after any failure.
-    bool longFlows = false; ///< A flow carries many requests, with pauses between them.
-    double share = 1;       ///< Relative weight among all kinds.
+    Address address;           ///< Address of the row that receives the requests.
+    bool idempotent = true;    ///< May be retried after any failure.
+    bool longFlows = false;    ///< A flow carries many requests, with pauses between them.
+    std::uint32_t urgency = 0; ///< Of the row.
+    double share = 1;          ///< Relative weight among all kinds.
     std::uint32_t requestBytes = 300;
     std::uint32_t answerBytes = 1000;
     Duration work { 15000 };    ///< Mean service time in a slot.
--- a/src/emulator/plan.h
+++ b/src/emulator/plan.h
@@ -75,6 +75,7 @@
     Duration evacuateBound { 5000000 }; ///< An evacuated zone must get no new flow after this.
     Duration rowsBound { 3000000 }; ///< Published rows must be in force on all hosts after this.
     PacketPolicy policy = PacketPolicy::LeastBusy;
+    bool admitsByLoad = true; ///< Hosts refuse new flows that a service has no room for.
     ColdPolicy coldPolicy = ColdPolicy::Owner;
     double coldExcess = 1.5; ///< A cold upstream fails when its openings within a second exceed
                              ///< this many times its limit,
--- a/src/net/metrics.cpp
+++ b/src/net/metrics.cpp
@@ -149,6 +149,47 @@
     addRefusals(list, stats);
 }
 
+/// Adds a gauge with one value per service.
+template<typename Value>
+auto addByService(MetricList &list, const std::string &name, const std::string &help,
+                  const Stats &stats, Value value) -> void
+{
+    std::vector<prometheus::ClientMetric> metrics;
+    for (const auto &service : stats.services) {
+        prometheus::ClientMetric metric;
+        metric.label = { { "service", service.name } };
+        metric.gauge.value = static_cast<double>(value(service));
+        metrics.push_back(std::move(metric));
+    }
+    list.add(name, help, prometheus::MetricType::Gauge, std::move(metrics));
+}
+
+auto addAdmission(MetricList &list, const Stats &stats) -> void
+{
+    addByService(list, "service_slots", "Slots of upstreams that answer.", stats,
+                 [](const auto &it) { return it.slots; });
+    addByService(list, "service_share", "Part of the slots that this host may fill.", stats,
+                 [](const auto &it) { return it.share; });
+    addByService(list, "service_load", "Requests per slot of this host's part.", stats,
+                 [](const auto &it) { return it.hostLoad; });
+    addByService(list, "service_fleet_load", "Requests per slot by all hosts' reports.", stats,
+                 [](const auto &it) { return it.fleetLoad; });
+    addByService(list, "service_slot_milliseconds", "Time in which a slot ends most requests.",
+                 stats, [](const auto &it) { return it.slotTimeMs; });
+    std::vector<prometheus::ClientMetric> flows;
+    for (const auto &service : stats.services) {
+        for (std::size_t i = 0; i < service.flows.size(); ++i) {
+            prometheus::ClientMetric metric;
+            const auto admission = toString(static_cast<Admission>(i));
+            metric.label = { { "service", service.name }, { "admission", std::string(admission) } };
+            metric.counter.value = number(service.flows[i]);
+            flows.push_back(std::move(metric));
+        }
+    }
+    list.add("service_flows_total", "New flows by admission.", prometheus::MetricType::Counter,
+             std::move(flows));
+}
+
 auto addFleet(MetricList &list, const Stats &stats) -> void
 {
     list.gauge("revision", "The table in force.", number(stats.revision));
@@ -209,6 +250,7 @@
                number(stats.upstreamsLimited));
     list.gauge("zones_evacuated", "Availability zones that are evacuated.",
                number(stats.zonesEvacuated));
+    addAdmission(list, stats);
     list.histogram("handshake_seconds", "From an opening to the second packet of its flow.",
                    stats.handshakes);
     list.histogram("response_seconds", "From a request to the acknowledgement of its answer.",
--- a/src/net/packetplane.cpp
+++ b/src/net/packetplane.cpp
@@ -52,11 +52,11 @@
 
 auto PacketPlane::open() -> tl::expected<void, std::string>
 {
-    auto opened = PacketSocket::open(
-            this->loop, this->settings.packets, this->settings.callerPort,
-            [this](const std::vector<PacketHead> &heads, std::vector<PacketDecision> &decisions) {
-                this->steer(heads, decisions);
-            });
+    auto opened = PacketSocket::open(this->loop, this->settings.packets, this->settings.callerPort,
+                                     [this](std::vector<PacketHead> &heads, bool isBatchFull,
+                                            std::vector<PacketDecision> &decisions) {
+                                         this->steer(heads, isBatchFull, decisions);
+                                     });
     if (!opened) {
         return tl::unexpected(opened.error());
     }
@@ -79,6 +79,7 @@
 
 auto PacketPlane::tick(MonoTime now) -> void
 {
+    this->readDelay.noteTick(now);
     const auto malformed = this->traffic().malformed;
     if (malformed != this->malformedLogged && mayLogPacket(now)) {
         writeLog(LogEvent::PacketMalformed,
@@ -87,10 +88,14 @@
     }
 }
 
-auto PacketPlane::steer(const std::vector<PacketHead> &heads,
+auto PacketPlane::steer(std::vector<PacketHead> &heads, bool isBatchFull,
                         std::vector<PacketDecision> &decisions) -> void
 {
     const auto now = Loop::now();
+    const auto waited = this->readDelay.noteBatch(now.mono, isBatchFull);
+    for (auto &head : heads) {
+        head.waited = waited;
+    }
     this->balancer.steer(now, heads, decisions);
     for (std::size_t i = 0; i < heads.size(); ++i) {
         if (decisions[i].reason != PacketReason::Steered && mayLogPacket(now.mono)) {
--- a/src/net/packetplane.h
+++ b/src/net/packetplane.h
@@ -3,6 +3,7 @@
 
 #include "net/packetsocket.h"
 #include "net/packettraffic.h"
+#include "net/readdelay.h"
 #include "wire/settings.h"
 
 #include <flamingograde/balancer.h>
@@ -45,7 +46,8 @@
     /// Precondition: opened; called in each turn of the loop.
     auto startIfServing(MonoTime now) -> void;
 
-    /// Logs the number of new malformed datagrams. Precondition: opened; called on each tick.
+    /// Notes the time, and logs the number of new malformed datagrams. Precondition: opened; called
+    /// on each tick.
     auto tick(MonoTime now) -> void;
 
     /// Returns the traffic counters. Precondition: opened.
@@ -54,8 +56,8 @@
     [[nodiscard]] auto bound() const -> Address { return this->socket->bound(); }
 
 private:
-    auto steer(const std::vector<PacketHead> &heads, std::vector<PacketDecision> &decisions)
-            -> void;
+    auto steer(std::vector<PacketHead> &heads, bool isBatchFull,
+               std::vector<PacketDecision> &decisions) -> void;
     auto logPacket(const PacketHead &head, const PacketDecision &decision) const -> void;
 
     Loop &loop;
@@ -64,6 +66,7 @@
     std::function<bool()> isReady;
     std::unique_ptr<PacketSocket> socket;
     MonoTime openedAt;
+    ReadDelay readDelay;
     bool started = false;
     std::uint64_t malformedLogged = 0; ///< Number of malformed datagrams already logged.
 };
--- a/src/net/packetsocket.cpp
+++ b/src/net/packetsocket.cpp
@@ -144,7 +144,8 @@
     }
     ++this->counters.batches;
     this->decode(static_cast<std::size_t>(count));
-    this->steer(this->heads, this->decisions);
+    const auto isFull = static_cast<std::size_t>(count) == config::packetBatch;
+    this->steer(this->heads, isFull, this->decisions);
     this->prepareSends();
     this->send();
     return static_cast<std::size_t>(count);
--- a/src/net/packetsocket.h
+++ b/src/net/packetsocket.h
@@ -27,9 +27,10 @@
 class PacketSocket
 {
 public:
-    /// Called with the heads of a batch; fills in one decision per head.
+    /// Called with the heads of a batch, and whether more datagrams may be waiting; fills in one
+    /// decision per head.
     using Steer =
-            std::function<void(const std::vector<PacketHead> &, std::vector<PacketDecision> &)>;
+            std::function<void(std::vector<PacketHead> &, bool, std::vector<PacketDecision> &)>;
 
     /// Binds the socket; packets wait in the kernel buffer until `start`.
     /// @param address address on which packets are received.
--- a/src/wire/messagecodec.h
+++ b/src/wire/messagecodec.h
@@ -11,6 +11,9 @@
 
 namespace flamingograde {
 
+/// Openings per second are sent as whole numbers in this fraction of one.
+inline constexpr double demandScale = 1000;
+
 /// Encodes `message` as one CBOR map.
 /// @remarks Thread safe.
 [[nodiscard]] auto encode(const Message &message) -> std::vector<std::uint8_t>;
--- a/src/wire/messagedecoder.cpp
+++ b/src/wire/messagedecoder.cpp
@@ -19,14 +19,17 @@
 
 using Json = nlohmann::json;
 
-constexpr std::size_t depthMax = 8;          ///< Deepest nesting of a message.
-constexpr std::size_t arraySizeMax = 100000; ///< Longest array without a limit of its own.
-constexpr std::size_t memberFields = 9;      ///< Fields of a member.
-constexpr std::size_t loadFields = 4;        ///< Fields of the load of a cell.
-constexpr std::size_t zoneFields = 3;        ///< Fields of a service's slots in a zone.
-constexpr std::size_t placementFields = 4;   ///< Fields of a placement.
-constexpr std::size_t knowledgeFields = 4;   ///< Fields of what a host knows of a cell's keys.
-constexpr std::size_t handedKeyFields = 3;   ///< Fields of a key that is handed over.
+constexpr std::size_t depthMax = 8;           ///< Deepest nesting of a message.
+constexpr std::size_t arraySizeMax = 100000;  ///< Longest array without a limit of its own.
+constexpr std::size_t memberFields = 9;       ///< Fields of a member.
+constexpr std::size_t loadFields = 4;         ///< Fields of the load of a cell.
+constexpr std::size_t zoneFields = 3;         ///< Fields of a service's slots in a zone.
+constexpr std::size_t placementFields = 4;    ///< Fields of a placement.
+constexpr std::size_t knowledgeFields = 4;    ///< Fields of what a host knows of a cell's keys.
+constexpr std::size_t handedKeyFields = 3;    ///< Fields of a key that is handed over.
+constexpr std::size_t demandFields = 3;       ///< Fields of the demand for a service.
+constexpr std::size_t zoneDemandFields = 3;   ///< Fields of the demand of a zone.
+constexpr std::size_t demandReportFields = 2; ///< Parts of a demand report.
 constexpr std::uint64_t uint32Max = std::numeric_limits<std::uint32_t>::max();
 constexpr std::uint64_t uint16Max = std::numeric_limits<std::uint16_t>::max();
 
@@ -105,6 +108,42 @@
     return placement;
 }
 
+auto unpackServices(WireReader &reader, const Json &value) -> std::vector<ServiceDemand>
+{
+    std::vector<ServiceDemand> services;
+    for (const auto &entry : reader.list(value, config::demandServicesMax)) {
+        const auto *fields = reader.tuple(entry, demandFields);
+        if (fields == nullptr) {
+            return services;
+        }
+        const auto &at = *fields;
+        services.push_back({ ServiceId(reader.number(at[0])),
+                             static_cast<double>(reader.number(at[1])) / demandScale,
+                             static_cast<std::uint32_t>(reader.number(at[2], uint32Max)) });
+    }
+    return services;
+}
+
+auto unpackDemand(WireReader &reader, const Json &value) -> DemandReports
+{
+    DemandReports reports;
+    const auto *fields = reader.tuple(value, demandReportFields);
+    if (fields == nullptr) {
+        return reports;
+    }
+    reports.part = unpackServices(reader, (*fields)[0]);
+    for (const auto &entry : reader.list((*fields)[1], config::demandZonesMax)) {
+        const auto *zone = reader.tuple(entry, zoneDemandFields);
+        if (zone == nullptr) {
+            return reports;
+        }
+        const std::chrono::milliseconds age(reader.number((*zone)[1], uint32Max));
+        reports.zones.push_back(
+                { ZoneId(reader.number((*zone)[0])), age, unpackServices(reader, (*zone)[2]) });
+    }
+    return reports;
+}
+
 auto unpackGossip(WireReader &reader, const Json &map) -> Gossip
 {
     Gossip gossip;
@@ -132,6 +171,9 @@
             gossip.updates.push_back(unpackMember(reader, entry));
         }
     }
+    if (map.contains("w")) {
+        gossip.demand = unpackDemand(reader, map["w"]);
+    }
     if (map.contains("l")) {
         for (const auto &entry : reader.list(map["l"], arraySizeMax)) {
             gossip.loads.push_back(unpackLoad(reader, entry));
--- a/src/wire/messageencoder.cpp
+++ b/src/wire/messageencoder.cpp
@@ -5,6 +5,7 @@
 /// names.
 #include "wire/messagecodec.h"
 
+#include "core/milliseconds.h"
 #include "wire/directorycodec.h"
 
 #include <nlohmann/json.hpp>
@@ -37,6 +38,27 @@
     return Json::array({ load.cell.value(), load.slots, load.running, load.queued });
 }
 
+auto pack(const std::vector<ServiceDemand> &services) -> Json
+{
+    auto list = Json::array();
+    for (const auto &demand : services) {
+        const auto perSecond = demand.requestsPerSecond * demandScale;
+        list.push_back(Json::array({ demand.service.value(), static_cast<std::uint64_t>(perSecond),
+                                     demand.underWay }));
+    }
+    return list;
+}
+
+auto pack(const DemandReports &reports) -> Json
+{
+    auto zones = Json::array();
+    for (const auto &total : reports.zones) {
+        zones.push_back(
+                Json::array({ total.zone.value(), milliseconds(total.age), pack(total.services) }));
+    }
+    return Json::array({ pack(reports.part), std::move(zones) });
+}
+
 auto pack(const Gossip &gossip) -> Json
 {
     Json map = { { "r", gossip.revision.number }, { "d", gossip.tableDigest },
@@ -63,6 +85,9 @@
             updates.push_back(pack(member));
         }
     }
+    if (!gossip.demand.isEmpty()) {
+        map["w"] = pack(gossip.demand);
+    }
     if (!gossip.loads.empty()) {
         auto &loads = map["l"] = Json::array();
         for (const auto &load : gossip.loads) {
--- a/src/wire/settings.cpp
+++ b/src/wire/settings.cpp
@@ -35,7 +35,7 @@
 const Names listenFields { "services", "peer", "relay", "admin", "ready", "ready_path" };
 const Names advertiseFields { "peer", "relay" };
 const Names networkFields { "source" };
-const Names packetFields { "listen", "caller_port", "flows_tracked" };
+const Names packetFields { "listen", "caller_port", "flows_tracked", "admission" };
 const Names platformFields { "address", "publishes", "heartbeat_ms" };
 const Names publishesNames { "table", "directory" };
 const Names seedFields { "name", "zone", "peer", "relay" };
@@ -202,6 +202,7 @@
             fields.number("caller_port", { 1, portMax, this->settings.packets.port }));
     this->settings.init.flowsTracked =
             fields.number("flows_tracked", { flowsTrackedMin, countMax, config::flowsTracked });
+    this->settings.init.admitsByLoad = fields.flag("admission", true);
     if (!isPowerOfTwo(this->settings.init.flowsTracked)) {
         fields.addFinding("flows_tracked", "is not a power of two",
                           "give a power of two, such as 16384");
--- a/tests/unit/directorytest.cpp
+++ b/tests/unit/directorytest.cpp
@@ -476,7 +476,7 @@
     entry.evidence.silentSince = MonoTime(std::chrono::seconds(1));
     entry.evidence.unanswered = 7;
     entry.evidence.lastHeardAt = start;
-    directory.beginRequest(entry);
+    directory.requests().beginRequest(entry);
     directory.invalidatePools();
     REQUIRE(directory.poolOf(ServiceId::ofName("live")).silent.size() == 1);
 
--- a/tests/unit/emulationtest.cpp
+++ b/tests/unit/emulationtest.cpp
@@ -511,6 +511,59 @@
     CHECK(callsWith56Hosts < callsWith7Hosts * 1.1);
 }
 
+TEST_CASE("an overloaded service answers its more urgent row in time, and sheds little",
+          "[emulation][overload]")
+{
+    const auto result = Emulation(loadDay("overload")).play();
+    checkInvariants(result);
+    CHECK(result.byKind.at("submission").share() >= 0.95);
+    CHECK(result.sheds < result.all.asked / 100);
+    CHECK(result.all.late < result.all.asked / 100);
+    // At best, all submissions are answered, and in the 6 s of the burst as many lookups of 55 ms
+    // as 32 slots can run beside them; outside of it, all lookups.
+    const auto &lookups = result.byKind.at("lookup");
+    const auto &submissions = result.byKind.at("submission");
+    const auto inBurst = 6 * 5.0 / (6 * 5 + 10);
+    const auto slotsLeft = 32 * 6 - 0.072 * inBurst * static_cast<double>(submissions.asked);
+    const auto best = submissions.possibleWorth + (1 - inBurst) * static_cast<double>(lookups.asked)
+                      + slotsLeft / 0.055;
+    CHECK(result.all.worth >= 0.93 * best);
+    auto day = loadDay("overload");
+    day.admitsByLoad = false;
+    const auto without = Emulation(std::move(day)).play();
+    CHECK(result.all.share() > without.all.share());
+}
+
+TEST_CASE("no flow is refused while other zones have room for one zone's burst",
+          "[emulation][overload]")
+{
+    auto day = loadDay("overload");
+    day.troubles.clear();
+    day.zones.front().requestsPerSecond *= 2.5;
+    const auto result = Emulation(std::move(day)).play();
+    checkInvariants(result);
+    CHECK(result.all.refused == 0);
+    CHECK(result.all.share() >= 0.99);
+}
+
+TEST_CASE("an overload that coincides with one failure breaks no promise", "[emulation][overload]")
+{
+    auto day = loadDay("overload");
+    auto trouble = makeTrouble(GENERATE("upstream-fail", "upstream-slow", "host-kill",
+                                        "host-freeze", "zone-cut", "host-add"));
+    trouble.share = 0.3;
+    trouble.duration = 4s;
+    day.troubles.push_back(trouble);
+    INFO(trouble.kind);
+    const auto result = Emulation(day).play();
+    checkInvariants(result);
+    CHECK(result.byKind.at("submission").share() > result.byKind.at("lookup").share());
+    CHECK(result.windows.back().share() >= 0.99);
+    day.admitsByLoad = false;
+    const auto without = Emulation(std::move(day)).play();
+    CHECK(result.all.share() > without.all.share());
+}
+
 TEST_CASE("each error in a day file is reported with its line", "[emulation]")
 {
     const auto day = parseDay("[day]\nname = \"x\"\nlenght_ms = 5\n"
--- a/tests/unit/messagecodectest.cpp
+++ b/tests/unit/messagecodectest.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
 constexpr std::uint64_t mutationSeed = 20240607;
 constexpr int mutations = 10000;
 
@@ -205,6 +207,28 @@
     CHECK_FALSE(std::get<Ping>(*decoded).gossip.readsFail);
 }
 
+TEST_CASE("demand reports are decoded as encoded, are small, and may be absent", "[codec][demand]")
+{
+    const ServiceDemand live { ServiceId(~0ULL), 1234.5, 77 };
+    Ping ping;
+    const auto bare = encode(Message(ping)).size();
+    ping.gossip.demand = { { live }, { { ZoneId(~0ULL), 1500ms, { live, live } } } };
+    const auto bytes = encode(Message(ping));
+    CHECK(bytes.size() <= bare + 100);
+    const auto decoded = decode(bytes);
+    REQUIRE(decoded);
+    const auto &demand = std::get<Ping>(*decoded).gossip.demand;
+    REQUIRE(demand.part.size() == 1);
+    CHECK(demand.part[0].service == live.service);
+    CHECK(demand.part[0].requestsPerSecond == live.requestsPerSecond);
+    CHECK(demand.part[0].underWay == live.underWay);
+    REQUIRE(demand.zones.size() == 1);
+    CHECK(demand.zones[0].age == 1500ms);
+    CHECK(demand.zones[0].services.size() == 2);
+    ping.gossip.demand.part.assign(config::demandServicesMax + 1, live);
+    CHECK_FALSE(decode(encode(Message(ping))));
+}
+
 TEST_CASE("a directory update is decoded as encoded", "[codec]")
 {
     const auto sent = sampleUpdate();
--- a/tools/flamingogradesim/main.cpp
+++ b/tools/flamingogradesim/main.cpp
@@ -44,10 +44,11 @@
     int hosts = 0; ///< Hosts to scale each day to; 0 keeps the number in the day file.
 };
 
-constexpr std::array<std::pair<PacketPolicy, const char *>, 3> policies { {
+constexpr std::array<std::pair<PacketPolicy, const char *>, 4> policies { {
         { PacketPolicy::LeastBusy, "least-busy" },
         { PacketPolicy::Random, "random" },
         { PacketPolicy::Hash, "hash" },
+        { PacketPolicy::LeastBusyOfAll, "least-busy-of-all" },
 } };
 
 auto readOptions(int count, const char **arguments) -> std::optional<Options>
