Take due checks from their queue in one place, and drop what an overload's period does not need

Cause: two loops over the queues of openings and requests, and a third that drained one, each took the oldest entry, compared its time and removed it; OverloadPeriod::end was called by nobody. Ruled out: one loop for both queues with a callback, as their checks differ. CheckQueue::popDue serves all three, and isUnanswered two.

No change of behaviour meant.

--- a/src/core/flowadmission/overloadperiod.h
+++ b/src/core/flowadmission/overloadperiod.h
@@ -17,10 +17,7 @@
     /// Notes a refused flow. Precondition: `now` never decreases.
     auto noteRefusal(MonoTime now) -> void
     {
-        if (!this->since) {
-            this->since = now;
-            this->refusals = 0;
-        }
+        this->since = this->since.value_or(now);
         ++this->refusals;
         this->last = now;
     }
@@ -37,9 +34,6 @@
     /// Returns the flows refused in it. Precondition: none.
     [[nodiscard]] auto refusedFlows() const -> std::uint64_t { return this->refusals; }
 
-    /// Ends it. Precondition: none.
-    auto end() -> void { this->since.reset(); }
-
     bool isLogged = false; ///< Its beginning has been logged.
 
 private:
--- a/src/core/flowadmission/serviceload.h
+++ b/src/core/flowadmission/serviceload.h
@@ -16,7 +16,6 @@
 #include <array>
 #include <cstdint>
 #include <map>
-#include <optional>
 
 namespace flamingograde {
 
--- a/src/core/packets/checkqueue.h
+++ b/src/core/packets/checkqueue.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace flamingograde {
 
@@ -31,16 +32,18 @@
         this->ring[(this->head + this->count++) % this->ring.size()] = pending;
         return true;
     }
-    /// Returns the oldest, or null. Precondition: none.
-    [[nodiscard]] auto oldest() const -> const PendingCheck *
-    {
-        return this->count == 0 ? nullptr : &this->ring[this->head];
-    }
-    /// Removes the oldest. Precondition: the queue is not empty.
-    auto pop() -> void
+    /// Removes and returns the oldest entry if `timeout` has passed since it was last forwarded,
+    /// both in ms of `FlowTable::clock`; nothing otherwise. Precondition: none.
+    [[nodiscard]] auto popDue(std::uint32_t now, std::uint32_t timeout)
+            -> std::optional<PendingCheck>
     {
+        if (this->count == 0 || now - this->ring[this->head].since < timeout) {
+            return std::nullopt;
+        }
+        const auto due = this->ring[this->head];
         this->head = (this->head + 1) % this->ring.size();
         --this->count;
+        return due;
     }
 
 private:
--- a/src/core/packets/flowwatch.cpp
+++ b/src/core/packets/flowwatch.cpp
@@ -226,16 +226,11 @@
     return &claimed;
 }
 
-/// Records an opening whose time is up if no second packet of its flow has arrived.
-auto recordIfUnanswered(Blackboard &board, const PendingCheck &opening) -> void
+/// Returns whether no second packet of a flow has arrived since its opening was forwarded.
+auto isUnanswered(const FlowEntry &flow, const PendingCheck &opening) -> bool
 {
-    auto &flow = board.packets.flows.at(opening.flow);
-    const auto isUnanswered = flow.stage == FlowStage::Opening && flow.sentAt == opening.sentAt
-                              && flow.upstream == opening.upstream;
-    if (isUnanswered) {
-        recordUnanswered(board, opening.upstream, opening.sentAt);
-        setUnderWay(board, flow, false);
-    }
+    return flow.stage == FlowStage::Opening && flow.sentAt == opening.sentAt
+           && flow.upstream == opening.upstream;
 }
 
 /// Stops counting requests as work whose callers neither got an answer nor sent them again: their
@@ -243,34 +238,28 @@
 auto checkAbandonedRequests(Blackboard &board) -> void
 {
     constexpr auto timeout = static_cast<std::uint32_t>(config::abandonedAfter.count());
-    auto &requests = board.packets.requests;
     const auto now = FlowTable::clock(board.now.mono);
-    while (const auto *request = requests.oldest()) {
-        if (now - request->since < timeout) {
-            return;
-        }
+    while (const auto request = board.packets.requests.popDue(now, timeout)) {
         auto &flow = board.packets.flows.at(request->flow);
         const auto isSilent = now - flow.lastPacketAt >= timeout;
         const auto isOpen = flow.stage != FlowStage::Opening;
         if (isOpen && isSilent && flow.sentAt == request->sentAt) {
             setUnderWay(board, flow, false);
         }
-        requests.pop();
     }
 }
 
+/// Records openings whose time is up as unanswered.
 auto checkOpeningTimeouts(Blackboard &board) -> void
 {
     constexpr auto timeout = static_cast<std::uint32_t>(config::handshakeTimeout.count());
-    auto &openings = board.packets.openings;
     const auto now = FlowTable::clock(board.now.mono);
-    while (const auto *opening = openings.oldest()) {
-        if (now - opening->sentAt < timeout) {
-            return;
+    while (const auto opening = board.packets.openings.popDue(now, timeout)) {
+        auto &flow = board.packets.flows.at(opening->flow);
+        if (isUnanswered(flow, *opening)) {
+            recordUnanswered(board, opening->upstream, opening->sentAt);
+            setUnderWay(board, flow, false);
         }
-        const auto due = *opening;
-        openings.pop();
-        recordIfUnanswered(board, due);
     }
 }
 
@@ -350,13 +339,12 @@
 
 auto suspendEvidence(Blackboard &board) -> void
 {
-    auto &openings = board.packets.openings;
-    for (const auto *opening = openings.oldest(); opening != nullptr; opening = openings.oldest()) {
+    const auto now = FlowTable::clock(board.now.mono);
+    while (const auto opening = board.packets.openings.popDue(now, 0)) {
         auto &flow = board.packets.flows.at(opening->flow);
-        if (flow.stage == FlowStage::Opening && flow.sentAt == opening->sentAt) {
+        if (isUnanswered(flow, *opening)) {
             setUnderWay(board, flow, false);
         }
-        openings.pop();
     }
     board.packets.evidenceValidFrom = board.now.mono + config::evidenceHoldOff;
 }
