Take a directory for current only when it was shown to be

Cause: the first read of a starting host accepts an old copy, and nothing told it from the present directory. The host was ready at once and answered packets of open flows on rows that it lacked with a reset. `DirectoryRead::stale` was set and read by nobody.

Change: a host knows since when its directory may lack changes, after a start and after a pause of the process. Hosts gossip the age of their directory. A packet of an open flow on a row that a host lacks is dropped unless the host carried the flow before: any host may get a version later than another. The emulated store gives old answers (`stale_ms`); its setting for this was read by nobody. New: event 212, metric directory_current, directory_age_ms in packet lines.

--- a/include/flamingograde/balancer.h
+++ b/include/flamingograde/balancer.h
@@ -55,10 +55,14 @@
     /// Returns the limits and the version of this build. Precondition: none.
     [[nodiscard]] auto caps() const -> Caps;
 
-    /// Returns whether this host has a table, or packet rows and upstreams, and is not stopping.
-    /// Precondition: none.
+    /// Returns whether this host has a table, or a directory that counts as current, and is not
+    /// stopping. Precondition: none.
     [[nodiscard]] auto isServing() const -> bool;
 
+    /// Returns whether this host has packet rows and upstreams, which may be outdated, so that it
+    /// can forward packets. Precondition: none.
+    [[nodiscard]] auto hasDirectory() const -> bool;
+
     /// Returns the counters. Precondition: none.
     [[nodiscard]] auto stats() const -> Stats;
 
--- a/include/flamingograde/logevent.h
+++ b/include/flamingograde/logevent.h
@@ -32,6 +32,7 @@
     ReadStopped         = 209, ///< This host stopped reading the whole directory, so that others can.
     DirectoryReadOld    = 210, ///< The whole directory was read, older than the one in force.
     PlatformRestored    = 211, ///< The platform was restored from an older copy of its data.
+    DirectoryConfirmed  = 212, ///< After a start or a pause, the directory was shown to be current.
     // 3xx: membership.
     MemberJoined        = 300,
     MemberSuspected     = 301,
--- a/include/flamingograde/message.h
+++ b/include/flamingograde/message.h
@@ -46,9 +46,11 @@
     Revision directory;              ///< The sender has all directory changes up to this.
     std::uint32_t members = 0;       ///< Digest of the hosts that the sender regards as working.
     LinkUse linkUse = LinkUse::None; ///< Purpose for which the sender keeps the connection.
-    bool readsFail = false;          ///< The sender's own reads of the directory fail.
-    bool hasPart = false;            ///< The sender has a part of the directory, but no revision.
-    DemandReports demand;            ///< Demand for services; empty from hosts of older versions.
+    std::optional<std::uint32_t> directoryAgeMs; ///< Time since `directory` was current; empty if
+                                                 ///< unknown, and from hosts of older versions.
+    bool readsFail = false;                      ///< The sender's own reads of the directory fail.
+    bool hasPart = false; ///< The sender has a part of the directory, but no revision.
+    DemandReports demand; ///< Demand for services; empty from hosts of older versions.
 };
 
 /// The first message that each side sends on a connection.
--- a/include/flamingograde/stats.h
+++ b/include/flamingograde/stats.h
@@ -57,6 +57,7 @@
     std::uint64_t keys = 0;    ///< Gauge: remembered keys.
     std::uint64_t directoryRevision = 0; ///< Gauge: revision of the newest directory change.
     std::uint64_t directoryEpoch = 0;    ///< Gauge: the platform's epoch, as far as known.
+    std::uint64_t directoryCurrent = 0;  ///< Gauge: 1 if the directory counts as current, else 0.
     std::uint64_t rowsVersion = 0;       ///< Gauge: the operators' version number of the rows.
     std::uint64_t upstreams = 0;         ///< Gauge: upstreams in the directory.
     std::uint64_t upstreamsSilent = 0;   ///< Gauge: silent upstreams.
--- a/src/core/balancer.cpp
+++ b/src/core/balancer.cpp
@@ -61,7 +61,13 @@
     if (!board.init.readsDirectory) {
         return board.config.revision.isValid();
     }
-    return board.directory.rows() != nullptr && board.directory.listedCount() > 0;
+    return this->hasDirectory() && board.freshness.isCurrent(board.now.mono);
+}
+
+auto Balancer::hasDirectory() const -> bool
+{
+    const auto &directory = this->blackboard->directory;
+    return directory.rows() != nullptr && directory.listedCount() > 0;
 }
 
 auto Balancer::stats() const -> Stats
--- a/src/core/blackboard.h
+++ b/src/core/blackboard.h
@@ -3,6 +3,7 @@
 
 #include "core/configuration/configstate.h"
 #include "core/directory/directory.h"
+#include "core/directory/directoryfreshness.h"
 #include "core/feeds/feedstore.h"
 #include "core/flowadmission/flowadmissionstate.h"
 #include "core/homes/cellstore.h"
@@ -53,6 +54,7 @@
 
     ConfigState config;              ///< The table in force and the state of the platform.
     Directory directory;             ///< Packet rows and upstreams, as the platform publishes them.
+    DirectoryFreshness freshness;    ///< Whether the directory is current.
     bool directoryReadsFail = false; ///< This host's last read of the directory failed.
     PacketState packets;             ///< Tracked packet flows.
     FlowAdmissionState flowAdmission; ///< Loads of the services that packets ask for.
--- a/src/core/directory/directorycontroller.cpp
+++ b/src/core/directory/directorycontroller.cpp
@@ -79,6 +79,8 @@
 {
     if (!this->started) {
         this->start(board);
+    } else if (this->resumedAt != board.membership.resumedAt) {
+        this->resume(board);
     }
     std::visit(Overloaded { [&](const DirectoryRead &it) { this->on(board, it); },
                             [&](const DirectoryPageRead &it) { this->on(board, it); },
@@ -95,15 +97,30 @@
 auto DirectoryController::start(Blackboard &board) -> void
 {
     this->started = true;
+    this->resumedAt = board.membership.resumedAt;
+    board.freshness.begin(board.now.mono, FreshnessProof::ReadOrHost);
+    this->confirmation.begin(board.now.mono, config::directoryConfirmDelay);
     ReadDirectory whole;
     whole.mayBeStale = true;
     this->read(board, whole);
 }
 
+auto DirectoryController::resume(Blackboard &board) -> void
+{
+    this->resumedAt = board.membership.resumedAt;
+    board.freshness.begin(board.now.mono, FreshnessProof::Read);
+    // An answer that arrived during the pause is handled before the next tick.
+    this->confirmation.begin(board.now.mono, config::tickPeriod);
+    if (this->readAfter.isValid()) {
+        this->readPending = false; // The answer to a watch from before would show too little.
+    }
+}
+
 auto DirectoryController::read(Blackboard &board, const ReadDirectory &action) -> void
 {
     ++board.stats.platformReads;
     this->readPending = true;
+    this->readBegan = board.now.mono;
     this->readAfter = action.after;
     this->readDeadline = board.now.mono + action.wait + 2 * config::directoryReadMargin;
     if (!action.after.isValid()) {
@@ -133,6 +150,10 @@
     update.removalsDeferredFor = this->removalDelay(board);
     const auto hasChanges = board.directory.revision() < update.upTo;
     this->applyUpdate(board, update, board.init.self.id);
+    if (!read.stale) {
+        board.freshness.noteRead(this->readBegan, board.now.mono);
+        this->noteFreshness(board);
+    }
     this->nextRead = board.now.mono;
     if (hasChanges) {
         const auto isRollout = board.now.mono - this->lastChange < 2 * config::rolloutReadPause;
@@ -237,6 +258,7 @@
     auto *record = board.membership.record(up.member.id);
     if (record != nullptr) {
         record->directory = Revision(); // A new process may have no directory yet.
+        record->hasCurrentDirectory = false;
     }
 }
 
@@ -366,6 +388,8 @@
     }
     record->directory = has;
     record->readsFail = gossip.readsFail;
+    record->hasCurrentDirectory = gossip.directoryAgeMs.has_value();
+    this->takeReport(board, has, gossip);
     if (board.directory.revision() < record->directory) {
         this->requester.requestIfDue(board, *record, this->readPending);
     } else if (gossip.hasPart) {
@@ -373,6 +397,28 @@
     }
 }
 
+auto DirectoryController::takeReport(Blackboard &board, Revision has, const Gossip &gossip) -> void
+{
+    if (!gossip.directoryAgeMs || !has.isValid() || has.epoch < board.directory.currentEpoch()) {
+        return;
+    }
+    const Duration age = std::chrono::milliseconds(*gossip.directoryAgeMs);
+    board.freshness.noteHost(has, board.now.mono - age, board.now.mono);
+    this->noteFreshness(board);
+}
+
+auto DirectoryController::noteFreshness(Blackboard &board) -> void
+{
+    const auto since = board.freshness.since();
+    board.freshness.advance(board.directory.revision());
+    if (!board.freshness.isConfirmed() || this->confirmedSince == since) {
+        return;
+    }
+    this->confirmedSince = since;
+    logConfirmed(board);
+    announceFreshness(board);
+}
+
 auto DirectoryController::on(Blackboard &board, const Tick & /*tick*/) -> void
 {
     const auto now = board.now.mono;
@@ -408,6 +454,9 @@
 auto DirectoryController::isReadDue(Blackboard &board) -> bool
 {
     if (board.directory.revision().isValid()) {
+        if (!board.freshness.isCurrent(board.now.mono)) {
+            return this->confirmation.isDue(board);
+        }
         if (board.now.mono - board.membership.startedAt < config::directoryStartGrace) {
             return false;
         }
@@ -442,8 +491,8 @@
     // If no recent successful read is known, read without waiting for changes, so as to find out
     // soon whether the platform answers.
     const auto isRecentlyRead = board.config.platformAge(now) <= config::directorySilence;
-    action.wait = reader && !isWhole && isRecentlyRead ? Duration(config::directoryWatchWait)
-                                                       : Duration(0);
+    const auto isWatch = reader && !isWhole && isRecentlyRead && board.freshness.isConfirmed();
+    action.wait = isWatch ? Duration(config::directoryWatchWait) : Duration(0);
     this->read(board, action);
 }
 
@@ -460,6 +509,7 @@
         return;
     }
     this->requester.noteAdvanced();
+    this->noteFreshness(board);
     ++board.stats.directoryUpdates;
     board.stats.upstreamRestarts += changes.restarted.size();
     logChanges(board, changes);
--- a/src/core/directory/directorycontroller.h
+++ b/src/core/directory/directorycontroller.h
@@ -1,6 +1,7 @@
 /// Keeps the directory up to date from the platform and from other hosts.
 #pragma once
 
+#include "core/directory/confirmationread.h"
 #include "core/directory/directoryrequester.h"
 #include "core/directory/directoryspread.h"
 #include "core/directory/fallbackreader.h"
@@ -27,9 +28,11 @@
 /// requests the changes. A host that hears of no successful read for too long reads the platform
 /// itself.
 ///
-/// A starting host reads the whole directory and serves with the pages that it has. If many hosts
-/// start together, most of them stop reading (see `ReadThrottle`) and get the directory in pages
-/// from those that have it.
+/// A starting host reads the whole directory, in an old copy that costs the platform less, and
+/// forwards packets with the pages that it has. If many hosts start together, most of them stop
+/// reading (see `ReadThrottle`) and get the directory in pages from those that have it. A host that
+/// was started or paused then learns from other hosts, or by a read of the changes, whether its
+/// directory is current (see `DirectoryFreshness`).
 /// @remarks Not thread safe. Throws nothing.
 class DirectoryController
 {
@@ -52,6 +55,8 @@
     /// message is evaluated.
     auto noteContactRegained(Blackboard &board) -> void;
     auto noteGossip(Blackboard &board, HostId from, const Gossip &gossip) -> void;
+    /// Takes what a host that has revision `has` says of when its directory was current.
+    auto takeReport(Blackboard &board, Revision has, const Gossip &gossip) -> void;
     auto answer(Blackboard &board, HostId from, const DirectoryRequest &request) -> void;
     auto takePage(Blackboard &board, HostId from, const DirectoryPage &page) -> void;
     auto takeUpdate(Blackboard &board, HostId from, DirectoryUpdate update) -> void;
@@ -67,6 +72,10 @@
     auto yieldIfDue(Blackboard &board) -> void;
 
     auto start(Blackboard &board) -> void;
+    /// Has the directory confirmed after a pause of the process.
+    auto resume(Blackboard &board) -> void;
+    /// Logs that the directory was shown to be current, and tells hosts for which it was not.
+    auto noteFreshness(Blackboard &board) -> void;
     auto read(Blackboard &board, const ReadDirectory &action) -> void;
     auto readIfDue(Blackboard &board) -> void;
     /// Returns whether to read now. A host that is connected to a hub reads only while the hubs of
@@ -90,6 +99,7 @@
     /// `Directory::reappearTime` after the end of the last outage.
     [[nodiscard]] auto removalDelay(const Blackboard &board) const -> Duration;
 
+    ConfirmationRead confirmation;
     FallbackReader fallbackReader;
     ReadThrottle throttle;
     DirectoryRequester requester;
@@ -98,9 +108,12 @@
     bool readPending = false;
     Revision readAfter;         ///< The pending read, or the last one, is of changes after this.
     bool needsFullRead = false; ///< The platform no longer has the changes since this revision.
+    MonoTime readBegan;         ///< When the pending read, or the last one, began.
     MonoTime readDeadline;      ///< When the pending read counts as failed.
     MonoTime nextRead;
     MonoTime nextRecheck;        ///< When a host whose reads fail tries again.
+    MonoTime resumedAt;          ///< The last pause that was noticed, or the start.
+    MonoTime confirmedSince;     ///< `DirectoryFreshness::since` when the directory was confirmed.
     MonoTime lastChange;         ///< When a read last brought changes.
     MonoTime platformRegainedAt; ///< When the last outage or long silence of the platform ended, by
                                  ///< a read of this host or by a message of another host.
--- a/src/core/directory/directorylog.cpp
+++ b/src/core/directory/directorylog.cpp
@@ -112,6 +112,16 @@
                       + std::to_string(milliseconds(took)) + describeDirectory(board));
 }
 
+auto logConfirmed(Blackboard &board) -> void
+{
+    const auto now = board.now.mono;
+    const auto asOf = board.freshness.asOf().value_or(now);
+    board.log(LogEvent::DirectoryConfirmed,
+              "took_ms=" + std::to_string(milliseconds(now - board.freshness.since()))
+                      + " directory_age_ms=" + std::to_string(milliseconds(now - asOf))
+                      + describeDirectory(board));
+}
+
 auto logChanges(Blackboard &board, const DirectoryChanges &changes) -> void
 {
     logUpstreams(board, LogEvent::UpstreamListed, changes.listed);
--- a/src/core/directory/directorylog.h
+++ b/src/core/directory/directorylog.h
@@ -21,4 +21,7 @@
 /// Precondition: the directory has a revision.
 auto logLoaded(Blackboard &board, HostId from) -> void;
 
+/// Logs that the directory was shown to be current. Precondition: it was.
+auto logConfirmed(Blackboard &board) -> void;
+
 } // namespace flamingograde
--- a/src/core/directory/directoryspread.cpp
+++ b/src/core/directory/directoryspread.cpp
@@ -59,6 +59,15 @@
     }
 }
 
+auto announceFreshness(Blackboard &board) -> void
+{
+    for (const auto &[id, record] : board.membership.records()) {
+        if (record.connected && !record.hasCurrentDirectory) {
+            sendPeer(board, id, Ping { 0, makeGossip(board, id) });
+        }
+    }
+}
+
 auto PageServer::request(Blackboard &board, HostId from, DirectoryPosition position) -> void
 {
     const auto *record = board.membership.record(from);
--- a/src/core/directory/directoryspread.h
+++ b/src/core/directory/directoryspread.h
@@ -23,6 +23,10 @@
 /// epoch, that this host has it, or a part of it, so that they request it. Precondition: none.
 auto announceDirectory(Blackboard &board) -> void;
 
+/// Tells the connected hosts that do not know whether their directory is current that this host's
+/// is. Precondition: the directory was shown to be current.
+auto announceFreshness(Blackboard &board) -> void;
+
 /// Answers requests for pages of the whole directory; while this host has a part, with that part.
 ///
 /// Equal requests that arrive between two ticks are answered by one message, encoded once, and few
--- a/src/core/dump.cpp
+++ b/src/core/dump.cpp
@@ -208,6 +208,7 @@
     const auto *rows = board.directory.rows();
     stats.directoryRevision = board.directory.revision().number;
     stats.directoryEpoch = board.directory.currentEpoch();
+    stats.directoryCurrent = board.freshness.isCurrent(board.now.mono) ? 1 : 0;
     stats.rowsVersion = rows == nullptr ? 0 : rows->version;
     stats.upstreams = board.directory.listedCount();
     stats.flows = board.packets.flows.used;
--- a/src/core/logevent.cpp
+++ b/src/core/logevent.cpp
@@ -11,7 +11,7 @@
 
 using Name = std::pair<LogEvent, std::string_view>;
 
-constexpr std::array<Name, 65> names { {
+constexpr std::array<Name, 66> names { {
         { LogEvent::Started, "Started" },
         { LogEvent::StopBegan, "StopBegan" },
         { LogEvent::StopWaits, "StopWaits" },
@@ -32,6 +32,7 @@
         { LogEvent::ReadStopped, "ReadStopped" },
         { LogEvent::DirectoryReadOld, "DirectoryReadOld" },
         { LogEvent::PlatformRestored, "PlatformRestored" },
+        { LogEvent::DirectoryConfirmed, "DirectoryConfirmed" },
         { LogEvent::MemberJoined, "MemberJoined" },
         { LogEvent::MemberSuspected, "MemberSuspected" },
         { LogEvent::MemberDead, "MemberDead" },
--- a/src/core/membership/gossip.cpp
+++ b/src/core/membership/gossip.cpp
@@ -29,6 +29,19 @@
     return ms > static_cast<std::int64_t>(unknownAge) ? unknownAge : static_cast<std::uint32_t>(ms);
 }
 
+/// Returns the time since the directory was last current in milliseconds; empty if unknown.
+auto directoryAgeMs(const Blackboard &board) -> std::optional<std::uint32_t>
+{
+    const auto asOf = board.freshness.asOf();
+    if (!asOf || !board.directory.revision().isValid()) {
+        return std::nullopt;
+    }
+    const auto ms = milliseconds(board.now.mono - *asOf);
+    return ms > static_cast<std::int64_t>(unknownAge)
+                   ? std::nullopt
+                   : std::optional(static_cast<std::uint32_t>(ms));
+}
+
 /// Returns gossip to `host` without any member updates.
 auto makeGossipWithoutMembers(Blackboard &board, HostId host) -> Gossip
 {
@@ -40,6 +53,7 @@
     gossip.agreed = board.config.placements.isAgreed();
     gossip.platformAgeMs = platformAgeMs(board);
     gossip.directory = board.directory.revision();
+    gossip.directoryAgeMs = directoryAgeMs(board);
     gossip.readsFail = board.directoryReadsFail;
     gossip.hasPart = board.directory.hasPart();
     gossip.linkUse = board.links.useOf(host);
--- a/src/core/membership/memberrecord.h
+++ b/src/core/membership/memberrecord.h
@@ -31,7 +31,8 @@
     std::uint32_t refusals = 0;   ///< Refused dials since it was last heard.
     std::uint32_t remainingGossipSends = 0;   ///< Messages that are still to carry its last change.
     std::optional<MonoTime> viewDiffersSince; ///< Since when its view and the local one differ.
-    bool readsFail = false;                   ///< Its directory reads fail, as last reported.
+    bool hasCurrentDirectory = false; ///< Its directory was current at some time, as last reported.
+    bool readsFail = false;           ///< Its directory reads fail, as last reported.
     bool connected = false;
     bool viewsNotCompared = false; ///< Not compared with the local view since it connected.
     bool listed = false;           ///< In the platform's last host list.
--- a/src/core/packets/packetnote.cpp
+++ b/src/core/packets/packetnote.cpp
@@ -85,9 +85,9 @@
         text += " cookie=" + std::to_string(head.cookie.value);
     }
     const auto *rows = board.directory.rows();
-    return text + " rows=" + std::to_string(rows == nullptr ? 0 : rows->version)
-           + " directory=" + std::to_string(board.directory.revision().number)
-           + " platform_age_ms=" + std::to_string(age);
+    return text + " rows=" + std::to_string(rows == nullptr ? 0 : rows->version) + " directory="
+           + std::to_string(board.directory.revision().number) + " directory_age_ms="
+           + ageText(board, board.freshness.asOf()) + " platform_age_ms=" + std::to_string(age);
 }
 
 } // namespace flamingograde
--- a/src/core/packets/packetsteering.cpp
+++ b/src/core/packets/packetsteering.cpp
@@ -104,9 +104,13 @@
     if (!chosen && isCopy && mayTakeCopy(board, *known)) {
         chosen = known->upstream;
     }
+    if (!chosen && placement.isOverloaded) {
+        return reset(head, PacketReason::Overloaded);
+    }
     if (!chosen) {
-        return reset(head,
-                     placement.isOverloaded ? PacketReason::Overloaded : PacketReason::NoUpstream);
+        // Upstreams that an outdated directory lacks may be known when the caller sends a copy.
+        return board.freshness.isCurrent(board.now.mono) ? reset(head, PacketReason::NoUpstream)
+                                                         : drop(PacketReason::NoUpstream);
     }
     trackOpening(board, entryFor(board, known, key), head, *chosen);
     auto &entry = board.directory.at(*chosen);
@@ -148,6 +152,19 @@
     return forward(*entry, head, isOverdue ? PacketReason::SteeredOverdue : PacketReason::Steered);
 }
 
+/// Returns whether a packet's row, which this host does not have, exists no more.
+///
+/// A row that other hosts got to know earlier may have open flows, so a flow is known to be on a
+/// removed row only if this host carried it. A new flow can be opened again if the row is new.
+auto isRowKnownToBeGone(const Blackboard &board, const PacketHead &head) -> bool
+{
+    if (board.directory.rows() == nullptr) {
+        return false;
+    }
+    return head.flags.opens ? board.freshness.isCurrent(board.now.mono)
+                            : board.packets.flows.find(FlowKey::of(head)) != nullptr;
+}
+
 auto decide(Blackboard &board, const PacketHead &head) -> PacketDecision
 {
     if (isMalformed(head)) {
@@ -155,9 +172,8 @@
     }
     const auto *row = board.directory.rowAt(head.service);
     if (row == nullptr) {
-        // Before this host has its first rows, it cannot tell whether the row was removed.
-        const auto hasRows = board.directory.rows() != nullptr;
-        return hasRows ? reset(head, PacketReason::NoRow) : drop(PacketReason::NoRow);
+        return isRowKnownToBeGone(board, head) ? reset(head, PacketReason::NoRow)
+                                               : drop(PacketReason::NoRow);
     }
     return head.flags.opens ? placeNewFlow(board, *row, head) : steerOpenFlow(board, *row, head);
 }
--- a/src/emulator/dayfile.cpp
+++ b/src/emulator/dayfile.cpp
@@ -25,8 +25,8 @@
 constexpr double percent = 100;
 
 const Names sections { "day", "host", "zone", "upstreams", "row", "share", "trouble" };
-const Names dayFields { "name",           "seed",         "lead_ms",     "length_ms", "policy",
-                        "drain_bound_ms", "loss_percent", "cold_policy", "admission" };
+const Names dayFields { "name",   "seed",           "lead_ms",      "stale_ms",    "length_ms",
+                        "policy", "drain_bound_ms", "loss_percent", "cold_policy", "admission" };
 const Names hostFields { "start_ms", "restart_ms", "packet_us", "message_us" };
 const Names zoneFields { "name", "hosts", "requests_per_second" };
 const Names upstreamFields { "service", "zone",    "count",          "slots",
@@ -104,6 +104,7 @@
     day.name = fields.name("name");
     day.seed = fields.number("seed", { 0, seedMax, day.seed });
     day.lead = time(fields, "lead_ms", day.lead);
+    day.staleBy = time(fields, "stale_ms", day.staleBy);
     day.length = time(fields, "length_ms", day.length);
     day.drainBound = time(fields, "drain_bound_ms", day.drainBound);
     day.policy = static_cast<PacketPolicy>(fields.enumValue("policy", policyNames, 0));
--- a/src/emulator/emulatedhost.cpp
+++ b/src/emulator/emulatedhost.cpp
@@ -146,7 +146,7 @@
 auto EmulatedHost::holdsPackets() const -> bool
 {
     const auto isInStartup = this->clock.now() - this->processStartedAt < config::packetHoldTimeMax;
-    return this->state == HostLife::Frozen || (isInStartup && !this->library->isServing());
+    return this->state == HostLife::Frozen || (isInStartup && !this->library->hasDirectory());
 }
 
 auto EmulatedHost::steerHeldPackets() -> void
--- a/src/emulator/emulatedstore.cpp
+++ b/src/emulator/emulatedstore.cpp
@@ -72,10 +72,11 @@
 
 auto EmulatedStore::remove(const Place &from, InstanceId instance) -> bool
 {
-    if (this->modeFor(from) != StoreMode::Answers || this->contents.records.erase(instance) == 0) {
+    if (this->modeFor(from) != StoreMode::Answers || this->contents.records.count(instance) == 0) {
         return false;
     }
     this->recordChange(instance);
+    this->contents.records.erase(instance);
     this->contents.removals[instance] = this->contents.last;
     this->answerWatches();
     return true;
@@ -121,9 +122,30 @@
 
 auto EmulatedStore::recordChange(InstanceId instance) -> void
 {
+    this->keepPast();
     this->contents.history.push_back({ ++this->contents.last, instance, this->clock.now() });
 }
 
+auto EmulatedStore::keepPast() -> void
+{
+    if (this->staleBy <= Duration(0)) {
+        return;
+    }
+    const auto oldest = this->clock.now() - this->staleBy;
+    while (!this->past.empty() && this->past.front().changedAt <= oldest) {
+        this->past.pop_front();
+    }
+    this->past.push_back({ this->contents, this->clock.now() });
+}
+
+auto EmulatedStore::pastContents() const -> const Contents &
+{
+    const auto at = this->clock.now() - this->staleBy;
+    const auto found = std::find_if(this->past.begin(), this->past.end(),
+                                    [at](const auto &it) { return at < it.changedAt; });
+    return found == this->past.end() ? this->contents : found->contents;
+}
+
 auto EmulatedStore::forgetHistory() -> void
 {
     this->contents.history.clear();
@@ -147,6 +169,7 @@
 auto EmulatedStore::restoreCopy() -> void
 {
     this->contents = this->copied;
+    this->past.clear();
     ++this->epoch;
     this->markEpoch();
     for (auto &[instance, stored] : this->contents.records) {
@@ -244,7 +267,7 @@
             return;
         }
         auto transfer = std::make_shared<Transfer>();
-        transfer->page = this->pageAfter(after);
+        transfer->page = this->pageAfter(mayBeStale ? this->pastContents() : this->contents, after);
         transfer->handlers = handlers;
         const auto &update = transfer->page.update;
         const auto rowCount = update.rows != nullptr ? update.rows->rows.size() : 0;
@@ -363,21 +386,20 @@
     });
 }
 
-auto EmulatedStore::pageAfter(InstanceId after) const -> StorePage
+auto EmulatedStore::pageAfter(const Contents &from, InstanceId after) const -> StorePage
 {
     StorePage page;
-    page.update.upTo = this->revision();
-    auto it = this->contents.records.upper_bound(after);
-    for (; it != this->contents.records.end() && page.update.present.size() < this->pageRecords;
-         ++it) {
+    page.update.upTo = { from.last, this->epoch };
+    auto it = from.records.upper_bound(after);
+    for (; it != from.records.end() && page.update.present.size() < this->pageRecords; ++it) {
         page.update.present.push_back(it->second.record);
     }
-    page.hasMore = it != this->contents.records.end();
+    page.hasMore = it != from.records.end();
     if (after.isValid()) {
         return page;
     }
-    page.update.rows = this->contents.rows;
-    for (const auto &[zone, evacuation] : this->contents.evacuations) {
+    page.update.rows = from.rows;
+    for (const auto &[zone, evacuation] : from.evacuations) {
         if (evacuation.inForce) {
             page.update.evacuations.push_back(evacuation);
         }
--- a/src/emulator/emulatedstore.h
+++ b/src/emulator/emulatedstore.h
@@ -112,7 +112,9 @@
     bool leasesExpireDuringOutage = false; ///< Leases also expire while the store is down.
     double answerLossShare = 0;            ///< Share of answers that are lost.
     Duration answerDelay { 4000 };
-    Duration staleBy { 0 }; ///< Age of late answers.
+    /// Age of answers to reads that accept an old one. Precondition: set before the changes that
+    /// such answers are to lack.
+    Duration staleBy { 0 };
     double readsPerSecond = 2000;
     std::size_t pageRecords = 500; ///< Most records in a page.
     std::size_t recordBytes = 500; ///< Encoded size of a record or a row.
@@ -145,6 +147,12 @@
         std::shared_ptr<const PacketRows> rows;
         std::deque<Change> history;
     };
+    /// What the store kept before a change.
+    struct PastContents
+    {
+        Contents contents;
+        MonoTime changedAt;
+    };
     struct Watch
     {
         Place from;
@@ -164,6 +172,10 @@
 
     auto storeEvacuation(const std::string &zone, bool inForce) -> bool;
     auto recordChange(InstanceId instance) -> void;
+    /// Keeps the present contents for old answers, as they are about to change.
+    auto keepPast() -> void;
+    /// Returns what the store kept `staleBy` ago.
+    [[nodiscard]] auto pastContents() const -> const Contents &;
     /// Fails all open watches. @param why the reason that their callers get.
     auto cutWatches(const std::string &why) -> void;
     /// Marks everything that the store keeps as of its present epoch.
@@ -175,7 +187,7 @@
     auto reply(const Place &from, const Answer &answer, Event event) -> void;
     auto addWatch(const Place &from, const ReadDirectory &asked, Answer answer) -> void;
     [[nodiscard]] auto consumeReadAllowance(bool mayBeStale) -> bool;
-    [[nodiscard]] auto pageAfter(InstanceId after) const -> StorePage;
+    [[nodiscard]] auto pageAfter(const Contents &from, InstanceId after) const -> StorePage;
     /// Sends the rest of a page over the link in parts that take turns with those of other calls.
     auto transmit(const Place &from, std::shared_ptr<Transfer> transfer) -> void;
     [[nodiscard]] auto changesAfter(Revision after) const -> DirectoryUpdate;
@@ -185,7 +197,8 @@
     std::mt19937_64 random;
     Place place { "store", "" };
     Contents contents;
-    Contents copied; ///< See `takeCopy`.
+    Contents copied;               ///< See `takeCopy`.
+    std::deque<PastContents> past; ///< Of the last `staleBy`, the oldest first.
     std::uint32_t epoch = 1;
     std::vector<Watch> watches;
     std::uint64_t lastWatchNumber = 0;
--- a/src/emulator/emulation.cpp
+++ b/src/emulator/emulation.cpp
@@ -40,6 +40,7 @@
       pool(this->time, callerNetwork, this->plan.seed + 3, this->makeCallerPoolCallbacks())
 {
     this->links.loss = this->plan.packetLoss;
+    this->platform.staleBy = this->plan.staleBy;
 }
 
 Emulation::~Emulation() = default;
--- a/src/emulator/plan.h
+++ b/src/emulator/plan.h
@@ -81,6 +81,7 @@
                              ///< this many times its limit,
     double coldSlack = 5;    ///< plus this many.
     double packetLoss = 0;
+    Duration staleBy { 0 }; ///< Age of the store's answers to reads that accept an old one.
 };
 
 } // namespace flamingograde::emulator
--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -116,7 +116,7 @@
         this->loop.reportWrites(); // May post further events.
     }
     if (this->packets != nullptr) {
-        this->packets->startIfServing(Loop::now().mono);
+        this->packets->startIfLoaded(Loop::now().mono);
     }
     flushLog(Loop::now().mono);
     this->loop.turn(std::max(this->nextTick - Loop::now().mono, Duration(0)));
@@ -147,7 +147,7 @@
         return;
     }
     const auto end = Loop::now().mono + config::directoryStartupWait;
-    while (!this->balancer->isServing() && !this->stopping && Loop::now().mono < end) {
+    while (!this->balancer->hasDirectory() && !this->stopping && Loop::now().mono < end) {
         this->turn();
     }
 }
--- a/src/net/metrics.cpp
+++ b/src/net/metrics.cpp
@@ -242,6 +242,8 @@
     list.gauge("directory_revision", "The directory's newest change.",
                number(stats.directoryRevision));
     list.gauge("directory_epoch", "The platform's epoch.", number(stats.directoryEpoch));
+    list.gauge("directory_current", "Whether the directory counts as current.",
+               number(stats.directoryCurrent));
     list.gauge("rows_version", "The version of the packet rows.", number(stats.rowsVersion));
     list.gauge("upstreams", "Upstreams in the directory.", number(stats.upstreams));
     list.gauge("upstreams_silent", "Upstreams held to be silent.", number(stats.upstreamsSilent));
--- a/src/net/packetplane.cpp
+++ b/src/net/packetplane.cpp
@@ -65,13 +65,13 @@
     return {};
 }
 
-auto PacketPlane::startIfServing(MonoTime now) -> void
+auto PacketPlane::startIfLoaded(MonoTime now) -> void
 {
     if (this->started) {
         return;
     }
     // Packets that arrive while the directory is being read wait in the kernel buffer.
-    if (this->isReady() || now - this->openedAt >= config::packetHoldTimeMax) {
+    if (this->balancer.hasDirectory() || now - this->openedAt >= config::packetHoldTimeMax) {
         this->started = true;
         this->socket->start();
     }
--- a/src/net/packetplane.h
+++ b/src/net/packetplane.h
@@ -42,9 +42,9 @@
     /// path is not that of the check. Precondition: no response to `request` was started.
     auto answerReadiness(st_h2o_req_t *request) const -> void;
 
-    /// Starts reading packets once this host is ready, or `config::packetHoldTimeMax` after `open`.
-    /// Precondition: opened; called in each turn of the loop.
-    auto startIfServing(MonoTime now) -> void;
+    /// Starts reading packets once this host has a directory, or `config::packetHoldTimeMax` after
+    /// `open`. Precondition: opened; called in each turn of the loop.
+    auto startIfLoaded(MonoTime now) -> void;
 
     /// Notes the time, and logs the number of new malformed datagrams. Precondition: opened; called
     /// on each tick.
--- a/src/wire/messagedecoder.cpp
+++ b/src/wire/messagedecoder.cpp
@@ -158,6 +158,9 @@
     gossip.placements = reader.number(reader.field(map, "p"));
     gossip.agreed = reader.flag(reader.field(map, "s"));
     gossip.directory = { reader.number(reader.field(map, "y")), unpackEpoch(reader, map, "e") };
+    if (map.contains("g")) {
+        gossip.directoryAgeMs = static_cast<std::uint32_t>(reader.number(map["g"], uint32Max));
+    }
     gossip.members =
             map.contains("m") ? static_cast<std::uint32_t>(reader.number(map["m"], uint32Max)) : 0;
     gossip.readsFail = map.contains("f") && reader.flag(map["f"]);
--- a/src/wire/messageencoder.cpp
+++ b/src/wire/messageencoder.cpp
@@ -67,6 +67,9 @@
     if (gossip.directory.epoch != 0) {
         map["e"] = gossip.directory.epoch;
     }
+    if (gossip.directoryAgeMs) {
+        map["g"] = *gossip.directoryAgeMs;
+    }
     if (gossip.members != 0) {
         map["m"] = gossip.members;
     }
--- a/tests/unit/messagecodectest.cpp
+++ b/tests/unit/messagecodectest.cpp
@@ -46,6 +46,7 @@
     gossip.placements = ~0ULL - 1;
     gossip.agreed = true;
     gossip.directory = { 77 };
+    gossip.directoryAgeMs = 300;
     gossip.members = ~0U;
     gossip.readsFail = true;
     gossip.hasPart = true;
@@ -161,6 +162,7 @@
     CHECK(gossip.placements == ~0ULL - 1);
     CHECK(gossip.agreed);
     CHECK(gossip.directory.number == 77);
+    CHECK(gossip.directoryAgeMs == 300U);
     CHECK(gossip.members == ~0U);
     CHECK(gossip.readsFail);
     CHECK(gossip.hasPart);
