Let a stored value that cannot be used cost only itself

Between hosts, an entry of an update that cannot be decoded is left out and logged; the connection was closed before. Log lines are cut at 16 KB and have no control characters.

--- a/include/flamingograde/directoryupdate.h
+++ b/include/flamingograde/directoryupdate.h
@@ -9,6 +9,7 @@
 #include <flamingograde/zoneevacuation.h>
 
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace flamingograde {
@@ -52,6 +53,8 @@
     std::vector<ZoneEvacuation> evacuations; ///< A whole update omits ended ones.
     Duration removalsDeferredFor { 0 }; ///< Delay of removals, as the upstreams may register again.
     std::shared_ptr<const PacketRows> rows; ///< Null: unchanged.
+    std::vector<std::string> unreadable;    ///< Errors of entries that were left out, as they could
+                                            ///< not be decoded. Not sent on.
 
     /// Returns whether this contains the whole directory. Precondition: none.
     [[nodiscard]] auto isWhole() const -> bool { return !this->after.isValid(); }
--- a/src/core/directory/directorycontroller.cpp
+++ b/src/core/directory/directorycontroller.cpp
@@ -287,8 +287,23 @@
     }
 }
 
+auto DirectoryController::noteUnreadable(Blackboard &board, HostId from,
+                                         const DirectoryUpdate &update) -> void
+{
+    if (update.unreadable.empty()) {
+        return;
+    }
+    board.stats.directoryFaults += update.unreadable.size();
+    const auto what = "from " + board.membership.nameOf(from) + ": " + update.unreadable.front();
+    if (std::exchange(this->lastUnreadable, what) != what) {
+        board.log(LogEvent::DirectoryRefused,
+                  "items=" + std::to_string(update.unreadable.size()) + " what=\"" + what + "\"");
+    }
+}
+
 auto DirectoryController::takeUpdate(Blackboard &board, HostId from, DirectoryUpdate update) -> void
 {
+    this->noteUnreadable(board, from, update);
     if (this->isUnnamedEpoch(update.upTo)) {
         update = inEpoch(std::move(update), board.directory.currentEpoch());
     }
@@ -335,6 +350,7 @@
 auto DirectoryController::takePage(Blackboard &board, HostId from, const DirectoryPage &page)
         -> void
 {
+    this->noteUnreadable(board, from, page.update);
     this->noteContactRegained(board);
     if (page.isPart) {
         this->requester.noteAnswer(board.now.mono);
--- a/src/core/directory/directorycontroller.h
+++ b/src/core/directory/directorycontroller.h
@@ -59,6 +59,8 @@
     auto takeReport(Blackboard &board, Revision has, const Gossip &gossip) -> void;
     auto answer(Blackboard &board, HostId from, const DirectoryRequest &request) -> void;
     auto takePage(Blackboard &board, HostId from, const DirectoryPage &page) -> void;
+    /// Counts and logs what another host sent and could not be decoded.
+    auto noteUnreadable(Blackboard &board, HostId from, const DirectoryUpdate &update) -> void;
     auto takeUpdate(Blackboard &board, HostId from, DirectoryUpdate update) -> void;
     /// Returns whether a revision that another host sent names no epoch and is taken for one of
     /// this host's. Hosts of older versions name none; once the platform was restored, theirs is
@@ -120,6 +122,7 @@
     bool hadOutage = false;      ///< Whether `platformRegainedAt` was ever set.
     bool hasSeenRestore = false; ///< Whether the platform was restored since this process started.
     std::string lastFaults;      ///< The last report of unreadable directory items.
+    std::string lastUnreadable;  ///< The last report of what another host sent.
     Revision lastOldRead;        ///< Revision of the last read that was logged as old.
     Duration backoff { 0 };      ///< Pause after the last failed read; zero after a success.
 };
--- a/src/net/hostlog.cpp
+++ b/src/net/hostlog.cpp
@@ -22,6 +22,7 @@
 
 namespace {
 
+constexpr std::size_t lineBytesMax = 16U << 10U;      ///< Longest text of a line; the rest is cut.
 constexpr std::size_t bufferedBytesMax = 256U << 10U; ///< Lines not yet written to standard output.
 /// Rate limit of the log: 40 KB/s, the rate at which a host logs state changes during a rollout.
 constexpr double linesPerSecond = 200;
@@ -117,6 +118,20 @@
     }
 }
 
+/// Returns `text` as it fits one line: names that others chose may be long or have control
+/// characters.
+auto printableText(const std::string &text) -> std::string
+{
+    constexpr unsigned char firstPrintable = ' ';
+    constexpr unsigned char deleteCode = 0x7f;
+    auto line = text.substr(0, lineBytesMax);
+    for (auto &character : line) {
+        const auto code = static_cast<unsigned char>(character);
+        character = code < firstPrintable || code == deleteCode ? '?' : character;
+    }
+    return line;
+}
+
 auto logger() -> spdlog::logger &
 {
     static spdlog::logger instance("host", std::make_shared<LineSink>());
@@ -139,7 +154,8 @@
         return;
     }
     const auto *const separator = text.empty() ? "" : " ";
-    logger().log(level, "event={} name={}{}{}", number(event), toString(event), separator, text);
+    logger().log(level, "event={} name={}{}{}", number(event), toString(event), separator,
+                 printableText(text));
 }
 
 auto mayLogPacket(MonoTime now) -> bool
--- a/src/wire/directorycodec.cpp
+++ b/src/wire/directorycodec.cpp
@@ -2,11 +2,13 @@
 ///
 /// Keys are one letter; records, removals and rows are arrays with a fixed order of fields. Only
 /// the IDs of instances are sent; the other IDs are derived from the names. All revisions of an
-/// update are of one epoch, which is sent once.
+/// update are of one epoch, which is sent once. An entry that cannot be decoded costs only itself.
 #include "wire/directorycodec.h"
 
 #include "wire/wirereader.h"
 
+#include <flamingograde/config.h>
+
 #include <nlohmann/json.hpp>
 
 #include <chrono>
@@ -23,7 +25,7 @@
 constexpr std::size_t recordsMax =
         1000000;                         ///< Most records, or removals, or faults, or evacuations.
 constexpr std::size_t rowsMax = 1000000; ///< Most rows, or cold limits, in an update.
-constexpr std::size_t sharesMax = 1000;  ///< Most services that share a row.
+constexpr std::size_t sharesMax = 1000000;   ///< Most services that share a row.
 constexpr std::size_t versionBytesMax = 200; ///< Longest software version of an upstream.
 constexpr std::size_t recordFields = 12;     ///< Fields of a record.
 constexpr std::size_t evacuationFields = 3;  ///< Fields of an evacuation order.
@@ -36,6 +38,34 @@
 constexpr std::uint64_t uint32Max = std::numeric_limits<std::uint32_t>::max();
 constexpr std::uint64_t uint16Max = std::numeric_limits<std::uint16_t>::max();
 
+/// Reads a name that operators or upstreams chose, which may have any length.
+auto unpackName(WireReader &reader, const Json &value) -> std::string
+{
+    auto name = reader.text(value, config::peerMessageMax);
+    if (name.empty()) {
+        reader.fail("a name is empty");
+    }
+    return name;
+}
+
+/// Decodes the entries of an array. One that cannot be decoded is left out and reported.
+template<typename Unpack>
+auto unpackEach(const Json &list, const char *kind, std::vector<std::string> &unreadable,
+                Unpack unpack) -> std::vector<decltype(unpack(std::declval<WireReader &>(), list))>
+{
+    std::vector<decltype(unpack(std::declval<WireReader &>(), list))> entries;
+    for (const auto &value : list) {
+        WireReader reader;
+        auto entry = unpack(reader, value);
+        if (reader.fault().empty()) {
+            entries.push_back(std::move(entry));
+        } else {
+            unreadable.push_back(std::string(kind) + ": " + reader.fault());
+        }
+    }
+    return entries;
+}
+
 auto milliseconds(Duration duration) -> std::uint64_t
 {
     return static_cast<std::uint64_t>(
@@ -68,11 +98,11 @@
     const auto &at = *fields;
     auto &upstream = record.upstream;
     upstream.instance = InstanceId(reader.number(at[0]));
-    upstream.name = reader.name(at[1]);
+    upstream.name = unpackName(reader, at[1]);
     upstream.id = UpstreamId::ofName(upstream.name);
-    upstream.serviceName = reader.name(at[2]);
+    upstream.serviceName = unpackName(reader, at[2]);
     upstream.service = ServiceId::ofName(upstream.serviceName);
-    upstream.zoneName = reader.name(at[3]);
+    upstream.zoneName = unpackName(reader, at[3]);
     upstream.zone = ZoneId::ofName(upstream.zoneName);
     upstream.address = { static_cast<std::uint32_t>(reader.number(at[4], uint32Max)),
                          static_cast<std::uint16_t>(reader.number(at[5], uint16Max)) };
@@ -106,7 +136,7 @@
     if (fields == nullptr) {
         return share;
     }
-    share.serviceName = reader.name((*fields)[0]);
+    share.serviceName = unpackName(reader, (*fields)[0]);
     share.service = ServiceId::ofName(share.serviceName);
     share.weight = static_cast<std::uint32_t>(reader.number((*fields)[1], uint32Max));
     return share;
@@ -121,7 +151,7 @@
     }
     constexpr auto lastKind = static_cast<std::uint64_t>(RequestKind::Upload);
     const auto &at = *fields;
-    row.name = reader.name(at[0]);
+    row.name = unpackName(reader, at[0]);
     row.id = RowId::ofName(row.name);
     row.address = { static_cast<std::uint32_t>(reader.number(at[1], uint32Max)),
                     static_cast<std::uint16_t>(reader.number(at[2], uint16Max)) };
@@ -154,7 +184,7 @@
     if (fields == nullptr) {
         return limit;
     }
-    limit.serviceName = reader.name((*fields)[0]);
+    limit.serviceName = unpackName(reader, (*fields)[0]);
     limit.service = ServiceId::ofName(limit.serviceName);
     limit.coldTime = unpackDuration(reader, (*fields)[1]);
     limit.requestsPerSecond =
@@ -175,20 +205,18 @@
              { "k", packColdLimits(rows) } };
 }
 
-auto unpackRows(WireReader &reader, const Json &map, std::uint32_t epoch)
-        -> std::shared_ptr<const PacketRows>
+auto unpackRows(WireReader &reader, const Json &map, std::uint32_t epoch,
+                std::vector<std::string> &unreadable) -> std::shared_ptr<const PacketRows>
 {
     auto rows = std::make_shared<PacketRows>();
     rows->version = reader.number(reader.field(map, "v"));
     rows->changed = { reader.number(reader.field(map, "c")), epoch };
     rows->flowIdle = unpackDuration(reader, reader.field(map, "i"));
-    for (const auto &row : reader.list(reader.field(map, "l"), rowsMax)) {
-        rows->rows.push_back(unpackRow(reader, row));
-    }
+    const auto &list = reader.list(reader.field(map, "l"), rowsMax);
+    rows->rows = unpackEach(list, "row", unreadable, &unpackRow);
     if (map.contains("k")) { // Absent in updates from hosts of older versions.
-        for (const auto &limit : reader.list(map["k"], rowsMax)) {
-            rows->coldLimits.push_back(unpackColdLimit(reader, limit));
-        }
+        rows->coldLimits = unpackEach(reader.list(map["k"], rowsMax), "cold limit", unreadable,
+                                      &unpackColdLimit);
     }
     return rows;
 }
@@ -216,13 +244,43 @@
     return startTimes;
 }
 
-auto unpackStartTimes(WireReader &reader, const Json &value, DirectoryUpdate &update) -> void
+auto unpackStartTime(WireReader &reader, const Json &value) -> WallTime
 {
-    const auto *startTimes = reader.tuple(value, update.present.size());
-    for (std::size_t i = 0; startTimes != nullptr && i < update.present.size(); ++i) {
-        const auto born =
-                std::chrono::milliseconds(reader.number((*startTimes)[i], startTimeMaxMs));
-        update.present[i].upstream.startedAt = WallTime(born);
+    return WallTime(std::chrono::milliseconds(reader.number(value, startTimeMaxMs)));
+}
+
+/// Adds an upstream that cannot be decoded to the faulty ones, so that it is not taken for removed.
+auto addUnreadable(const Json &value, std::uint32_t epoch, DirectoryUpdate &update) -> void
+{
+    WireReader reader;
+    if (const auto *fields = reader.tuple(value, recordFields)) {
+        const InstanceId instance(reader.number((*fields)[0]));
+        const Revision changed { reader.number((*fields)[10]), epoch };
+        if (reader.fault().empty() && instance.isValid()) {
+            update.faulty.push_back({ instance, changed });
+        }
+    }
+}
+
+/// Decodes the upstreams of an update. One that cannot be decoded is reported and left out.
+auto unpackRecords(WireReader &reader, const Json &map, std::uint32_t epoch,
+                   DirectoryUpdate &update) -> void
+{
+    const auto &list = reader.list(reader.field(map, "p"), recordsMax);
+    // Absent in updates from hosts of older versions.
+    const auto *startTimes = map.contains("b") ? reader.tuple(map["b"], list.size()) : nullptr;
+    for (std::size_t i = 0; i < list.size(); ++i) {
+        WireReader recordReader;
+        auto record = unpackRecord(recordReader, list[i], epoch);
+        if (startTimes != nullptr) {
+            record.upstream.startedAt = unpackStartTime(recordReader, (*startTimes)[i]);
+        }
+        if (recordReader.fault().empty()) {
+            update.present.push_back(std::move(record));
+            continue;
+        }
+        update.unreadable.push_back("upstream: " + recordReader.fault());
+        addUnreadable(list[i], epoch, update);
     }
 }
 
@@ -242,7 +300,7 @@
     if (fields == nullptr) {
         return order;
     }
-    order.zoneName = reader.name((*fields)[0]);
+    order.zoneName = unpackName(reader, (*fields)[0]);
     order.zone = ZoneId::ofName(order.zoneName);
     order.at = { reader.number((*fields)[1]), epoch };
     order.inForce = reader.flag((*fields)[2]);
@@ -297,16 +355,11 @@
     const Revision after { reader.number(reader.field(map, "a")), epoch };
     update.after = after.isValid() ? after : Revision();
     update.upTo = { reader.number(reader.field(map, "u")), epoch };
-    for (const auto &record : reader.list(reader.field(map, "p"), recordsMax)) {
-        update.present.push_back(unpackRecord(reader, record, epoch));
-    }
+    unpackRecords(reader, map, epoch, update);
     for (const auto &removal : reader.list(reader.field(map, "x"), recordsMax)) {
         const auto [instance, at] = unpackInstance(reader, removal, epoch);
         update.removed.push_back({ instance, at });
     }
-    if (map.contains("b")) {
-        unpackStartTimes(reader, map["b"], update);
-    }
     if (map.contains("f")) {
         for (const auto &fault : reader.list(map["f"], recordsMax)) {
             const auto [instance, at] = unpackInstance(reader, fault, epoch);
@@ -314,13 +367,15 @@
         }
     }
     if (map.contains("e")) {
-        for (const auto &order : reader.list(map["e"], recordsMax)) {
-            update.evacuations.push_back(unpackEvacuation(reader, order, epoch));
-        }
+        update.evacuations =
+                unpackEach(reader.list(map["e"], recordsMax), "evacuation", update.unreadable,
+                           [epoch](WireReader &orderReader, const Json &order) {
+                               return unpackEvacuation(orderReader, order, epoch);
+                           });
     }
     update.removalsDeferredFor = unpackDuration(reader, reader.field(map, "s"));
     if (map.contains("r")) {
-        update.rows = unpackRows(reader, map["r"], epoch);
+        update.rows = unpackRows(reader, map["r"], epoch, update.unreadable);
     }
     return update;
 }
--- a/tests/unit/directorycontrollertest.cpp
+++ b/tests/unit/directorycontrollertest.cpp
@@ -280,6 +280,20 @@
     CHECK(host.logs.back().text == "read=8 epoch=0 directory=10");
 }
 
+TEST_CASE("entries of another host's update that could not be decoded are logged once and counted",
+          "[directory]")
+{
+    DirectoryTestHost host;
+    const auto other = host.addConnectedHost("other", "a");
+    auto update = DirectoryTestHost::removalOfUpstream2();
+    update.unreadable = { "row: not an array" };
+    host.receiveUpdate(other, update);
+    host.receiveUpdate(other, update);
+    CHECK(host.upstream2().presence == Presence::Removed);
+    CHECK(host.board.stats.directoryFaults == 2);
+    REQUIRE(host.logCount(LogEvent::DirectoryRefused) == 1);
+}
+
 TEST_CASE(
         "changes that a restored platform answers to a watch from before are read anew as a whole",
         "[directory][restore]")
