--- a/tests/unit/packetsteeringtest.cpp
+++ b/tests/unit/packetsteeringtest.cpp
@@ -20,6 +20,16 @@
     return decision.targets[0].instance.value();
 }
 
+/// Returns the removal of upstream 5, the only one of the service "papers", at revision 11.
+auto removalOfUpstream5() -> DirectoryUpdate
+{
+    DirectoryUpdate update;
+    update.after = { 10 };
+    update.upTo = { 11 };
+    update.removed = { { InstanceId(5), { 11 } } };
+    return update;
+}
+
 } // namespace
 
 TEST_CASE("a new flow goes to an upstream of the host's zone, with that upstream's bound cookie",
@@ -234,11 +244,7 @@
           "[packets]")
 {
     PacketBoard host;
-    DirectoryUpdate update;
-    update.after = { 10 };
-    update.upTo = { 11 };
-    update.removed = { { InstanceId(5), { 11 } } };
-    host.take(update);
+    host.take(removalOfUpstream5());
     const auto cookie = Cookie::of(InstanceId(5));
     REQUIRE(host.acknowledge(9, cookie, papersAddress).verdict == PacketVerdict::Reset);
     host.advance(config::directoryStale + 1ms);
@@ -254,11 +260,7 @@
 TEST_CASE("a new or open flow whose only upstream was removed is reset", "[packets]")
 {
     PacketBoard host;
-    DirectoryUpdate update;
-    update.after = { 10 };
-    update.upTo = { 11 };
-    update.removed = { { InstanceId(5), { 11 } } };
-    host.take(update);
+    host.take(removalOfUpstream5());
     const auto decision = host.open(9, papersAddress);
     CHECK(decision.verdict == PacketVerdict::Reset);
     CHECK(decision.reason == PacketReason::NoUpstream);
@@ -289,10 +291,7 @@
           "[packets]")
 {
     PacketBoard host;
-    DirectoryUpdate update;
-    update.after = { 10 };
-    update.upTo = { 11 };
-    update.removed = { { InstanceId(5), { 11 } } };
+    auto update = removalOfUpstream5();
     update.removalsDeferredFor = 2s;
     host.take(update);
     CHECK(host.acknowledge(8, Cookie::of(InstanceId(5)), papersAddress).verdict
