--- a/src/emulator/emulatedhost.cpp
+++ b/src/emulator/emulatedhost.cpp
@@ -14,6 +14,7 @@
 
 namespace {
 
+constexpr auto clockAtBoot = std::chrono::seconds(10); ///< Steady clocks of hosts differ.
 constexpr auto wallClockStart = std::chrono::seconds(1'764'700'000);
 constexpr std::size_t heldPacketsMax = 800; ///< Capacity of the receive buffer in packets.
 
@@ -31,24 +32,29 @@
       times(hostTimes),
       callbacks(std::move(handlers)), self { this->init.self.name, this->init.self.zoneName }
 {
-    this->mesh.set(this->id(), { this->init.self, this->self, false, true,
-                                 [this](Event event) { this->handleEvent(std::move(event)); } });
+    MeshHost entry;
+    entry.member = this->init.self;
+    entry.place = this->self;
+    entry.isDark = true;
+    entry.give = [this](Event event) { this->handleEvent(std::move(event)); };
+    this->mesh.set(this->id(), std::move(entry));
 }
 
 EmulatedHost::~EmulatedHost() = default;
 
 auto EmulatedHost::clockNow() const -> Now
 {
-    const auto mono = this->clock.now();
-    return { mono, WallTime(wallClockStart + mono.time_since_epoch()) };
+    const auto now = this->clock.now();
+    const Duration up = now - this->bootedAt;
+    return { MonoTime(clockAtBoot + up), WallTime(wallClockStart + now.time_since_epoch()) };
 }
 
 auto EmulatedHost::start() -> void
 {
+    this->bootedAt = this->mesh.at(this->id()).isDark ? this->clock.now() : this->bootedAt;
     this->state = HostLife::Starting;
     ++this->startCount;
-    this->mesh.at(this->id()).isUnresponsive = false;
-    this->mesh.end(this->id(), PeerLoss::Closed); // Ends connections from before a power loss.
+    this->mesh.at(this->id()).isDark = false;
     this->clock.later(this->times.start,
                       [this, generation = ++this->currentGeneration] { this->begin(generation); });
 }
@@ -90,6 +96,7 @@
 {
     ++this->currentGeneration;
     this->state = HostLife::Off;
+    this->disturbedAt = this->clock.now();
     this->heldEvents.clear();
     this->heldPackets.clear();
     if (this->reader != nullptr) {
@@ -97,8 +104,11 @@
     }
     auto &entry = this->mesh.at(this->id());
     entry.isListening = false;
-    entry.isUnresponsive = power;
-    if (!power) {
+    entry.isFrozen = false;
+    entry.isDark = power;
+    if (power) {
+        ++entry.boots;
+    } else {
         this->mesh.end(this->id(), PeerLoss::Closed);
     }
 }
@@ -127,7 +137,7 @@
 auto EmulatedHost::freeze() -> void
 {
     this->state = HostLife::Frozen;
-    this->mesh.at(this->id()).isUnresponsive = true;
+    this->mesh.at(this->id()).isFrozen = true;
 }
 
 auto EmulatedHost::wake() -> void
@@ -136,7 +146,7 @@
         return;
     }
     this->state = HostLife::Running;
-    this->mesh.at(this->id()).isUnresponsive = false;
+    this->mesh.at(this->id()).isFrozen = false;
     for (auto &event : std::exchange(this->heldEvents, {})) {
         this->handleEvent(std::move(event));
     }
--- a/src/emulator/emulatedhost.h
+++ b/src/emulator/emulatedhost.h
@@ -127,6 +127,7 @@
     std::uint64_t currentGeneration = 0;
     std::unique_ptr<EmulatedReader> reader; ///< Of the running process.
     bool restartsAfterStop = false;
+    MonoTime bootedAt; ///< When the machine's steady clock began.
     MonoTime busyUntil;
     MonoTime processStartedAt;
     std::deque<Event> heldEvents;
--- a/src/emulator/emulation.cpp
+++ b/src/emulator/emulation.cpp
@@ -47,7 +47,7 @@
 
 auto Emulation::settingsOf(const std::string &zone, std::size_t number) -> Init
 {
-    auto init = hostSettings(zone, number);
+    auto init = hostSettings(zone, number, this->plan.seeds);
     init.flowsTracked = config::flowsTracked;
     init.packetPolicy = this->plan.policy;
     init.admitsByLoad = this->plan.admitsByLoad;
@@ -422,7 +422,7 @@
 {
     this->platform.expire();
     this->accumulateColdTime();
-    this->mesh.closeCutConnections();
+    this->mesh.checkConnections();
     for (const auto &host : this->hosts) {
         if (host->life() != HostLife::Running || !this->platform.isStableFor(host->place())) {
             host->disturbedAt = this->time.now();
--- a/src/emulator/hostsettings.cpp
+++ b/src/emulator/hostsettings.cpp
@@ -9,7 +9,6 @@
 
 constexpr std::uint32_t hostNetwork = 0x0a010000; ///< 10.1.0.0.
 constexpr std::uint16_t peerPort = 7001;
-constexpr std::size_t seedHosts = 3;
 
 auto peerAddress(std::size_t number) -> Address
 {
@@ -18,7 +17,8 @@
 
 } // namespace
 
-auto hostSettings(const std::string &zone, std::size_t number) -> Init
+auto hostSettings(const std::string &zone, std::size_t number,
+                  const std::vector<std::size_t> &seeds) -> Init
 {
     Init init;
     init.self.name = "host-" + std::to_string(number);
@@ -26,7 +26,7 @@
     init.self.zoneName = zone;
     init.self.zone = ZoneId::ofName(zone);
     init.self.peer = peerAddress(number);
-    for (std::size_t seed = 0; seed < seedHosts; ++seed) {
+    for (const auto seed : seeds) {
         init.seedAddresses.push_back(peerAddress(seed));
     }
     init.readsDirectory = true;
--- a/src/emulator/peermesh.cpp
+++ b/src/emulator/peermesh.cpp
@@ -17,6 +17,9 @@
 
 using namespace std::chrono_literals;
 
+/// Period in which real hosts probe a connection that is silent.
+constexpr Duration linkProbePeriod = 500ms;
+
 } // namespace
 
 auto PeerMesh::pairOf(HostId a, HostId b) -> Pair
@@ -38,15 +41,33 @@
 {
     const auto &one = this->hosts.at(a);
     const auto &other = this->hosts.at(b);
-    return one.isUnresponsive || other.isUnresponsive
-           || this->network.faultBetween(one.place, other.place) == LinkFault::Silent;
+    return one.isFrozen || other.isFrozen || one.isDark || other.isDark || this->isCut(a, b);
+}
+
+auto PeerMesh::isCut(HostId a, HostId b) const -> bool
+{
+    return this->network.faultBetween(this->hosts.at(a).place, this->hosts.at(b).place)
+           == LinkFault::Silent;
+}
+
+auto PeerMesh::bootsOf(Pair pair) const -> std::pair<std::uint64_t, std::uint64_t>
+{
+    return { this->hosts.at(pair.first).boots, this->hosts.at(pair.second).boots };
+}
+
+auto PeerMesh::isGone(Pair pair, const Connection &connection) const -> bool
+{
+    return connection.boots != this->bootsOf(pair);
 }
 
 auto PeerMesh::connect(HostId from, HostId to) -> void
 {
     const auto pair = pairOf(from, to);
     const auto known = this->hosts.find(to);
-    if (this->connections.count(pair) != 0 || known == this->hosts.end()) {
+    const auto existing = this->connections.find(pair);
+    const auto isConnected =
+            existing != this->connections.end() && !this->isGone(pair, existing->second);
+    if (isConnected || known == this->hosts.end()) {
         return;
     }
     const auto &one = this->hosts.at(from);
@@ -64,7 +85,10 @@
         this->deliver(from, 2 * delay, PeerDown { to, PeerLoss::Refused });
         return;
     }
-    this->connections[pair] = { ++this->lastNumber, std::nullopt };
+    Connection connection;
+    connection.number = ++this->lastNumber;
+    connection.boots = this->bootsOf(pair);
+    this->connections[pair] = std::move(connection);
     this->deliver(from, 2 * delay, PeerUp { known->second.member });
     this->deliver(to, delay, PeerUp { one.member });
 }
@@ -100,14 +124,49 @@
     last = std::max(last + 1us, this->clock.now() + delay);
     const auto number = connection->second.number;
     PeerMessage message { from, std::move(*received) };
-    this->clock.later(last - this->clock.now(), [this, to = sent.host, number,
-                                                 message = std::move(message)] {
-        const auto open = this->connections.find(pairOf(message.from, to));
-        const auto isSame = open != this->connections.end() && open->second.number == number;
-        if (isSame && !this->isSilent(message.from, to)) {
-            this->deliver(to, Duration(0), message);
-        }
-    });
+    this->clock.later(last - this->clock.now(),
+                      [this, to = sent.host, number, message = std::move(message)]() mutable {
+                          this->arrive(to, number, std::move(message));
+                      });
+}
+
+auto PeerMesh::arrive(HostId to, std::uint64_t number, PeerMessage message) -> void
+{
+    const auto from = message.from;
+    const auto pair = pairOf(from, to);
+    const auto open = this->connections.find(pair);
+    if (open == this->connections.end() || open->second.number != number
+        || this->hosts.at(to).isDark) {
+        return;
+    }
+    if (this->isGone(pair, open->second)) {
+        this->resetGone(pair);
+    } else if (this->isCut(from, to) || !open->second.delayed.empty()) {
+        open->second.delayed.emplace_back(to, std::move(message));
+    } else {
+        this->deliver(to, Duration(0), std::move(message));
+    }
+}
+
+auto PeerMesh::deliverDelayed(Connection &connection) -> void
+{
+    for (auto &[to, message] : std::exchange(connection.delayed, {})) {
+        this->deliver(to, Duration(0), std::move(message));
+    }
+}
+
+auto PeerMesh::resetGone(Pair pair) -> void
+{
+    const auto found = this->connections.find(pair);
+    const auto boots = this->bootsOf(pair);
+    const auto known = found->second.boots;
+    this->connections.erase(found);
+    if (known.first == boots.first) {
+        this->deliver(pair.first, Duration(0), PeerDown { pair.second, PeerLoss::Closed });
+    }
+    if (known.second == boots.second) {
+        this->deliver(pair.second, Duration(0), PeerDown { pair.first, PeerLoss::Closed });
+    }
 }
 
 auto PeerMesh::drop(HostId from, HostId to) -> void
@@ -144,9 +203,11 @@
     }
 }
 
-auto PeerMesh::closeCutConnections() -> void
+auto PeerMesh::checkConnections() -> void
 {
     std::vector<std::pair<Pair, PeerLoss>> ended;
+    std::vector<Pair> gone;
+    const auto now = this->clock.now();
     for (auto &[pair, connection] : this->connections) {
         const auto fault = this->network.faultBetween(this->hosts.at(pair.first).place,
                                                       this->hosts.at(pair.second).place);
@@ -154,15 +215,29 @@
             ended.emplace_back(pair, PeerLoss::Closed);
             continue;
         }
-        if (!this->isSilent(pair.first, pair.second)) {
+        const auto isSilent = this->isSilent(pair.first, pair.second);
+        if (!isSilent && this->isGone(pair, connection)) {
+            connection.goneSince = connection.goneSince.value_or(now);
+            if (now - *connection.goneSince >= linkProbePeriod) {
+                gone.push_back(pair);
+            }
+            continue;
+        }
+        if (!this->isCut(pair.first, pair.second)) {
+            this->deliverDelayed(connection);
+        }
+        if (!isSilent) {
             connection.silentSince.reset();
             continue;
         }
-        connection.silentSince = connection.silentSince.value_or(this->clock.now());
-        if (this->clock.now() - *connection.silentSince >= config::silenceTimeout) {
+        connection.silentSince = connection.silentSince.value_or(now);
+        if (now - *connection.silentSince >= config::silenceTimeout) {
             ended.emplace_back(pair, PeerLoss::Silent);
         }
     }
+    for (const auto &pair : gone) {
+        this->resetGone(pair);
+    }
     for (const auto &[pair, loss] : ended) {
         this->disconnect(pair, loss);
     }
--- a/src/emulator/plan.h
+++ b/src/emulator/plan.h
@@ -82,6 +82,7 @@
     double coldSlack = 5;    ///< plus this many.
     double packetLoss = 0;
     Duration staleBy { 0 }; ///< Age of the store's answers to reads that accept an old one.
+    std::vector<std::size_t> seeds { 0, 1, 2 }; ///< Numbers of the hosts that all hosts dial first.
 };
 
 } // namespace flamingograde::emulator
--- a/src/emulator/randomday.cpp
+++ b/src/emulator/randomday.cpp
@@ -61,6 +61,19 @@
     return kinds;
 }
 
+/// The ways in which the hosts of a zone are lost on a dark day.
+const std::vector<std::pair<std::string, std::string>> darkDayLosses {
+    { "host-kill", "power" },
+    { "host-kill", "" },
+    { "host-freeze", "" },
+    { "host-cut", "" },
+};
+
+constexpr Duration darkDayRound = 10s; ///< Pause between two losses of most hosts.
+constexpr Duration darkDayLossMax = 4s;
+constexpr Duration darkDayOldCopyMax = 3s;
+constexpr Duration releaseLead = 1s; ///< From the begin of a release until the upstream drains.
+
 constexpr std::uint64_t restoresMax = 3; ///< Of a restored day, which gets at least one.
 /// Versions of the rows and replaced upstreams that a restored day gets besides its troubles, so
 /// that there is something to lose.
@@ -85,6 +98,11 @@
         return std::uniform_real_distribution<double>(0, most)(this->random);
     }
 
+    auto timeBelow(Duration limit) -> Duration
+    {
+        return std::chrono::milliseconds(this->below(toMs(limit)));
+    }
+
     auto next() -> TroublePlan { return this->next(this->kinds[this->below(this->kinds.size())]); }
 
     auto next(const std::string &kind) -> TroublePlan
@@ -163,8 +181,76 @@
     return day;
 }
 
+/// Appends the loss of all zones' hosts but one zone's, and changes of which most begin just after
+/// it. Each zone is lost once or twice, in its own way or in that of all.
+auto addDarkRound(DayPlan &day, TroubleGenerator &draw, const std::string &spared, Duration at)
+        -> void
+{
+    const auto common = draw.below(darkDayLosses.size());
+    const auto isMixed = draw.below(3) == 0;
+    const auto duration = 500ms + draw.timeBelow(darkDayLossMax);
+    for (auto times = 1 + draw.below(2); times > 0; --times) {
+        for (const auto &zone : day.zones) {
+            const auto &[kind, how] =
+                    darkDayLosses[isMixed ? draw.below(darkDayLosses.size()) : common];
+            TroublePlan loss;
+            loss.kind = kind;
+            loss.how = how;
+            loss.at = at;
+            loss.duration = duration;
+            loss.share = 1;
+            loss.zone = zone.name;
+            if (zone.name != spared) {
+                day.troubles.push_back(loss);
+            }
+        }
+        TroublePlan rows;
+        rows.kind = "rows";
+        rows.at = at + (draw.below(2) == 0 ? Duration(50ms) : draw.timeBelow(duration));
+        TroublePlan release;
+        release.kind = "release";
+        release.at = rows.at - releaseLead;
+        release.zone = spared;
+        day.troubles.insert(day.troubles.end(), { rows, release });
+        at += draw.timeBelow(darkDayLossMax);
+    }
+}
+
+/// Returns the numbers of a zone's first hosts, at most as many as there are seeds.
+auto seedsIn(const DayPlan &day, const std::string &zone) -> std::vector<std::size_t>
+{
+    std::vector<std::size_t> seeds;
+    std::size_t number = 0;
+    for (const auto &planned : day.zones) {
+        for (std::size_t i = 0; i < planned.hosts; ++i, ++number) {
+            if (planned.name == zone && seeds.size() < day.seeds.size()) {
+                seeds.push_back(number);
+            }
+        }
+    }
+    return seeds;
+}
+
 } // namespace
 
+auto darkDay(DayPlan day, std::uint64_t seed) -> DayPlan
+{
+    TroubleGenerator draw(day, randomDayKinds, seed);
+    day.troubles.clear();
+    day.seed = seed;
+    day.staleBy = draw.timeBelow(darkDayOldCopyMax);
+    const auto &firstSpared = day.zones[draw.below(day.zones.size())].name;
+    if (draw.below(3) != 0) {
+        day.seeds = seedsIn(day, firstSpared);
+    }
+    auto spared = firstSpared;
+    for (auto at = Duration(darkDayRound / 2); at < day.length; at += darkDayRound) {
+        addDarkRound(day, draw, spared, at + draw.timeBelow(darkDayRound / 4));
+        spared = day.zones[draw.below(day.zones.size())].name;
+    }
+    return day;
+}
+
 auto randomDay(DayPlan day, std::uint64_t seed) -> DayPlan
 {
     TroubleGenerator draw(day, randomDayKinds, seed);
--- a/src/emulator/randomday.h
+++ b/src/emulator/randomday.h
@@ -28,4 +28,12 @@
 /// @remarks Thread safe.
 [[nodiscard]] auto restoredDay(DayPlan day, std::uint64_t seed) -> DayPlan;
 
+/// Returns `day` with other troubles: at intervals the hosts of all zones but one are lost, once or
+/// twice, by losses of power, kills, freezes or cuts, and rows and the release of an upstream
+/// begin at a random moment of it, mostly just after. Reads that accept an old copy get one of up
+/// to 3 s, and on most seeds all seeds are in the zone that is spared first. Precondition: the day
+/// has two zones.
+/// @remarks Thread safe.
+[[nodiscard]] auto darkDay(DayPlan day, std::uint64_t seed) -> DayPlan;
+
 } // namespace flamingograde::emulator
--- a/src/emulator/troubles.cpp
+++ b/src/emulator/troubles.cpp
@@ -169,7 +169,11 @@
             continue;
         }
         host.kill(true);
-        emulation.clock().later(trouble.duration, [&host] { host.start(); });
+        emulation.clock().later(trouble.duration, [&host] {
+            if (host.life() == HostLife::Off) {
+                host.start();
+            }
+        });
     }
 }
 
--- a/tests/unit/overlayfleet.cpp
+++ b/tests/unit/overlayfleet.cpp
@@ -63,7 +63,7 @@
 
 auto OverlayFleet::reviewConnections() -> void
 {
-    this->mesh.closeCutConnections();
+    this->mesh.checkConnections();
     this->clock.later(reviewPeriod, [this] { this->reviewConnections(); });
 }
 
--- a/tools/flamingogradesim/main.cpp
+++ b/tools/flamingogradesim/main.cpp
@@ -40,6 +40,7 @@
     bool crowded = false;
     bool evacuated = false;
     bool restored = false;
+    bool dark = false;
     int seeds = 1;
     int hosts = 0; ///< Hosts to scale each day to; 0 keeps the number in the day file.
 };
@@ -61,7 +62,8 @@
     int crowded = 0;
     int evacuated = 0;
     int restored = 0;
-    const std::array<poptOption, 11> table { {
+    int dark = 0;
+    const std::array<poptOption, 12> table { {
             { "policies", 'p', POPT_ARG_NONE, &all, 0, "run every placement policy", nullptr },
             { "seeds", 's', POPT_ARG_INT, &options.seeds, 0, "number of seeds to run for each day",
               "N" },
@@ -78,6 +80,8 @@
             { "restored", 'b', POPT_ARG_NONE, &restored, 0,
               "draw three to six troubles of every kind and one to three restores of the store",
               nullptr },
+            { "dark", 'd', POPT_ARG_NONE, &dark, 0,
+              "lose most hosts at intervals, beside changes of rows and upstreams", nullptr },
             { "report", 'r', POPT_ARG_STRING, &report, 0, "write all results as JSON", "FILE" },
             POPT_AUTOHELP POPT_TABLEEND,
     } };
@@ -106,6 +110,7 @@
     options.crowded = crowded != 0;
     options.evacuated = evacuated != 0;
     options.restored = restored != 0;
+    options.dark = dark != 0;
     return options;
 }
 
@@ -178,6 +183,9 @@
 /// Returns the function that draws the random changes of a day, or null if no option asks for them.
 auto dayDrawOf(const Options &options) -> DayDraw
 {
+    if (options.dark) {
+        return &darkDay;
+    }
     if (options.restored) {
         return &restoredDay;
     }
