Have each host read for itself when its own directory is not shown to be recent

Cause: 'the platform was heard' was taken for 'no change is missing'. The returning hosts read an old copy; that renewed `platformAge`, which their gossip carried to the zone that stays, so no host of it was overdue. They took the copy for current on the word of that very zone, 2.27 s old (log: 212 with directory_age_ms=2272 platform_age_ms=97), were the elected readers at once, and read nothing for 1.5 s after their start (207 follows 1.46 s after 212). Whoever was to read was told by others that somebody does.

Ruled out, by logs of the hosts and an emulated trace: lost or slow answers (the first read after the grace answers in 5 ms); a push that goes astray (207 is on all hosts of a zone in the same 5 ms); the silence going unseen alone (with seeds in other zones, or a current read, 2.2 s at most: somebody reads then).

Change: each host keeps up to when its own directory certainly has all changes, and reads itself when that is 1.8 s ago (hubs, one after the other within 0.2 s) or 2.1 s (others, within 0.4 s), whatever anybody says. Reads are dated by their question, not by their answer; what another host says by this host's own clock, which the message repeats: a word that waited on a cut link or unread is as old as it is. An old copy shows nothing. Watchers tell on the ways of changes up to when they know all, with each answer, and renew a watch so that this is never later than 1.5 s apart. It replaces the takeover by hubs and the fallback by word of the platform. A stopping host that nobody tells reads, too. 213 names an overdue host.

A store that is down: each host tries once, within the former bound of calls in 10 s.

Conclusion: the wait of a host depends on its own clock and reads alone.

--- a/include/flamingograde/logevent.h
+++ b/include/flamingograde/logevent.h
@@ -33,6 +33,7 @@
     DirectoryReadOld    = 210, ///< The whole directory was read, older than the one in force.
     PlatformRestored    = 211, ///< The platform was restored from an older copy of its data.
     DirectoryConfirmed  = 212, ///< After a start or a pause, the directory was shown to be current.
+    DirectoryOverdue    = 213, ///< No host showed in time that no change is missing; this one reads.
     // 3xx: membership.
     MemberJoined        = 300,
     MemberSuspected     = 301,
--- a/include/flamingograde/message.h
+++ b/include/flamingograde/message.h
@@ -48,9 +48,13 @@
     LinkUse linkUse = LinkUse::None; ///< Purpose for which the sender keeps the connection.
     std::optional<std::uint32_t> directoryAgeMs; ///< Time since `directory` was current; empty if
                                                  ///< unknown, and from hosts of older versions.
-    bool readsFail = false;                      ///< The sender's own reads of the directory fail.
-    bool hasPart = false; ///< The sender has a part of the directory, but no revision.
-    DemandReports demand; ///< Demand for services; empty from hosts of older versions.
+    std::uint64_t clockMs = 0; ///< The sender's steady clock; 0 from hosts of older versions.
+    std::uint64_t echoMs = 0;  ///< The receiver's clock when this was sent, or less: the last
+                               ///< `clockMs` that the sender got from it, and the time since then.
+                               ///< 0: the sender got none.
+    bool readsFail = false;    ///< The sender's own reads of the directory fail.
+    bool hasPart = false;      ///< The sender has a part of the directory, but no revision.
+    DemandReports demand;      ///< Demand for services; empty from hosts of older versions.
 };
 
 /// The first message that each side sends on a connection.
@@ -64,6 +68,7 @@
 struct Ping
 {
     std::uint64_t sequence = 0; ///< 0: no `Ack` is requested, the message only carries gossip.
+                                ///< Hosts that carry packets send their steady clock in ms.
     Gossip gossip;
 };
 
--- a/src/core/directory/directorycontroller.cpp
+++ b/src/core/directory/directorycontroller.cpp
@@ -7,6 +7,7 @@
 #include "core/directory/directoryspread.h"
 #include "core/directory/readerelection.h"
 #include "core/membership/gossip.h"
+#include "core/membership/messageclock.h"
 #include "core/membership/ownzone.h"
 #include "core/milliseconds.h"
 #include "core/overlay/linkchoice.h"
@@ -51,7 +52,8 @@
                                               + std::to_string(board.directory.revision().number));
 }
 
-/// Returns the age of the last known successful read at which a host reads the platform itself.
+/// Returns the age of the last known successful read at which a host without a directory reads the
+/// platform, although another host offers it.
 ///
 /// News of a read spreads by gossip, which takes one more round for each doubling of a zone's
 /// hosts.
@@ -62,6 +64,15 @@
     return config::directoryStale + config::probePeriod * static_cast<int>(rounds);
 }
 
+/// Returns how long the platform is asked to hold a watch: until the directory is a whole watch
+/// old, so that its age is renewed as often when changes come as when none do. A directory that is
+/// older is read at once.
+auto watchWait(const Blackboard &board) -> Duration
+{
+    const auto left = config::directoryWatchWait - board.freshness.age(board.now.mono);
+    return std::max(Duration(left), Duration(0));
+}
+
 /// Returns whether a host without a directory can expect it from another one: a connected host has
 /// it, or the platform has answered some host recently, which is reading it.
 auto isDirectoryExpected(const Blackboard &board) -> bool
@@ -82,23 +93,24 @@
     } else if (this->resumedAt != board.membership.resumedAt) {
         this->resume(board);
     }
-    std::visit(Overloaded { [&](const DirectoryRead &it) { this->on(board, it); },
-                            [&](const DirectoryPageRead &it) { this->on(board, it); },
-                            [&](const DirectoryReadProgress &it) { this->on(board, it); },
-                            [&](const DirectoryReadFailed &it) { this->on(board, it); },
-                            [&](const DirectoryItemsFaulty &it) { this->on(board, it); },
-                            [&](const PeerUp &it) { this->on(board, it); },
-                            [&](const PeerMessage &it) { this->on(board, it); },
-                            [&](const Tick &it) { this->on(board, it); },
-                            [](const auto & /*other*/) {} },
-               event);
+    std::visit(
+            Overloaded { [&](const DirectoryRead &it) { this->on(board, it); },
+                         [&](const DirectoryPageRead &it) { this->on(board, it); },
+                         [&](const DirectoryReadProgress &it) { this->on(board, it); },
+                         [&](const DirectoryReadFailed &it) { this->on(board, it); },
+                         [&](const DirectoryItemsFaulty &it) { this->faults.noteItems(board, it); },
+                         [&](const PeerUp &it) { this->on(board, it); },
+                         [&](const PeerMessage &it) { this->on(board, it); },
+                         [&](const Tick &it) { this->on(board, it); },
+                         [](const auto & /*other*/) {} },
+            event);
 }
 
 auto DirectoryController::start(Blackboard &board) -> void
 {
     this->started = true;
     this->resumedAt = board.membership.resumedAt;
-    board.freshness.begin(board.now.mono, FreshnessProof::ReadOrHost);
+    board.freshness.begin(board.now.mono, board.now.mono - config::directoryAgeLimit);
     this->confirmation.begin(board.now.mono, config::directoryConfirmDelay);
     ReadDirectory whole;
     whole.mayBeStale = true;
@@ -108,21 +120,18 @@
 auto DirectoryController::resume(Blackboard &board) -> void
 {
     this->resumedAt = board.membership.resumedAt;
-    board.freshness.begin(board.now.mono, FreshnessProof::Read);
+    board.freshness.begin(board.now.mono, board.now.mono);
     // An answer that arrived during the pause is handled before the next tick.
     this->confirmation.begin(board.now.mono, config::tickPeriod);
-    if (this->readAfter.isValid()) {
-        this->readPending = false; // The answer to a watch from before would show too little.
+    if (this->call.after().isValid()) {
+        this->call.end(); // The answer to a watch from before would show too little.
     }
 }
 
 auto DirectoryController::read(Blackboard &board, const ReadDirectory &action) -> void
 {
     ++board.stats.platformReads;
-    this->readPending = true;
-    this->readBegan = board.now.mono;
-    this->readAfter = action.after;
-    this->readDeadline = board.now.mono + action.wait + 2 * config::directoryReadMargin;
+    this->call.begin(action, board.now.mono);
     if (!action.after.isValid()) {
         this->throttle.begin();
     }
@@ -131,12 +140,18 @@
 
 auto DirectoryController::on(Blackboard &board, const DirectoryRead &read) -> void
 {
-    this->readPending = false;
+    const auto completeUntil = this->call.completeUntil(read, board.now.mono);
+    this->call.end();
+    if (read.update.isWhole()) {
+        this->call.forgetPages();
+    }
     this->needsFullRead = false;
     this->fallbackReader.noteRead(true);
     this->platformAnswered(board);
     if (read.update.isWhole() && board.directory.isNewerThan(read.update)) {
-        this->noteOldRead(board, read.update);
+        // A host without a directory reads again, but not from a replica that may be old.
+        this->needsFullRead = !board.directory.revision().isValid();
+        this->faults.noteOldRead(board, read.update.upTo);
         this->pauseReads(board);
         return;
     }
@@ -150,9 +165,9 @@
     update.removalsDeferredFor = this->removalDelay(board);
     const auto hasChanges = board.directory.revision() < update.upTo;
     this->applyUpdate(board, update, board.init.self.id);
-    if (!read.stale) {
-        board.freshness.noteRead(this->readBegan, board.now.mono);
-        this->noteFreshness(board);
+    if (completeUntil) {
+        board.freshness.noteRead(*completeUntil);
+        this->noteFreshness(board, board.init.self.id);
     }
     this->nextRead = board.now.mono;
     if (hasChanges) {
@@ -162,25 +177,12 @@
     }
 }
 
-auto DirectoryController::noteOldRead(Blackboard &board, const DirectoryUpdate &read) -> void
-{
-    // A host without a directory reads again, but not from a replica that may be old.
-    this->needsFullRead = !board.directory.revision().isValid();
-    ++board.stats.directoryReadsOld;
-    if (std::exchange(this->lastOldRead, read.upTo) != read.upTo) {
-        board.log(LogEvent::DirectoryReadOld,
-                  "read=" + std::to_string(read.upTo.number)
-                          + " epoch=" + std::to_string(read.upTo.epoch)
-                          + " directory=" + std::to_string(board.directory.revision().number));
-    }
-}
-
 auto DirectoryController::on(Blackboard &board, const DirectoryPageRead &read) -> void
 {
-    if (!this->readPending) {
+    if (!this->call.isPending()) {
         return; // The read was stopped.
     }
-    this->readDeadline = board.now.mono + 2 * config::directoryReadMargin;
+    this->call.extend(board.now.mono);
     this->throttle.notePage();
     this->platformAnswered(board);
     this->applyPart(board, read.page);
@@ -188,13 +190,13 @@
 
 auto DirectoryController::on(Blackboard &board, const DirectoryReadProgress &progress) -> void
 {
-    this->readDeadline = board.now.mono + 2 * config::directoryReadMargin;
+    this->call.extend(board.now.mono);
     this->throttle.noteProgress(progress.received, progress.size, board.now.mono);
 }
 
 auto DirectoryController::on(Blackboard &board, const DirectoryReadFailed &failed) -> void
 {
-    this->readPending = false;
+    this->call.end();
     ++board.stats.platformFailures;
     if (failed.failure == DirectoryFailure::Forgotten) {
         // The platform answers, but no longer keeps the requested history.
@@ -220,8 +222,8 @@
 auto DirectoryController::readWholeNext(Blackboard &board) -> void
 {
     // Another host may have sent this one the directory of a later epoch meanwhile.
-    const auto isOvertaken =
-            this->readAfter.isValid() && this->readAfter.epoch < board.directory.currentEpoch();
+    const auto isOvertaken = this->call.after().isValid()
+                             && this->call.after().epoch < board.directory.currentEpoch();
     this->needsFullRead = !isOvertaken;
     this->nextRead = board.now.mono;
 }
@@ -242,16 +244,6 @@
                       + " directory=" + std::to_string(board.directory.revision().number));
 }
 
-auto DirectoryController::on(Blackboard &board, const DirectoryItemsFaulty &faulty) -> void
-{
-    board.stats.directoryFaults += faulty.count;
-    // Repeated full reads find the same faults; log them only when they change.
-    if (std::exchange(this->lastFaults, faulty.what) != faulty.what) {
-        board.log(LogEvent::DirectoryRefused,
-                  "items=" + std::to_string(faulty.count) + " what=\"" + faulty.what + "\"");
-    }
-}
-
 auto DirectoryController::on(Blackboard &board, const PeerUp &up) -> void
 {
     auto *record = board.membership.record(up.member.id);
@@ -265,6 +257,7 @@
 {
     if (const auto *gossip = gossipOf(received.message)) {
         this->noteGossip(board, received.from, *gossip);
+        this->takeReport(board, received);
         return;
     }
     if (const auto *request = std::get_if<DirectoryRequest>(&received.message)) {
@@ -286,23 +279,9 @@
     }
 }
 
-auto DirectoryController::noteUnreadable(Blackboard &board, HostId from,
-                                         const DirectoryUpdate &update) -> void
-{
-    if (update.unreadable.empty()) {
-        return;
-    }
-    board.stats.directoryFaults += update.unreadable.size();
-    const auto what = "from " + board.membership.nameOf(from) + ": " + update.unreadable.front();
-    if (std::exchange(this->lastUnreadable, what) != what) {
-        board.log(LogEvent::DirectoryRefused,
-                  "items=" + std::to_string(update.unreadable.size()) + " what=\"" + what + "\"");
-    }
-}
-
 auto DirectoryController::takeUpdate(Blackboard &board, HostId from, DirectoryUpdate update) -> void
 {
-    this->noteUnreadable(board, from, update);
+    this->faults.noteUnreadable(board, from, update);
     if (this->isUnnamedEpoch(update.upTo)) {
         update = inEpoch(std::move(update), board.directory.currentEpoch());
     }
@@ -349,7 +328,7 @@
 auto DirectoryController::takePage(Blackboard &board, HostId from, const DirectoryPage &page)
         -> void
 {
-    this->noteUnreadable(board, from, page.update);
+    this->faults.noteUnreadable(board, from, page.update);
     this->noteContactRegained(board);
     if (page.isPart) {
         this->requester.noteAnswer(board.now.mono);
@@ -403,28 +382,32 @@
     record->directory = has;
     record->readsFail = gossip.readsFail;
     record->hasCurrentDirectory = gossip.directoryAgeMs.has_value();
-    this->takeReport(board, has, gossip);
     if (board.directory.revision() < record->directory) {
-        this->requester.requestIfDue(board, *record, this->readPending);
+        this->requester.requestIfDue(board, *record, this->call.isPending());
     } else if (gossip.hasPart) {
         this->requester.requestPartIfDue(board, *record);
     }
 }
 
-auto DirectoryController::takeReport(Blackboard &board, Revision has, const Gossip &gossip) -> void
+auto DirectoryController::takeReport(Blackboard &board, const PeerMessage &received) -> void
 {
-    if (!gossip.directoryAgeMs || !has.isValid() || has.epoch < board.directory.currentEpoch()) {
+    const auto &gossip = *gossipOf(received.message);
+    const auto has = this->withEpoch(board, gossip.directory);
+    const auto made = madeNotBefore(board, received.message);
+    if (!made || !gossip.directoryAgeMs || !has.isValid()
+        || has.epoch < board.directory.currentEpoch()) {
         return;
     }
     const Duration age = std::chrono::milliseconds(*gossip.directoryAgeMs);
-    board.freshness.noteHost(has, board.now.mono - age, board.now.mono);
-    this->noteFreshness(board);
+    board.freshness.noteHost(has, *made - age);
+    this->noteFreshness(board, received.from);
 }
 
-auto DirectoryController::noteFreshness(Blackboard &board) -> void
+auto DirectoryController::noteFreshness(Blackboard &board, HostId from) -> void
 {
     const auto since = board.freshness.since();
     board.freshness.advance(board.directory.revision());
+    this->freshnessSpreader.spread(board, from);
     if (!board.freshness.isConfirmed() || this->confirmedSince == since) {
         return;
     }
@@ -436,7 +419,7 @@
 auto DirectoryController::on(Blackboard &board, const Tick & /*tick*/) -> void
 {
     const auto now = board.now.mono;
-    if (this->readPending && now >= this->readDeadline) {
+    if (this->call.isTimedOut(now)) {
         this->on(board,
                  DirectoryReadFailed { DirectoryFailure::Unreachable, "directory read timed out" });
     }
@@ -453,10 +436,10 @@
 
 auto DirectoryController::yieldIfDue(Blackboard &board) -> void
 {
-    if (!this->readPending || !this->throttle.isYieldDue(board)) {
+    if (!this->call.isPending() || !this->throttle.isYieldDue(board)) {
         return;
     }
-    this->readPending = false;
+    this->call.end();
     board.addAction(StopReadingDirectory { true });
     const auto pause = this->throttle.yield();
     this->nextRead = board.now.mono + jittered(board, pause);
@@ -467,46 +450,40 @@
 
 auto DirectoryController::isReadDue(Blackboard &board) -> bool
 {
-    if (board.directory.revision().isValid()) {
-        if (!board.freshness.isCurrent(board.now.mono)) {
-            return this->confirmation.isDue(board);
-        }
-        if (board.now.mono - board.membership.startedAt < config::directoryStartGrace) {
-            return false;
-        }
-        if (FallbackReader::hasHub(board)) {
-            return this->fallbackReader.isDue(board, staleAfter(board));
-        }
-    }
     const auto now = board.now.mono;
-    if (!board.directory.revision().isValid() && !isDirectoryExpected(board)) {
+    const auto isRecheckDue = board.directoryReadsFail && now >= this->nextRecheck;
+    if (!board.directory.revision().isValid()) {
+        return !isDirectoryExpected(board) || isRecheckDue || isDirectoryReader(board)
+               || board.config.platformAge(now) > staleAfter(board);
+    }
+    if (!board.freshness.isCurrent(now)) {
+        return this->confirmation.isDue(board);
+    }
+    if (this->fallbackReader.isDue(board)) {
         return true;
     }
-    const auto recheck = board.directoryReadsFail && now >= this->nextRecheck;
-    return isDirectoryReader(board) || recheck || FallbackReader::isHubTakeover(board)
-           || board.config.platformAge(now) > staleAfter(board);
+    if (board.stop.stopping || now - board.membership.startedAt < config::directoryStartGrace) {
+        return false;
+    }
+    if (FallbackReader::hasHub(board)) {
+        return this->fallbackReader.isElected(board);
+    }
+    return isRecheckDue || isDirectoryReader(board);
 }
 
 auto DirectoryController::readIfDue(Blackboard &board) -> void
 {
     const auto now = board.now.mono;
-    if (this->readPending || now < this->nextRead || board.stop.stopping) {
-        return;
-    }
-    if (!this->isReadDue(board)) {
+    if (this->call.isPending() || now < this->nextRead || !this->isReadDue(board)) {
         return;
     }
-    const auto reader = isDirectoryReader(board);
     this->nextRecheck = now + config::directoryRecheck;
     ReadDirectory action;
     const auto isWhole = this->needsFullRead || !board.directory.revision().isValid();
     action.after = isWhole ? Revision() : board.directory.revision();
     action.mayBeStale = isWhole && !this->needsFullRead;
-    // If no recent successful read is known, read without waiting for changes, so as to find out
-    // soon whether the platform answers.
-    const auto isRecentlyRead = board.config.platformAge(now) <= config::directorySilence;
-    const auto isWatch = reader && !isWhole && isRecentlyRead && board.freshness.isConfirmed();
-    action.wait = isWatch ? Duration(config::directoryWatchWait) : Duration(0);
+    const auto isWatch = !isWhole && board.freshness.isConfirmed() && isDirectoryReader(board);
+    action.wait = isWatch ? watchWait(board) : Duration(0);
     this->read(board, action);
 }
 
@@ -523,7 +500,7 @@
         return;
     }
     this->requester.noteAdvanced();
-    this->noteFreshness(board);
+    this->noteFreshness(board, from);
     ++board.stats.directoryUpdates;
     board.stats.upstreamRestarts += changes.restarted.size();
     logChanges(board, changes);
@@ -546,7 +523,8 @@
 {
     logLoaded(board, from);
     announceDirectory(board);
-    this->readPending = false;
+    this->call.end();
+    this->call.forgetPages();
     board.addAction(StopReadingDirectory { false });
 }
 
--- a/src/core/directory/directorycontroller.h
+++ b/src/core/directory/directorycontroller.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "core/directory/confirmationread.h"
+#include "core/directory/directorycall.h"
+#include "core/directory/directoryfaults.h"
 #include "core/directory/directoryrequester.h"
 #include "core/directory/directoryspread.h"
 #include "core/directory/fallbackreader.h"
@@ -12,8 +14,6 @@
 #include <flamingograde/event.h>
 #include <flamingograde/ids.h>
 
-#include <string>
-
 namespace flamingograde {
 
 class Blackboard;
@@ -25,8 +25,9 @@
 /// Only a few hosts watch the platform (see `isDirectoryReader`). They push changes to the hubs of
 /// their zone and to one host of each other zone; hubs push them on to the hosts that they serve
 /// (`forwardTargets`). A host that received no push learns of newer revisions by gossip and
-/// requests the changes. A host that hears of no successful read for too long reads the platform
-/// itself.
+/// requests the changes. After each answer of the platform, watchers also tell up to when their
+/// directory has all changes, on the same ways. A host whose own directory is not shown to be
+/// recent enough reads the platform itself, whatever other hosts do (see `FallbackReader`).
 ///
 /// A starting host reads the whole directory, in an old copy that costs the platform less, and
 /// forwards packets with the pages that it has. If many hosts start together, most of them stop
@@ -45,7 +46,6 @@
     auto on(Blackboard &board, const DirectoryPageRead &read) -> void;
     auto on(Blackboard &board, const DirectoryReadProgress &progress) -> void;
     auto on(Blackboard &board, const DirectoryReadFailed &failed) -> void;
-    auto on(Blackboard &board, const DirectoryItemsFaulty &faulty) -> void;
     auto on(Blackboard &board, const PeerUp &up) -> void;
     auto on(Blackboard &board, const PeerMessage &received) -> void;
     auto on(Blackboard &board, const Tick &tick) -> void;
@@ -55,12 +55,11 @@
     /// message is evaluated.
     auto noteContactRegained(Blackboard &board) -> void;
     auto noteGossip(Blackboard &board, HostId from, const Gossip &gossip) -> void;
-    /// Takes what a host that has revision `has` says of when its directory was current.
-    auto takeReport(Blackboard &board, Revision has, const Gossip &gossip) -> void;
+    /// Takes what another host says of when its directory had all changes. Precondition: the
+    /// message carries gossip.
+    auto takeReport(Blackboard &board, const PeerMessage &received) -> void;
     auto answer(Blackboard &board, HostId from, const DirectoryRequest &request) -> void;
     auto takePage(Blackboard &board, HostId from, const DirectoryPage &page) -> void;
-    /// Counts and logs what another host sent and could not be decoded.
-    auto noteUnreadable(Blackboard &board, HostId from, const DirectoryUpdate &update) -> void;
     auto takeUpdate(Blackboard &board, HostId from, DirectoryUpdate update) -> void;
     /// Returns whether a revision that another host sent names no epoch and is taken for one of
     /// this host's. Hosts of older versions name none; once the platform was restored, theirs is
@@ -76,12 +75,15 @@
     auto start(Blackboard &board) -> void;
     /// Has the directory confirmed after a pause of the process.
     auto resume(Blackboard &board) -> void;
-    /// Logs that the directory was shown to be current, and tells hosts for which it was not.
-    auto noteFreshness(Blackboard &board) -> void;
+    /// Tells other hosts up to when the directory has all changes, as this host has learned from
+    /// `from`. Logs that the directory was shown to be current, and tells hosts for which it was
+    /// not.
+    auto noteFreshness(Blackboard &board, HostId from) -> void;
     auto read(Blackboard &board, const ReadDirectory &action) -> void;
     auto readIfDue(Blackboard &board) -> void;
-    /// Returns whether to read now. A host that is connected to a hub reads only while the hubs of
-    /// its zone cannot.
+    /// Returns whether to read now: to have the directory confirmed, because it is too old, or
+    /// because this host is an elected reader. A host that is connected to a hub leaves watches to
+    /// others, and a stopping host watches no more.
     [[nodiscard]] auto isReadDue(Blackboard &board) -> bool;
     auto applyUpdate(Blackboard &board, const DirectoryUpdate &update, HostId from) -> void;
     /// Ends the first load of the directory, by whichever way it was complete first.
@@ -95,32 +97,26 @@
     auto noteRestore(Blackboard &board, const DirectoryUpdate &update) -> void;
     /// Begins a pause before the next read, longer than the last one if that read did not succeed.
     auto pauseReads(Blackboard &board) -> void;
-    /// Counts and logs a read that is older than the directory.
-    auto noteOldRead(Blackboard &board, const DirectoryUpdate &read) -> void;
     /// Returns for how long a removal that is received now is deferred: until
     /// `Directory::reappearTime` after the end of the last outage.
     [[nodiscard]] auto removalDelay(const Blackboard &board) const -> Duration;
 
+    DirectoryCall call;
     ConfirmationRead confirmation;
     FallbackReader fallbackReader;
     ReadThrottle throttle;
     DirectoryRequester requester;
     PageServer pageServer;
+    DirectoryFaults faults;
+    FreshnessSpreader freshnessSpreader;
     bool started = false;
-    bool readPending = false;
-    Revision readAfter;         ///< The pending read, or the last one, is of changes after this.
     bool needsFullRead = false; ///< The platform no longer has the changes since this revision.
-    MonoTime readBegan;         ///< When the pending read, or the last one, began.
-    MonoTime readDeadline;      ///< When the pending read counts as failed.
     MonoTime nextRead;
     MonoTime nextRecheck;        ///< When a host whose reads fail tries again.
     MonoTime resumedAt;          ///< The last pause that was noticed, or the start.
     MonoTime confirmedSince;     ///< `DirectoryFreshness::since` when the directory was confirmed.
     MonoTime lastChange;         ///< When a read last brought changes.
     bool hasSeenRestore = false; ///< Whether the platform was restored since this process started.
-    std::string lastFaults;      ///< The last report of unreadable directory items.
-    std::string lastUnreadable;  ///< The last report of what another host sent.
-    Revision lastOldRead;        ///< Revision of the last read that was logged as old.
     Duration backoff { 0 };      ///< Pause after the last failed read; zero after a success.
 };
 
--- a/src/core/directory/directoryfreshness.cpp
+++ b/src/core/directory/directoryfreshness.cpp
@@ -1,4 +1,4 @@
-/// Compares what reads and other hosts show with the time from which changes may be missing.
+/// Compares what reads and other hosts show with what a current directory needs.
 #include "core/directory/directoryfreshness.h"
 
 #include <flamingograde/config.h>
@@ -7,29 +7,23 @@
 
 namespace flamingograde {
 
-auto DirectoryFreshness::begin(MonoTime now, FreshnessProof accepted) -> void
+auto DirectoryFreshness::begin(MonoTime now, MonoTime needed) -> void
 {
     this->outdatedAt = now;
-    this->proof = accepted;
+    this->neededUntil = needed;
     this->confirmed = false;
     this->report.reset();
 }
 
-auto DirectoryFreshness::noteRead(MonoTime began, MonoTime now) -> void
+auto DirectoryFreshness::noteRead(MonoTime until) -> void
 {
-    if (began >= this->outdatedAt) {
-        this->confirmed = true;
-        this->currentAt = now;
-    }
+    this->advanceTo(until);
 }
 
-auto DirectoryFreshness::noteHost(Revision has, MonoTime asOf, MonoTime now) -> void
+auto DirectoryFreshness::noteHost(Revision has, MonoTime until) -> void
 {
-    if (this->proof == FreshnessProof::Read && !this->isCurrent(now)) {
-        return;
-    }
-    if (!this->report || this->report->asOf <= asOf) {
-        this->report = Report { has, asOf };
+    if (!this->report || this->report->until <= until) {
+        this->report = Report { has, until };
     }
 }
 
@@ -38,11 +32,19 @@
     if (!this->report || !own.isValid() || own < this->report->has) {
         return;
     }
-    const auto asOf = this->report->asOf;
+    this->advanceTo(this->report->until);
     this->report.reset();
-    this->currentAt = std::max(this->currentAt.value_or(asOf), asOf);
-    // A working platform is heard by some host at least this often.
-    this->confirmed = this->confirmed || asOf + config::directorySilence >= this->outdatedAt;
+}
+
+auto DirectoryFreshness::advanceTo(MonoTime until) -> void
+{
+    this->completeUntil = std::max(this->completeUntil.value_or(until), until);
+    this->confirmed = this->confirmed || until >= this->neededUntil;
+}
+
+auto DirectoryFreshness::age(MonoTime now) const -> Duration
+{
+    return this->completeUntil ? now - *this->completeUntil : Duration::max();
 }
 
 auto DirectoryFreshness::isCurrent(MonoTime now) const -> bool
@@ -52,7 +54,7 @@
 
 auto DirectoryFreshness::areRemovalsCertain(MonoTime now, Duration reappearTime) const -> bool
 {
-    const auto isFresh = this->currentAt && now - *this->currentAt <= config::directoryStale;
+    const auto isFresh = this->age(now) <= config::directoryStale;
     const auto isSettled = !this->outageEndedAt || now - *this->outageEndedAt >= reappearTime;
     return isFresh && isSettled;
 }
--- a/src/core/directory/directoryfreshness.h
+++ b/src/core/directory/directoryfreshness.h
@@ -4,39 +4,38 @@
 #include <flamingograde/clock.h>
 #include <flamingograde/revision.h>
 
-#include <cstdint>
 #include <optional>
 
 namespace flamingograde {
 
-/// What may show that the directory is current.
-enum class FreshnessProof : std::uint8_t {
-    ReadOrHost, ///< A read of the platform, or a host whose directory is current.
-    Read,       ///< A read only: what hosts say may have waited unread for unknown time.
-};
-
-/// Tells whether the directory is current: whether it has all changes up to a recent time.
+/// Keeps the time up to which the directory is known to have all changes.
+///
+/// Only two things move this time: a read of the platform without old copies, and another host's
+/// report on its own directory, once this host has the same changes. Both are dated by when this
+/// host asked, never by when the answer arrived, which may have waited for any time on the way.
+/// That the platform answers somebody, or that a host has answered this one, moves nothing.
 ///
 /// A directory counts as outdated when the process starts, as its first read may be answered by an
-/// old copy, and when the process was paused. It is current again when a read without old copies,
-/// or a host with a current directory, shows that no change is missing. If nothing can show this,
-/// as the platform and all such hosts are away, it counts as current after
-/// `config::directoryConfirmWait`: callers are served with what is known.
+/// old copy, and when the process was paused. It is current again when it is known to be complete
+/// up to a recent time. If nothing can show this, as the platform and all hosts with a current
+/// directory are away, it counts as current after `config::directoryConfirmWait`: callers are
+/// served with what is known.
 /// @remarks Not thread safe. Throws nothing.
 class DirectoryFreshness
 {
 public:
-    /// Makes the directory count as outdated from `now` on. Precondition: none.
-    auto begin(MonoTime now, FreshnessProof accepted) -> void;
+    /// Makes the directory count as outdated from `now` on, until it is known to be complete up to
+    /// `needed` or later. Precondition: none.
+    auto begin(MonoTime now, MonoTime needed) -> void;
 
-    /// Records that a read of the platform which began at `began` has been applied.
-    /// Precondition: the answer to the read was not an old copy.
-    auto noteRead(MonoTime began, MonoTime now) -> void;
+    /// Records that the directory has all changes up to `until`, as a read of the platform showed
+    /// (see `DirectoryCall::completeUntil`). Precondition: what was read has been applied.
+    auto noteRead(MonoTime until) -> void;
 
-    /// Records that another host's directory, which has all changes up to `has`, was current at
-    /// `asOf`. It counts once `advance` shows that this host has these changes.
+    /// Records that another host's directory, which has all changes up to `has`, was complete up to
+    /// `until`. It counts once `advance` shows that this host has these changes.
     /// Precondition: none.
-    auto noteHost(Revision has, MonoTime asOf, MonoTime now) -> void;
+    auto noteHost(Revision has, MonoTime until) -> void;
 
     /// Records that this host has all changes up to `own`. Precondition: none.
     auto advance(Revision own) -> void;
@@ -48,8 +47,12 @@
     /// Returns whether to act on what the directory does not contain, too. Precondition: none.
     [[nodiscard]] auto isCurrent(MonoTime now) const -> bool;
 
-    /// Returns when the directory last had all changes, as far as known. Precondition: none.
-    [[nodiscard]] auto asOf() const -> std::optional<MonoTime> { return this->currentAt; }
+    /// Returns up to when the directory has all changes, as far as known. Precondition: none.
+    [[nodiscard]] auto asOf() const -> std::optional<MonoTime> { return this->completeUntil; }
+
+    /// Returns how long changes may have been missing: the time since `asOf`, or
+    /// `Duration::max()` if that is unknown. Precondition: none.
+    [[nodiscard]] auto age(MonoTime now) const -> Duration;
 
     /// Records that an outage or long silence of the platform, or its restore, has ended.
     /// Precondition: none.
@@ -75,13 +78,15 @@
     struct Report
     {
         Revision has;
-        MonoTime asOf;
+        MonoTime until;
     };
 
+    auto advanceTo(MonoTime until) -> void;
+
     MonoTime outdatedAt;
-    FreshnessProof proof = FreshnessProof::ReadOrHost;
+    MonoTime neededUntil; ///< The directory is current if it is complete up to this.
     bool confirmed = false;
-    std::optional<MonoTime> currentAt;
+    std::optional<MonoTime> completeUntil;
     std::optional<MonoTime> outageEndedAt;
     std::optional<Report> report; ///< The latest one of changes that this host lacks.
 };
--- a/src/core/directory/directorylog.cpp
+++ b/src/core/directory/directorylog.cpp
@@ -122,6 +122,17 @@
                       + describeDirectory(board));
 }
 
+auto logOverdue(Blackboard &board) -> void
+{
+    const auto *feed = board.membership.find(board.links.feed);
+    const auto asOf = board.freshness.asOf();
+    const auto age = asOf ? std::to_string(milliseconds(board.now.mono - *asOf)) : "unknown";
+    board.log(LogEvent::DirectoryOverdue,
+              "directory_age_ms=" + age + " hubs=" + std::to_string(board.links.hubs.size())
+                      + " feed=" + (feed != nullptr ? feed->name : "none")
+                      + describeDirectory(board));
+}
+
 auto logChanges(Blackboard &board, const DirectoryChanges &changes) -> void
 {
     logUpstreams(board, LogEvent::UpstreamListed, changes.listed);
--- a/src/core/directory/directoryspread.cpp
+++ b/src/core/directory/directoryspread.cpp
@@ -3,11 +3,14 @@
 
 #include "core/blackboard.h"
 #include "core/directory/directorypages.h"
+#include "core/directory/readerelection.h"
 #include "core/membership/gossip.h"
+#include "core/overlay/linkchoice.h"
 
 #include <flamingograde/config.h>
 
 #include <algorithm>
+#include <chrono>
 #include <map>
 #include <utility>
 
@@ -15,6 +18,9 @@
 
 namespace {
 
+/// Least difference between two times that are sent: two readers' answers reach each host.
+constexpr Duration freshnessStep = std::chrono::milliseconds(500);
+
 constexpr std::size_t pageRecords = 1500; ///< Most upstreams in a page, about 100 KB.
 constexpr std::size_t pagesPerTick = 2;   ///< Different pages that are encoded in one tick.
 
@@ -68,6 +74,23 @@
     }
 }
 
+auto FreshnessSpreader::spread(Blackboard &board, HostId from) -> void
+{
+    const auto until = board.freshness.asOf();
+    if (!until || *until - this->sentUntil < freshnessStep) {
+        return;
+    }
+    this->sentUntil = *until;
+    auto hosts = forwardTargets(board, from);
+    if (from == board.membership.self) {
+        const auto others = crossZoneRecipients(board);
+        hosts.insert(hosts.end(), others.begin(), others.end());
+    }
+    for (const auto host : hosts) {
+        sendPeer(board, host, Ping { 0, makeGossip(board, host) });
+    }
+}
+
 auto PageServer::request(Blackboard &board, HostId from, DirectoryPosition position) -> void
 {
     const auto *record = board.membership.record(from);
--- a/src/core/directory/directoryspread.h
+++ b/src/core/directory/directoryspread.h
@@ -1,6 +1,7 @@
 /// Sends directory changes, and pages of the whole directory, to other hosts.
 #pragma once
 
+#include <flamingograde/clock.h>
 #include <flamingograde/directoryupdate.h>
 #include <flamingograde/ids.h>
 #include <flamingograde/message.h>
@@ -27,6 +28,20 @@
 /// is. Precondition: the directory was shown to be current.
 auto announceFreshness(Blackboard &board) -> void;
 
+/// Tells other hosts up to when this host's directory has all changes, on the ways on which changes
+/// go: a reader's answer reaches each host within some messages, although nothing has changed.
+/// @remarks Not thread safe.
+class FreshnessSpreader
+{
+public:
+    /// Sends the time to the hosts to which a change that came from `from` would be sent, unless
+    /// it is only a little later than the one sent last. Precondition: none.
+    auto spread(Blackboard &board, HostId from) -> void;
+
+private:
+    MonoTime sentUntil; ///< The time that was sent last.
+};
+
 /// Answers requests for pages of the whole directory; while this host has a part, with that part.
 ///
 /// Equal requests that arrive between two ticks are answered by one message, encoded once, and few
--- a/src/core/directory/fallbackreader.h
+++ b/src/core/directory/fallbackreader.h
@@ -1,4 +1,4 @@
-/// Reads of the directory in place of a zone's hubs.
+/// Reads of the directory by a host that other hosts have left without news of it.
 #pragma once
 
 #include <flamingograde/clock.h>
@@ -9,36 +9,40 @@
 
 class Blackboard;
 
-/// Decides when a host reads the directory itself because the hubs of its zone cannot.
+/// Decides when a host reads the directory itself, as nobody shows it in time that it has all
+/// changes.
 ///
-/// Each host waits for a random time whose bound grows with the number of hosts in the zone, so
-/// that about four hosts of a zone try per second; the first that succeeds informs the others
-/// through the hubs. Protects the platform against a call per second from each host during an
-/// outage: 353 hosts made 3,289 calls in a day with an outage of 5 s and 716 starts.
+/// This is what bounds the time until a change is in force, whichever other hosts are down and
+/// whatever they say: it depends on the age of this host's own directory alone. The hubs of a zone
+/// read first, one after the other; a success reaches the other hosts before it is their turn.
+///
+/// While the platform does not answer, each host tries once: at once in a small zone, over a time
+/// that grows with the zone if its hubs say that their reads fail. A host whose own try has failed
+/// leaves the next ones mostly to the hubs, which try about every second. Protects the platform
+/// against a call per second from each host during an outage: 353 hosts made 3,289 calls in a day
+/// with an outage of 5 s and 716 starts.
 /// @remarks Not thread safe.
 class FallbackReader
 {
 public:
     /// Returns whether this host is not a hub and is connected to an answering hub, so that it
-    /// reads only if `isDue()`. Precondition: the links in `board.links` have been chosen.
+    /// leaves watches to others. Precondition: the links in `board.links` have been chosen.
     [[nodiscard]] static auto hasHub(const Blackboard &board) -> bool;
 
-    /// Returns whether this host is a hub, another hub's reads fail, and no successful read has
-    /// been heard of for `config::directorySilence`. All hubs then try at once: one after the
-    /// other, each would take 0.7 s to notice that the platform does not answer. Precondition: the
-    /// links in `board.links` have been chosen.
-    [[nodiscard]] static auto isHubTakeover(const Blackboard &board) -> bool;
+    /// Returns whether to read now, whatever other hosts do. Precondition: called on each `Tick`
+    /// on which no read is in progress.
+    [[nodiscard]] auto isDue(Blackboard &board) -> bool;
 
-    /// Returns whether to read now. Precondition: called on each `Tick`.
-    /// @param staleAfter the age of the last known successful read at which this host has to read
-    /// even if a hub's reads do not fail.
-    [[nodiscard]] auto isDue(Blackboard &board, Duration staleAfter) -> bool;
+    /// Returns whether this host, which has a hub, has read successfully and is the elected reader:
+    /// it then goes on reading until another host is elected. Precondition: none.
+    [[nodiscard]] auto isElected(const Blackboard &board) -> bool;
 
     /// Records whether a read succeeded. Precondition: none.
-    auto noteRead(bool succeeded) -> void { this->isActive = succeeded; }
+    auto noteRead(bool succeeded) -> void;
 
 private:
     std::optional<MonoTime> dueAt; ///< When to read, while waiting.
+    bool hasFailed = false;        ///< A read failed since the directory was young enough.
     bool isActive = false; ///< The last read succeeded; ends when another host is elected reader.
 };
 
--- a/src/core/logevent.cpp
+++ b/src/core/logevent.cpp
@@ -11,7 +11,7 @@
 
 using Name = std::pair<LogEvent, std::string_view>;
 
-constexpr std::array<Name, 66> names { {
+constexpr std::array<Name, 67> names { {
         { LogEvent::Started, "Started" },
         { LogEvent::StopBegan, "StopBegan" },
         { LogEvent::StopWaits, "StopWaits" },
@@ -33,6 +33,7 @@
         { LogEvent::DirectoryReadOld, "DirectoryReadOld" },
         { LogEvent::PlatformRestored, "PlatformRestored" },
         { LogEvent::DirectoryConfirmed, "DirectoryConfirmed" },
+        { LogEvent::DirectoryOverdue, "DirectoryOverdue" },
         { LogEvent::MemberJoined, "MemberJoined" },
         { LogEvent::MemberSuspected, "MemberSuspected" },
         { LogEvent::MemberDead, "MemberDead" },
--- a/src/core/membership/gossip.cpp
+++ b/src/core/membership/gossip.cpp
@@ -3,6 +3,7 @@
 
 #include "core/blackboard.h"
 #include "core/loadreports/demandreports.h"
+#include "core/membership/messageclock.h"
 #include "core/milliseconds.h"
 
 #include <algorithm>
@@ -54,6 +55,11 @@
     gossip.platformAgeMs = platformAgeMs(board);
     gossip.directory = board.directory.revision();
     gossip.directoryAgeMs = directoryAgeMs(board);
+    if (board.init.readsDirectory) {
+        const auto *record = board.membership.record(host);
+        gossip.clockMs = clockToSend(board);
+        gossip.echoMs = record != nullptr ? clockToEcho(board, record->link) : 0;
+    }
     gossip.readsFail = board.directoryReadsFail;
     gossip.hasPart = board.directory.hasPart();
     gossip.linkUse = board.links.useOf(host);
--- a/src/core/overlay/linkmanager.cpp
+++ b/src/core/overlay/linkmanager.cpp
@@ -3,6 +3,7 @@
 
 #include "core/blackboard.h"
 #include "core/membership/gossip.h"
+#include "core/membership/messageclock.h"
 #include "core/membership/ownzone.h"
 #include "core/overlay/linkchoice.h"
 #include "core/overlay/zonehubs.h"
@@ -129,13 +130,14 @@
         this->lastIntroduced = (this->lastIntroduced + 1) % board.links.hubs.size();
         gossip.updates.push_back(*board.membership.find(board.links.hubs[this->lastIntroduced]));
     }
-    sendPeer(board, host, Ping { 1, std::move(gossip) });
+    sendPeer(board, host, Ping { clockToSend(board), std::move(gossip) });
 }
 
 auto LinkManager::connected(Blackboard &board, MemberRecord &record) -> void
 {
     this->dialer.connected(board, record.member.id);
     record.link.use = LinkUse::None;
+    record.link.clockMs = 0;
     record.link.since = board.now.mono;
     record.link.nextPing = board.now.mono;
     heard(board, record);
--- a/src/core/overlay/linkrecord.h
+++ b/src/core/overlay/linkrecord.h
@@ -13,6 +13,8 @@
 /// few connections per host.
 struct LinkRecord
 {
+    std::uint64_t clockMs = 0;   ///< The member's clock, from its last message; 0: none.
+    MonoTime clockReceived;      ///< When that message arrived.
     LinkUse use = LinkUse::None; ///< What the member uses the connection for, by its last message.
     MonoTime since;              ///< When the connection was established.
     MonoTime nextPing;           ///< When the member is pinged next.
--- a/src/core/overlay/overlaycontroller.cpp
+++ b/src/core/overlay/overlaycontroller.cpp
@@ -5,6 +5,7 @@
 #include "core/loadreports/demandreports.h"
 #include "core/membership/gossip.h"
 #include "core/membership/membershipstart.h"
+#include "core/membership/messageclock.h"
 #include "core/membership/ownzone.h"
 #include "core/overlay/viewchanges.h"
 #include "core/overlay/zoneview.h"
@@ -78,7 +79,9 @@
     if (!isInOwnZone(board, record)) {
         gossip.updates = introductionFor(board, record.member.zone);
     }
-    sendPeer(board, record.member.id, Ping { 0, std::move(gossip) });
+    // An answer may show that the directory is current, if that is still to be shown.
+    const auto sequence = board.freshness.isConfirmed() ? 0 : clockToSend(board);
+    sendPeer(board, record.member.id, Ping { sequence, std::move(gossip) });
 }
 
 auto OverlayController::on(Blackboard &board, const PeerDown &down) -> void
@@ -101,6 +104,7 @@
     LinkManager::heard(board, *record);
     if (const auto *gossip = gossipOf(received.message)) {
         record->link.use = gossip->linkUse;
+        noteClock(board, record->link, *gossip);
         takeDemandReports(board, received.from, gossip->demand);
         for (const auto &reported : gossip->updates) {
             learnMember(board, reported, changes);
--- a/src/wire/messagedecoder.cpp
+++ b/src/wire/messagedecoder.cpp
@@ -161,6 +161,8 @@
     if (map.contains("g")) {
         gossip.directoryAgeMs = static_cast<std::uint32_t>(reader.number(map["g"], uint32Max));
     }
+    gossip.clockMs = map.contains("c") ? reader.number(map["c"]) : 0;
+    gossip.echoMs = map.contains("b") ? reader.number(map["b"]) : 0;
     gossip.members =
             map.contains("m") ? static_cast<std::uint32_t>(reader.number(map["m"], uint32Max)) : 0;
     gossip.readsFail = map.contains("f") && reader.flag(map["f"]);
--- a/src/wire/messageencoder.cpp
+++ b/src/wire/messageencoder.cpp
@@ -70,6 +70,12 @@
     if (gossip.directoryAgeMs) {
         map["g"] = *gossip.directoryAgeMs;
     }
+    if (gossip.clockMs != 0) {
+        map["c"] = gossip.clockMs;
+    }
+    if (gossip.echoMs != 0) {
+        map["b"] = gossip.echoMs;
+    }
     if (gossip.members != 0) {
         map["m"] = gossip.members;
     }
--- a/tests/unit/directoryfreshnesstest.cpp
+++ b/tests/unit/directoryfreshnesstest.cpp
@@ -2,7 +2,9 @@
 #include "exampleday.h"
 #include "packetboard.h"
 
+#include "core/directory/directorycall.h"
 #include "core/directory/directoryfreshness.h"
+#include "core/membership/messageclock.h"
 #include "emulator/emulation.h"
 
 #include <flamingograde/balancer.h>
@@ -231,8 +233,8 @@
 {
     const MonoTime start(100s);
     DirectoryFreshness freshness;
-    freshness.begin(start, FreshnessProof::ReadOrHost);
-    freshness.noteHost({ 12 }, start, start);
+    freshness.begin(start, start - config::directoryAgeLimit);
+    freshness.noteHost({ 12 }, start);
     freshness.advance({ 11 });
     CHECK_FALSE(freshness.isConfirmed());
     freshness.advance({ 12 });
@@ -241,22 +243,92 @@
     SECTION("not if that host has not heard the platform for long")
     {
         const auto resumed = start + 60s;
-        freshness.begin(resumed, FreshnessProof::ReadOrHost);
-        freshness.noteHost({ 12 }, resumed - config::directorySilence - 1ms, resumed);
+        freshness.begin(resumed, resumed - config::directoryAgeLimit);
+        freshness.noteHost({ 12 }, resumed - config::directoryAgeLimit - 1ms);
         freshness.advance({ 12 });
         CHECK_FALSE(freshness.isConfirmed());
-        CHECK(freshness.asOf() == resumed - config::directorySilence - 1ms);
+        CHECK(freshness.asOf() == resumed - config::directoryAgeLimit - 1ms);
     }
-    SECTION("not after a pause, as the report may have waited unread")
+    SECTION("not after a pause, if the report was made before it and has waited unread")
     {
         const auto resumed = start + 60s;
-        freshness.begin(resumed, FreshnessProof::Read);
-        freshness.noteHost({ 12 }, resumed, resumed);
+        freshness.begin(resumed, resumed);
+        freshness.noteHost({ 12 }, resumed - 1ms);
         freshness.advance({ 12 });
         CHECK_FALSE(freshness.isConfirmed());
-        freshness.noteRead(resumed - 1ms, resumed + 1ms);
+        freshness.noteRead(resumed - 1ms);
         CHECK_FALSE(freshness.isConfirmed());
-        freshness.noteRead(resumed + 1ms, resumed + 2ms);
+        freshness.noteRead(resumed + 1ms);
         CHECK(freshness.isConfirmed());
     }
 }
+
+namespace {
+
+/// Returns the answer to a read of the changes after revision 10: none, or those up to `upTo`.
+auto changesUpTo(std::uint64_t upTo) -> DirectoryRead
+{
+    DirectoryRead read;
+    read.update.after = { 10 };
+    read.update.upTo = { upTo };
+    return read;
+}
+
+} // namespace
+
+// Guards against an answer that was held up on the way and counts as recent when it arrives.
+TEST_CASE("an answer of the platform is dated by its question, not by its arrival", "[freshness]")
+{
+    const MonoTime asked(100s);
+    const auto arrived = asked + 2s;
+    DirectoryCall call;
+    ReadDirectory watch;
+    watch.after = { 10 };
+    watch.wait = 1500ms;
+    call.begin(watch, asked);
+    CHECK(call.completeUntil(changesUpTo(12), arrived) == asked);
+    // The platform holds a watch without changes for the whole wait.
+    CHECK(call.completeUntil(changesUpTo(10), arrived) == asked + watch.wait);
+    CHECK(call.completeUntil(changesUpTo(10), asked + 1s) == asked);
+
+    // Pages of a read that failed are used by the next one.
+    call.begin({}, asked);
+    call.begin({}, arrived);
+    CHECK(call.completeUntil({ wholeDirectory(), false }, arrived + 1s) == asked);
+    CHECK_FALSE(call.completeUntil({ wholeDirectory(), true }, arrived + 1s));
+}
+
+// Guards against a host's word that waited on a cut link, or unread, and counts as recent.
+TEST_CASE("a host's message is dated by this host's clock that it repeats", "[freshness]")
+{
+    PacketBoard host;
+    auto &board = host.board;
+    board.membership.startedAt = board.now.mono;
+    const auto asked = board.now.mono + 1s;
+    board.now.mono = asked;
+    const auto sent = clockToSend(board);
+    Gossip answer;
+    CHECK_FALSE(madeNotBefore(board, Ping { 0, answer }));
+    answer.echoMs = sent;
+    board.now.mono += 5s;
+    CHECK(madeNotBefore(board, Ping { 0, answer }) == asked);
+    // Hosts of older versions repeat the clock in the answer to a ping only.
+    CHECK(madeNotBefore(board, Ack { sent, {} }) == asked);
+
+    SECTION("with the time for which its sender has held the clock")
+    {
+        LinkRecord link;
+        Gossip question;
+        question.clockMs = 777;
+        noteClock(board, link, question);
+        board.now.mono += 40ms;
+        CHECK(clockToEcho(board, link) == 817);
+    }
+    SECTION("not by a clock of before the start, or one that it cannot show yet")
+    {
+        answer.echoMs = sent - 2000;
+        CHECK_FALSE(madeNotBefore(board, Ping { 0, answer }));
+        answer.echoMs = sent + 6000;
+        CHECK_FALSE(madeNotBefore(board, Ping { 0, answer }));
+    }
+}
--- a/tests/unit/messagecodectest.cpp
+++ b/tests/unit/messagecodectest.cpp
@@ -48,6 +48,8 @@
     gossip.agreed = true;
     gossip.directory = { 77 };
     gossip.directoryAgeMs = 300;
+    gossip.clockMs = 123456789;
+    gossip.echoMs = 987654321;
     gossip.members = ~0U;
     gossip.readsFail = true;
     gossip.hasPart = true;
@@ -164,6 +166,8 @@
     CHECK(gossip.agreed);
     CHECK(gossip.directory.number == 77);
     CHECK(gossip.directoryAgeMs == 300U);
+    CHECK(gossip.clockMs == 123456789);
+    CHECK(gossip.echoMs == 987654321);
     CHECK(gossip.members == ~0U);
     CHECK(gossip.readsFail);
     CHECK(gossip.hasPart);
--- a/tests/unit/packetboard.h
+++ b/tests/unit/packetboard.h
@@ -102,7 +102,7 @@
     auto take(const DirectoryUpdate &update) -> void
     {
         this->board.directory.apply(update, this->board.now.mono);
-        this->board.freshness.noteRead(this->board.now.mono, this->board.now.mono);
+        this->board.freshness.noteRead(this->board.now.mono);
     }
 
     /// Replaces the rows at revision 12. Precondition: the directory is at revision 10.
--- a/tests/unit/packetsteeringtest.cpp
+++ b/tests/unit/packetsteeringtest.cpp
@@ -251,7 +251,7 @@
     CHECK(instanceOf(host.acknowledge(9, cookie, papersAddress)) == 5);
     const auto returned = host.board.now.mono;
     host.board.freshness.noteOutageEnd(returned);
-    host.board.freshness.noteRead(returned, returned);
+    host.board.freshness.noteRead(returned);
     CHECK(instanceOf(host.acknowledge(9, cookie, papersAddress)) == 5);
     host.advance(host.board.directory.reappearTime());
     CHECK(host.acknowledge(9, cookie, papersAddress).verdict == PacketVerdict::Reset);
