Show the age of the directory in the metrics, and read nothing for a stop without a directory

Ruled out: `platform_age_ms`, which old copies renew. Conclusion: an alarm on `directory_age_ms` above the bound sees this class.

--- a/include/flamingograde/stats.h
+++ b/include/flamingograde/stats.h
@@ -33,6 +33,8 @@
     std::uint64_t tablesOlder = 0;                 ///< Older tables received.
     std::uint64_t platformReads = 0;               ///< Calls to the platform.
     std::uint64_t platformFailures = 0;            ///< Failed calls to the platform.
+    std::uint64_t directoryOverdue = 0;            ///< Reads because no host showed the directory
+                                                   ///< to be recent in time.
     std::uint64_t peerMessagesSent = 0;            ///< Messages sent to other hosts.
     std::uint64_t peerMessagesReceived = 0;        ///< Messages received from other hosts.
     std::uint64_t pauses = 0;                      ///< Pauses of the process.
@@ -58,6 +60,8 @@
     std::uint64_t directoryRevision = 0; ///< Gauge: revision of the newest directory change.
     std::uint64_t directoryEpoch = 0;    ///< Gauge: the platform's epoch, as far as known.
     std::uint64_t directoryCurrent = 0;  ///< Gauge: 1 if the directory counts as current, else 0.
+    std::uint64_t directoryAgeMs = 0;    ///< Gauge: for how long changes may have been missing, in
+                                         ///< ms; 0 before this is known.
     std::uint64_t rowsVersion = 0;       ///< Gauge: the operators' version number of the rows.
     std::uint64_t upstreams = 0;         ///< Gauge: upstreams in the directory.
     std::uint64_t upstreamsSilent = 0;   ///< Gauge: silent upstreams.
--- a/src/core/directory/directorycontroller.cpp
+++ b/src/core/directory/directorycontroller.cpp
@@ -453,8 +453,10 @@
     const auto now = board.now.mono;
     const auto isRecheckDue = board.directoryReadsFail && now >= this->nextRecheck;
     if (!board.directory.revision().isValid()) {
-        return !isDirectoryExpected(board) || isRecheckDue || isDirectoryReader(board)
-               || board.config.platformAge(now) > staleAfter(board);
+        const auto isWanted = !isDirectoryExpected(board) || isRecheckDue
+                              || isDirectoryReader(board)
+                              || board.config.platformAge(now) > staleAfter(board);
+        return isWanted && !board.stop.stopping;
     }
     if (!board.freshness.isCurrent(now)) {
         return this->confirmation.isDue(board);
--- a/src/core/directory/directorylog.cpp
+++ b/src/core/directory/directorylog.cpp
@@ -124,6 +124,7 @@
 
 auto logOverdue(Blackboard &board) -> void
 {
+    ++board.stats.directoryOverdue;
     const auto *feed = board.membership.find(board.links.feed);
     const auto asOf = board.freshness.asOf();
     const auto age = asOf ? std::to_string(milliseconds(board.now.mono - *asOf)) : "unknown";
--- a/src/core/dump.cpp
+++ b/src/core/dump.cpp
@@ -209,6 +209,8 @@
     stats.directoryRevision = board.directory.revision().number;
     stats.directoryEpoch = board.directory.currentEpoch();
     stats.directoryCurrent = board.freshness.isCurrent(board.now.mono) ? 1 : 0;
+    const auto age = board.now.mono - board.freshness.asOf().value_or(board.now.mono);
+    stats.directoryAgeMs = static_cast<std::uint64_t>(milliseconds(age));
     stats.rowsVersion = rows == nullptr ? 0 : rows->version;
     stats.upstreams = board.directory.listedCount();
     stats.flows = board.packets.flows.used;
--- a/src/net/metrics.cpp
+++ b/src/net/metrics.cpp
@@ -197,6 +197,8 @@
     list.counter("tables_refused", "Tables with findings.", number(stats.tablesRefused));
     list.counter("tables_older", "Older tables offered.", number(stats.tablesOlder));
     list.counter("platform_reads", "Calls on the platform.", number(stats.platformReads));
+    list.counter("directory_overdue", "Reads as the directory was not shown to be recent.",
+                 number(stats.directoryOverdue));
     list.counter("platform_failures", "Failed calls on the platform.",
                  number(stats.platformFailures));
     list.gauge("members_alive", "Hosts held to be alive.", number(stats.membersAlive));
@@ -244,6 +246,8 @@
     list.gauge("directory_epoch", "The platform's epoch.", number(stats.directoryEpoch));
     list.gauge("directory_current", "Whether the directory counts as current.",
                number(stats.directoryCurrent));
+    list.gauge("directory_age_ms", "For how long changes may have been missing, in milliseconds.",
+               number(stats.directoryAgeMs));
     list.gauge("rows_version", "The version of the packet rows.", number(stats.rowsVersion));
     list.gauge("upstreams", "Upstreams in the directory.", number(stats.upstreams));
     list.gauge("upstreams_silent", "Upstreams held to be silent.", number(stats.upstreamsSilent));
