Shorten a host's wait for its next try when its hubs are gone or it became a hub

Cause: a host whose own read failed in an outage drew its next try over 1 s for each host of its zone and kept it, although its hubs went dark as the outage ended or it became a hub itself: up to 50 s in a zone of 50. Ruled out: hosts that hear of a read, as their wait ends with it. Change: the wait is at most what the present state calls for, looked at on each tick, and the long one holds only while a hub says that its reads fail.

--- a/src/core/directory/fallbackreader.cpp
+++ b/src/core/directory/fallbackreader.cpp
@@ -17,11 +17,11 @@
 
 using namespace std::chrono_literals;
 
-/// Mean time between the first attempts of a zone's hosts whose hub says that its own reads fail:
-/// the platform may be down, or turn away hubs alone.
+/// Time for each host of a zone over which hosts spread their attempts that may fail: a hub says
+/// that its own reads fail, or the last read of this host has failed.
 constexpr Duration attemptSpacing = 50ms;
 
-/// Mean time between the further attempts of these hosts. Their hubs try again within a second.
+/// The same if both hold: the platform is down for all that is known. Hubs try each second.
 constexpr Duration retrySpacing = 1000ms;
 
 /// Time over which the hubs of a zone spread their reads, in the order of their ranks.
@@ -40,13 +40,6 @@
                       <= config::changeBound,
               "every other host reads in time whatever its hubs do");
 
-/// Returns a random duration up to `longest`.
-auto randomUpTo(Blackboard &board, Duration longest) -> Duration
-{
-    std::uniform_int_distribution<Duration::rep> draw(0, longest.count());
-    return Duration(draw(board.random));
-}
-
 /// Returns how long this hub leaves the read to the hubs that rank before it.
 auto hubWait(const Blackboard &board) -> Duration
 {
@@ -67,17 +60,24 @@
     });
 }
 
-/// Returns how long a host that is no hub waits before it reads.
-auto fedWait(Blackboard &board, bool hasFailed) -> Duration
+/// Returns the longest time for which a host that is no hub waits before it reads.
+auto longestWait(const Blackboard &board, bool hasFailed) -> Duration
 {
     const auto hosts = board.membership.voters(board.init.self.zone).size();
     const auto count = static_cast<Duration::rep>(std::max<std::size_t>(hosts, 1));
-    if (hasFailed) {
-        return randomUpTo(board, retrySpacing * count);
-    }
     const auto isFailing = anyHub(board, [](const MemberRecord &hub) { return hub.readsFail; });
+    if (hasFailed && isFailing) {
+        return retrySpacing * count;
+    }
     const Duration spaced = attemptSpacing * count;
-    return randomUpTo(board, isFailing ? std::max(fedSpread, spaced) : fedSpread);
+    return hasFailed || isFailing ? std::max(fedSpread, spaced) : fedSpread;
+}
+
+/// Returns a random duration up to `longest`.
+auto randomUpTo(Blackboard &board, Duration longest) -> Duration
+{
+    std::uniform_int_distribution<Duration::rep> draw(0, longest.count());
+    return Duration(draw(board.random));
 }
 
 } // namespace
@@ -98,10 +98,13 @@
         this->hasFailed = false;
         return false;
     }
+    const auto isHub = board.links.isHub(board.membership.self);
+    const auto longest = isHub ? hubWait(board) : longestWait(board, this->hasFailed);
     if (!this->dueAt) {
-        const auto isHub = board.links.isHub(board.membership.self);
-        this->dueAt = now + (isHub ? hubWait(board) : fedWait(board, this->hasFailed));
+        this->dueAt = now + (isHub ? longest : randomUpTo(board, longest));
     }
+    // A wait that began in an outage, or before this host became a hub, may be too long by now.
+    this->dueAt = std::min(*this->dueAt, now + longest);
     if (now < *this->dueAt) {
         return false;
     }
