--- a/src/core/directory/directorylog.h
+++ b/src/core/directory/directorylog.h
@@ -24,7 +24,8 @@
 /// Logs that the directory was shown to be current. Precondition: it was.
 auto logConfirmed(Blackboard &board) -> void;
 
-/// Counts and logs that this host reads because its directory was not shown in time to have all changes.
+/// Counts and logs that this host reads because its directory was not shown in time to have all
+/// changes.
 auto logOverdue(Blackboard &board) -> void;
 
 } // namespace flamingograde
