--- a/tests/unit/changedelaytest.cpp
+++ b/tests/unit/changedelaytest.cpp
@@ -4,6 +4,7 @@
 #include "emulator/emulation.h"
 #include "emulator/randomday.h"
 #include "exampleday.h"
+#include "overlayfleet.h"
 
 #include <flamingograde/config.h>
 
@@ -52,6 +53,33 @@
 
 constexpr std::uint64_t lossKinds = 5;
 
+/// The surroundings of a fleet's hosts.
+struct Surroundings
+{
+    VirtualClock &clock;
+    Network &network;
+};
+
+/// Has a host lost in the given way; it comes back after `duration`.
+auto lose(EmulatedHost &host, Surroundings at, Loss kind, Duration duration) -> void
+{
+    const auto later = [&](auto action) { at.clock.later(duration, action); };
+    if (kind == Loss::Power && host.life() != HostLife::Off) {
+        host.kill(true);
+        later([&host] { host.life() == HostLife::Off ? host.start() : void(); });
+    } else if (kind == Loss::Kill && host.life() == HostLife::Running) {
+        host.restart();
+    } else if (kind == Loss::Freeze && host.life() == HostLife::Running) {
+        host.freeze();
+        later([&host] { host.wake(); });
+    } else if (kind == Loss::Cut || kind == Loss::CutFromStore) {
+        const auto name = host.name();
+        kind == Loss::Cut ? at.network.cutPlace(name, LinkFault::Silent)
+                          : at.network.cutFromStore(name, LinkFault::Silent);
+        later([&network = at.network, name] { network.heal(name); });
+    }
+}
+
 /// A fleet of three zones, of which one is spared, on a drawn course.
 class DrawnFleet
 {
@@ -69,9 +97,11 @@
         const auto kind = this->below(lossKinds);
         const auto duration = 200ms + this->timeBelow(lossLongest);
         const auto isMixed = this->below(3) == 0;
+        const Surroundings at { this->emulation.clock(), this->emulation.network() };
         for (std::size_t i = 0; i < this->emulation.hostCount(); ++i) {
             if (!this->isSpared(i)) {
-                this->lose(i, static_cast<Loss>(isMixed ? this->below(lossKinds) : kind), duration);
+                lose(this->emulation.host(i), at,
+                     static_cast<Loss>(isMixed ? this->below(lossKinds) : kind), duration);
             }
         }
     }
@@ -128,30 +158,76 @@
         return day;
     }
 
-    auto lose(std::size_t index, Loss kind, Duration duration) -> void
+    std::mt19937_64 random;
+    std::string spared;
+    Emulation emulation;
+};
+
+/// A fleet of one large zone, of which the hubs, and others, are lost until the end.
+class DrawnZone
+{
+public:
+    explicit DrawnZone(std::uint64_t seed) : random(seed), fleet(1, largeZone, seed)
+    {
+        this->fleet.run(4s + this->timeBelow(2s));
+    }
+
+    /// Has all hubs lost, and of the others a drawn part, but not all.
+    auto loseHosts() -> void
     {
-        auto &host = this->emulation.host(index);
-        auto &network = this->emulation.network();
-        const auto later = [&](auto action) { this->emulation.clock().later(duration, action); };
-        if (kind == Loss::Power && host.life() != HostLife::Off) {
-            host.kill(true);
-            later([&host] { host.life() == HostLife::Off ? host.start() : void(); });
-        } else if (kind == Loss::Kill && host.life() == HostLife::Running) {
-            host.restart();
-        } else if (kind == Loss::Freeze && host.life() == HostLife::Running) {
-            host.freeze();
-            later([&host] { host.wake(); });
-        } else if (kind == Loss::Cut || kind == Loss::CutFromStore) {
-            const auto name = host.name();
-            kind == Loss::Cut ? network.cutPlace(name, LinkFault::Silent)
-                              : network.cutFromStore(name, LinkFault::Silent);
-            later([&network, name] { network.heal(name); });
+        const auto kind = static_cast<Loss>(this->random() % lossKinds);
+        const auto lostOfTen = 5 * (this->random() % 3);
+        const Surroundings at { this->fleet.clock, this->fleet.network };
+        for (std::size_t i = 0; i < this->fleet.size(); ++i) {
+            const auto isLast = i + 1 == this->fleet.size();
+            if (i < config::hubsMin || (!isLast && this->random() % 10 < lostOfTen)) {
+                lose(this->fleet.host(i), at, kind, forever);
+            } else {
+                this->spared.push_back(i);
+            }
         }
     }
 
+    /// Has the store silent, or refuse all calls, for a drawn time.
+    auto haveOutage() -> void
+    {
+        this->fleet.store.mode = this->toss() ? StoreMode::Silent : StoreMode::Refuses;
+        this->fleet.run(this->timeBelow(2 * lossLongest));
+        this->fleet.store.mode = StoreMode::Answers;
+        this->fleet.run(config::undisturbedAfter);
+    }
+
+    /// Publishes rows. @returns the time until the spared hosts have them; 20 s if it is longer.
+    auto publish() -> Duration
+    {
+        this->fleet.publish();
+        const auto newest = this->fleet.store.revision().number;
+        const auto hasNewest = [&](std::size_t host) {
+            return this->fleet.host(host).balancer().stats().directoryRevision == newest;
+        };
+        const auto haveAll = [&] {
+            return std::all_of(this->spared.begin(), this->spared.end(), hasNewest);
+        };
+        const auto limit = 20s;
+        return this->fleet.clock.runUntil(haveAll, limit).value_or(limit);
+    }
+
+    auto run(Duration duration) -> void { this->fleet.run(duration); }
+    auto toss() -> bool { return this->random() % 2 == 0; }
+
+    auto timeBelow(Duration limit) -> Duration
+    {
+        return Duration(static_cast<Duration::rep>(this->random()
+                                                   % static_cast<std::uint64_t>(limit.count())));
+    }
+
+private:
+    static constexpr std::size_t largeZone = 40;
+    static constexpr Duration forever = 60s;
+
     std::mt19937_64 random;
-    std::string spared;
-    Emulation emulation;
+    OverlayFleet fleet;
+    std::vector<std::size_t> spared;
 };
 
 } // namespace
@@ -176,6 +252,20 @@
     }
 }
 
+// Guards against hosts that leave reads to others for longer the larger their zone is, or because a
+// hub says that its own reads fail.
+TEST_CASE("a change is in force in time in a large zone whose hubs stay lost", "[change-delay]")
+{
+    constexpr std::uint64_t courses = 200;
+    for (std::uint64_t seed = 1; seed <= courses; ++seed) {
+        INFO("seed " << seed);
+        DrawnZone zone(seed);
+        zone.loseHosts();
+        zone.toss() ? zone.haveOutage() : zone.run(zone.timeBelow(lossLongest));
+        CHECK(milliseconds(zone.publish()) <= milliseconds(config::changeBound));
+    }
+}
+
 // Guards against the same fault as callers meet it: flows at a leaving upstream, and rows refused.
 TEST_CASE("drawn days on which most hosts are lost beside changes violate no invariant",
           "[change-delay][emulation]")
