--- a/tests/unit/changedelaytest.cpp
+++ b/tests/unit/changedelaytest.cpp
@@ -73,7 +73,7 @@
         host.freeze();
         later([&host] { host.wake(); });
     } else if (kind == Loss::Cut || kind == Loss::CutFromStore) {
-        const auto name = host.name();
+        const auto &name = host.name();
         kind == Loss::Cut ? at.network.cutPlace(name, LinkFault::Silent)
                           : at.network.cutFromStore(name, LinkFault::Silent);
         later([&network = at.network, name] { network.heal(name); });
